--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,882 @@
+//! Every decision of slatevalve. Its types, events and actions stand in `src/api.rs`.
+//!
+//! Ordinary path: a function hashes onto a ring of virtual points; the first worker clockwise is its home
+//! and, while that one is busy, the next distinct workers along the ring take the spill. Everything else in
+//! this file either keeps one of the five rules or is an exception listed in `docs/design.md`.
+
+use crate::api::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Ring points of a worker of middling weight: arcs even to a few parts in a hundred, a walk stays cheap.
+const POINTS: f64 = 96.0;
+/// Own requests above the weighted average, as a factor and in requests, before a worker counts as busy.
+const MARGIN: (f64, f64) = (1.5, 0.5);
+/// How long one piece of bad evidence keeps a worker busy; it doubles with each further piece.
+const SUSPECT: Micros = Micros(1_500_000);
+/// Beyond this share of suspects the cause is shared, and all stay on the ring.
+const SUSPECT_SHARE: f64 = 0.4;
+/// A call follows its order to load after this, so as not to overtake it.
+const BEHIND_ORDER: Micros = Micros(4_000);
+/// The pace of housekeeping.
+const TICK: Micros = Micros(20_000);
+/// Between two probes of one worker, when it is in doubt and when it is not.
+const PROBE_EVERY: (Micros, Micros) = (Micros(400_000), Micros(1_000_000));
+/// Further attempts allowed for each request taken, and how many may be saved up.
+const RETRIES: (f64, f64) = (0.15, 12.0);
+/// The part of the cold budget that is used: room for chance and for other routers' larger shares.
+const COLD_USE: f64 = 0.7;
+/// Functions remembered at most; the one unused longest goes first.
+const FUNCTIONS: usize = 4096;
+
+/// A stable 64-bit mix (the finaliser of splitmix64), the same on every router and in every build.
+fn mix(x: u64) -> u64 {
+    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+fn secs(t: Micros) -> f64 {
+    t.0 as f64 / 1e6
+}
+
+fn micros(s: f64) -> Micros {
+    Micros((s * 1e6) as i64)
+}
+
+fn since(a: Micros, b: Micros) -> Micros {
+    Micros(a.0.saturating_sub(b.0))
+}
+
+fn after(a: Micros, b: Micros) -> Micros {
+    Micros(a.0.saturating_add(b.0))
+}
+
+/// Moves a running mean towards a new value.
+fn blend(mean: &mut f64, value: f64, part: f64) {
+    *mean += (value - *mean) * part;
+}
+
+struct Worker {
+    entry: WorkerEntry,
+    /// When it last started cold, as far as told or seen.
+    started: Option<Micros>,
+    own: usize,
+    /// Pieces of bad evidence in a row, and until when they keep the worker busy.
+    doubts: u32,
+    busy_until: Micros,
+    last_good: Micros,
+    /// Latency beside what its functions take elsewhere.
+    slow: f64,
+    queue: Option<(Micros, f64)>,
+    probe_out: bool,
+    probed: Micros,
+    /// Work sent lately, for the cold budget.
+    sent: VecDeque<(Micros, f64)>,
+}
+
+#[derive(Clone, Default)]
+struct Place {
+    own: usize,
+    /// Last moment at which a copy is known to have stood.
+    stood: Option<Micros>,
+    copies: u32,
+    /// When the outstanding order went out.
+    ordered: Option<Micros>,
+    /// When a load that is under way should be done.
+    due: Option<Micros>,
+    /// No further order before this.
+    rest: Micros,
+}
+
+struct Function {
+    lanes: usize,
+    load: f64,
+    svc: f64,
+    seen: Micros,
+    gap: f64,
+    places: BTreeMap<WorkerId, Place>,
+}
+
+struct Attempt {
+    worker: WorkerId,
+    zone: ZoneId,
+    cell: CellId,
+    sent: Micros,
+    loading: bool,
+    outcome: Option<Outcome>,
+    cancelled: bool,
+}
+
+impl Attempt {
+    fn may_have_run(&self) -> bool {
+        !self.outcome.is_some_and(Outcome::proves_never_ran)
+    }
+}
+
+struct Open {
+    req: Request,
+    came: Micros,
+    until: Micros,
+    attempts: Vec<Attempt>,
+    done: bool,
+    streaming: bool,
+    /// Waiting for its order to be ahead of it.
+    held: Option<(WorkerId, Micros)>,
+}
+
+impl Open {
+    fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.outcome.is_none()).count()
+    }
+}
+
+/// One router's decisions.
+pub struct Brain {
+    s: Settings,
+    now: Micros,
+    rng: u64,
+    workers: BTreeMap<WorkerId, Worker>,
+    ring: Vec<(u64, WorkerId, f64)>,
+    open: BTreeMap<RequestId, Open>,
+    functions: BTreeMap<FunctionId, Function>,
+    /// Mean work of each class, in seconds, and the smoothed rate of work served.
+    class_work: Vec<f64>,
+    served: f64,
+    served_rate: f64,
+    retries: f64,
+    orders: VecDeque<Micros>,
+    taken: VecDeque<Micros>,
+    ticking: bool,
+    asked: Option<Micros>,
+    tenants: Vec<f64>,
+}
+
+impl Brain {
+    /// A router that knows its settings and nothing else yet.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let class_work = settings.classes.iter().map(|c| secs(c.aim) / 6.0).collect();
+        Brain {
+            now: Micros(i64::MIN),
+            rng: seed,
+            workers: BTreeMap::new(),
+            ring: Vec::new(),
+            open: BTreeMap::new(),
+            functions: BTreeMap::new(),
+            class_work,
+            served: 0.0,
+            served_rate: 0.0,
+            retries: RETRIES.1,
+            orders: VecDeque::new(),
+            taken: VecDeque::new(),
+            ticking: false,
+            asked: None,
+            tenants: vec![0.0; settings.tenants.len()],
+            s: settings,
+        }
+    }
+
+    /// Takes one event and appends what is to be done about it.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Request(r) => self.request(r, out),
+            Event::Answer(a) => self.answer(a, out),
+            Event::Streaming { id, .. } => {
+                if let Some(o) = self.open.get_mut(&id) {
+                    o.streaming = true;
+                }
+            }
+            Event::Left { id } => self.close(id),
+            Event::Listed(l) => self.listed(l),
+            Event::Probed { worker, outcome, report, .. } => self.probed(worker, outcome, report),
+            Event::Loaded { worker, function, outcome, copies, latency } => {
+                self.loaded(worker, function, outcome, copies, latency)
+            }
+            Event::Wake { token: 0 } => {
+                self.ticking = false;
+                self.tick(out);
+            }
+            Event::Wake { token } => {
+                let id = RequestId(token - 1);
+                if self.open.get(&id).is_some_and(|o| !o.done && o.held.is_some_and(|h| h.1 <= self.now)) {
+                    self.dispatch(id, out);
+                }
+            }
+        }
+        if self.s.must_ask && self.asked.is_none_or(|t| since(self.now, t).0 > self.s.rules.ask_within.0 / 3) {
+            self.asked = Some(self.now);
+            out.push(Action::Subscribe);
+        }
+        if !self.ticking {
+            self.ticking = true;
+            out.push(Action::Wake { at: after(self.now, TICK), token: 0 });
+        }
+    }
+
+    // ---- the list of workers and the ring ----
+
+    fn listed(&mut self, l: Listing) {
+        if l.scope == Scope::Refused {
+            self.asked = None;
+            return;
+        }
+        if l.scope != Scope::Changes {
+            let named: Vec<WorkerId> = l.entries.iter().map(|e| e.id).collect();
+            self.workers.retain(|id, _| named.contains(id));
+        }
+        for e in l.entries {
+            if e.state == WorkerState::Gone {
+                self.workers.remove(&e.id);
+                continue;
+            }
+            let w = self.workers.entry(e.id).or_insert_with(|| Worker {
+                entry: WorkerEntry { up_since: e.up_since, ..e },
+                started: None,
+                own: 0,
+                doubts: 0,
+                busy_until: Micros(i64::MIN),
+                last_good: Micros(i64::MIN),
+                slow: 1.0,
+                queue: None,
+                probe_out: false,
+                probed: Micros(i64::MIN),
+                sent: VecDeque::new(),
+            });
+            // A restart under the same id comes back empty and cold, and owes nothing for what it was.
+            if e.up_since > w.entry.up_since {
+                w.doubts = 0;
+                w.slow = 1.0;
+                w.busy_until = Micros(i64::MIN);
+                for f in self.functions.values_mut() {
+                    f.places.remove(&e.id);
+                }
+            }
+            w.started = w.started.max(e.up_since);
+            w.entry = e;
+        }
+        let workers = &self.workers;
+        for f in self.functions.values_mut() {
+            f.places.retain(|id, _| workers.contains_key(id));
+        }
+        for (id, w) in self.workers.iter_mut() {
+            let out = |a: &Attempt| a.outcome.is_none() && a.worker == *id;
+            w.own = self.open.values().flat_map(|o| &o.attempts).filter(|a| out(a)).count();
+        }
+        self.build_ring();
+    }
+
+    /// Points in proportion to weight, in units of a power of two near the median weight, so that one
+    /// worker's coming or leaving does not change the count of another's.
+    fn build_ring(&mut self) {
+        let mut weights: Vec<f64> = self.workers.values().map(|w| self.weight(w)).collect();
+        weights.sort_by(f64::total_cmp);
+        let middle = weights.get(weights.len() / 2).copied().unwrap_or(1.0);
+        let unit = 2f64.powi(middle.log2().round() as i32);
+        let mut ring = Vec::new();
+        for (id, w) in self.workers.iter().filter(|(_, w)| w.entry.state == WorkerState::Ready) {
+            let points = (POINTS * self.weight(w) / unit).round().clamp(8.0, 4.0 * POINTS) as u64;
+            ring.extend((0..points).map(|i| (mix(mix(id.0) ^ i), *id, i as f64 / points as f64)));
+        }
+        ring.sort_by_key(|p| (p.0, p.1));
+        self.ring = ring;
+    }
+
+    fn weight(&self, w: &Worker) -> f64 {
+        match self.s.weights {
+            Weights::Size if w.entry.weight.is_finite() && w.entry.weight > 1e-6 => w.entry.weight.min(1e6),
+            _ => 1.0,
+        }
+    }
+
+    /// The least share of its capacity that a started worker has by now.
+    fn warmth(&self, w: &Worker) -> f64 {
+        let Some(t) = w.started else { return 1.0 };
+        let (r, age) = (&self.s.rules, since(self.now, t).0.max(0) as f64);
+        let part = if r.warm_within.0 > 0 { (age / r.warm_within.0 as f64).min(1.0) } else { 1.0 };
+        (r.start_capacity + (1.0 - r.start_capacity) * part).clamp(0.0, 1.0)
+    }
+
+    /// The distinct workers clockwise from the function's hash. Points of a started worker come up one by
+    /// one as it warms; until then the arc goes on to the next.
+    fn walk(&self, f: FunctionId) -> Vec<WorkerId> {
+        let at = self.ring.partition_point(|p| p.0 < mix(f.0 ^ 0x51a7_e7a1));
+        let mut order: Vec<WorkerId> = Vec::new();
+        for p in self.ring[at..].iter().chain(&self.ring[..at]) {
+            if !order.contains(&p.1) && self.workers.get(&p.1).is_some_and(|w| p.2 < self.warmth(w)) {
+                order.push(p.1);
+                if order.len() == self.workers.len() {
+                    break;
+                }
+            }
+        }
+        order
+    }
+
+    // ---- the gate: every rule in one place ----
+
+    /// Whether the request may be sent to the worker now, by effects, drains and the cold budget.
+    fn may_send(&self, o: &Open, id: WorkerId) -> bool {
+        let Some(w) = self.workers.get(&id) else { return false };
+        let ready = w.entry.state == WorkerState::Ready && !o.done && !o.streaming && self.now < o.until;
+        let copies = o.attempts.len() < self.s.limits.max_attempts
+            && (self.s.limits.second_copies || o.out() == 0);
+        ready && copies && self.effect_allows(o, w) && self.cold_allows(o, w)
+    }
+
+    fn effect_allows(&self, o: &Open, w: &Worker) -> bool {
+        let mut ran = o.attempts.iter().filter(|a| a.may_have_run());
+        match self.class(o).effect {
+            Effect::Safe => true,
+            Effect::Unsafe => ran.next().is_none(),
+            Effect::Keyed { group, memory } => ran.all(|a| {
+                let same = match group {
+                    Group::All => true,
+                    Group::Zone => a.zone == w.entry.zone,
+                    Group::Cell => a.cell == w.entry.cell,
+                };
+                // Two hundredths of a second for the way there.
+                same && since(self.now, a.sent).0 + 20_000 < memory.0
+            }),
+        }
+    }
+
+    /// This router's share of what a cold worker may be sent in a window. Capacity is judged from the
+    /// rate of work this router sees served by all, so both sides are in the same unit.
+    fn cold_allows(&self, o: &Open, w: &Worker) -> bool {
+        let r = &self.s.rules;
+        if self.warmth(w) >= 1.0 {
+            return true;
+        }
+        let total: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
+        let capacity = self.served_rate * self.weight(w) / total.max(1e-9) * self.warmth(w);
+        let budget = COLD_USE * r.fall_multiple * capacity * secs(r.fall_window);
+        let recent = |t: &&(Micros, f64)| since(self.now, t.0) <= r.fall_window;
+        let sent: f64 = w.sent.iter().filter(recent).map(|t| t.1).sum();
+        sent == 0.0 || sent + self.work(o) <= budget
+    }
+
+    fn may_refuse(&self, o: &Open) -> bool {
+        let mut ran = o.attempts.iter().filter(|a| a.may_have_run());
+        match self.class(o).effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            _ => ran.next().is_none(),
+        }
+    }
+
+    /// Orders copies held, if the drain rule and the ration allow it and no order is out for the pair.
+    fn order(&mut self, f: FunctionId, id: WorkerId, copies: u32, out: &mut Vec<Action>) -> bool {
+        let l = &self.s.loading;
+        let ready = self.workers.get(&id).is_some_and(|w| w.entry.state == WorkerState::Ready);
+        let Some(fun) = self.functions.get_mut(&f) else { return false };
+        let place = fun.places.entry(id).or_default();
+        if !l.orders || !ready || place.ordered.is_some() || self.now < place.rest {
+            return false;
+        }
+        if l.ration_window.0 > 0 {
+            let inside = |t: &Micros| since(self.now, *t) <= l.ration_window;
+            while self.orders.front().is_some_and(|t| !inside(t)) {
+                self.orders.pop_front();
+            }
+            // Requests at the window's edge may count or not: one tick is left out.
+            while self.taken.front().is_some_and(|t| since(self.now, *t).0 + TICK.0 > l.ration_window.0) {
+                self.taken.pop_front();
+            }
+            let allowed = l.ration_free + l.ration_share * self.taken.len() as f64;
+            if self.orders.len() as f64 + 1.0 > allowed {
+                return false;
+            }
+            self.orders.push_back(self.now);
+        }
+        place.ordered = Some(self.now);
+        if place.due.is_none() {
+            place.due = Some(after(self.now, micros(fun.load)));
+        }
+        out.push(Action::Load { worker: id, function: f, copies: copies.clamp(1, 16) });
+        true
+    }
+
+    // ---- what is believed ----
+
+    fn class(&self, o: &Open) -> Class {
+        self.s.classes.get(o.req.class.0).cloned().unwrap_or_default()
+    }
+
+    /// Mean work of the request's class in the unit of `served_rate`.
+    fn work(&self, o: &Open) -> f64 {
+        self.class_work.get(o.req.class.0).copied().unwrap_or(0.1)
+    }
+
+    fn stands(&self, p: &Place) -> bool {
+        p.stood.is_some_and(|t| since(self.now, t) < self.s.loading.keep)
+    }
+
+    fn suspect(&self, w: &Worker) -> bool {
+        w.doubts > 0 && (self.now < w.busy_until || w.own > 0)
+    }
+
+    /// Whether so many are in doubt that the cause must be shared.
+    fn shared_doubt(&self) -> bool {
+        let bad = self.workers.values().filter(|w| self.suspect(w)).count();
+        bad as f64 > SUSPECT_SHARE * self.workers.len() as f64
+    }
+
+    /// How far a worker is over its share of this router's requests; above 0 it is busy.
+    fn excess(&self, w: &Worker, total: usize, weight: f64) -> f64 {
+        let fair = (total + 1) as f64 * self.weight(w) * self.warmth(w) / weight.max(1e-9);
+        let limit = (fair * MARGIN.0 + MARGIN.1).max(1.0) / w.slow.max(1.0);
+        let queue = w.queue.filter(|q| since(self.now, q.0).0 < 1_000_000).map_or(0.0, |q| q.1);
+        (w.own + 1) as f64 - limit.max(1.0) + (queue - 1.0).max(0.0) * 0.5
+    }
+
+    /// Chooses the worker for a request. Ordinary path: the first along the ring that is not busy and
+    /// where the function stands. Where there is none, the least expected wait, loads included.
+    fn pick(&self, o: &Open) -> Option<(WorkerId, Vec<WorkerId>)> {
+        let f = self.functions.get(&o.req.function)?;
+        let shared = self.shared_doubt();
+        let total: usize = self.workers.values().map(|w| w.own).sum();
+        let weight: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
+        let mut best: Option<(f64, WorkerId)> = None;
+        let mut wanted = Vec::new();
+        let mut ordinary = None;
+        for (step, id) in self.walk(o.req.function).into_iter().enumerate() {
+            let Some(w) = self.workers.get(&id) else { continue };
+            if !self.may_send(o, id) {
+                continue;
+            }
+            let tried = o.attempts.iter().any(|a| a.worker == id && a.outcome != Some(Outcome::Miss));
+            let p = f.places.get(&id).cloned().unwrap_or_default();
+            let suspect = !shared && self.suspect(w);
+            let over = self.excess(w, total, weight);
+            let load = match (self.stands(&p), p.due) {
+                (true, _) => 0.0,
+                (_, Some(due)) => secs(since(due, self.now)).max(0.05),
+                _ if self.now < p.rest => f.load * 3.0,
+                _ => f.load,
+            };
+            if load == 0.0 && over <= 0.0 && !suspect && !tried {
+                ordinary = Some(id);
+                break;
+            }
+            if over <= 0.0 && load > 0.0 && !suspect && !tried {
+                wanted.push(id);
+            }
+            let doubt = if suspect { 3.0 * w.doubts as f64 } else { 0.0 } + if tried { 1.0 } else { 0.0 };
+            let wait = over.max(0.0) * f.svc * w.slow.max(0.5);
+            let cost = wait + load + doubt + step as f64 * 1e-3;
+            if best.is_none_or(|b| cost < b.0) {
+                best = Some((cost, id));
+            }
+        }
+        ordinary.or(best.map(|b| b.1)).map(|id| (id, wanted))
+    }
+
+    // ---- requests ----
+
+    fn request(&mut self, r: Request, out: &mut Vec<Action>) {
+        if self.open.contains_key(&r.id) {
+            return;
+        }
+        self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
+        if self.s.loading.ration_window.0 > 0 {
+            self.taken.push_back(self.now);
+        }
+        self.functions.entry(r.function).or_insert_with(|| Function {
+            lanes: 1,
+            load: 0.7,
+            svc: 0.15,
+            seen: self.now,
+            gap: 60.0,
+            places: BTreeMap::new(),
+        });
+        if let Some(f) = self.functions.get_mut(&r.function) {
+            blend(&mut f.gap, secs(since(self.now, f.seen)).min(60.0), 0.3);
+            f.lanes = r.lanes.max(1);
+            f.seen = self.now;
+            if let (Some(t), true) = (r.load_time, f.places.is_empty()) {
+                f.load = secs(t).clamp(0.01, 10.0);
+            }
+        }
+        if self.functions.len() > FUNCTIONS {
+            let idle = |f: &Function| f.places.values().all(|p| p.own == 0 && p.ordered.is_none());
+            let oldest = self.functions.iter().filter(|f| idle(f.1) && *f.0 != r.function);
+            if let Some(id) = oldest.min_by_key(|f| (f.1.seen, *f.0)).map(|f| *f.0) {
+                self.functions.remove(&id);
+            }
+        }
+        let id = r.id;
+        if let (Some(mean), Some(work)) = (self.class_work.get_mut(r.class.0), r.work) {
+            blend(mean, secs(work).clamp(1e-4, 60.0), 0.02);
+        }
+        let until = after(self.now, r.budget);
+        let o = Open {
+            req: r,
+            came: self.now,
+            until,
+            attempts: Vec::new(),
+            done: false,
+            streaming: false,
+            held: None,
+        };
+        self.open.insert(id, o);
+        self.dispatch(id, out);
+    }
+
+    /// Sends an open request on, holds it for a moment, or leaves it for the next tick.
+    fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(o) = self.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
+        let f = o.req.function;
+        let Some((worker, wanted)) = self.pick(o) else {
+            if let Some(o) = self.open.get_mut(&id) {
+                o.held = None;
+            }
+            return;
+        };
+        // The home or the next free worker gets a copy when calls come often enough to find it standing.
+        let often = self.functions.get(&f).is_some_and(|f| f.gap < secs(self.s.loading.keep) / 2.0);
+        let place = self.functions.get(&f).and_then(|f| f.places.get(&worker)).cloned().unwrap_or_default();
+        if let Some(next) = wanted.first().filter(|w| often && **w != worker) {
+            self.order(f, *next, 1, out);
+        }
+        let mut ordered = place.ordered;
+        let lanes = o_lanes(self.functions.get(&f));
+        if !self.stands(&place) && place.due.is_none() {
+            if !self.s.loading.on_request && self.order(f, worker, 1, out) {
+                ordered = Some(self.now);
+            }
+        } else if self.stands(&place) && place.own + 1 > lanes * place.copies.max(1) as usize && often {
+            self.order(f, worker, place.copies.max(1) + 1, out);
+        }
+        let fresh = ordered.filter(|t| since(self.now, *t) < BEHIND_ORDER && !self.stands(&place));
+        if let (Some(t), false) = (fresh, self.s.loading.on_request) {
+            let at = after(t, BEHIND_ORDER);
+            if let Some(o) = self.open.get_mut(&id) {
+                o.held = Some((worker, at));
+            }
+            out.push(Action::Wake { at, token: id.0.wrapping_add(1) });
+            return;
+        }
+        self.send(id, worker, out);
+    }
+
+    fn send(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) {
+        let Some(o) = self.open.get(&id) else { return };
+        if !self.may_send(o, worker) {
+            return;
+        }
+        let work = self.work(o);
+        let (Some(o), Some(w)) = (self.open.get_mut(&id), self.workers.get_mut(&worker)) else { return };
+        let mut loading = false;
+        if let Some(f) = self.functions.get_mut(&o.req.function) {
+            let keep = self.s.loading.keep;
+            let p = f.places.entry(worker).or_default();
+            p.own += 1;
+            loading = !p.stood.is_some_and(|t| since(self.now, t) < keep);
+            if loading && p.due.is_none() && self.s.loading.on_request {
+                p.due = Some(after(self.now, micros(f.load)));
+            }
+        }
+        w.own += 1;
+        w.sent.push_back((self.now, work));
+        while w.sent.front().is_some_and(|t| since(self.now, t.0) > self.s.rules.fall_window) {
+            w.sent.pop_front();
+        }
+        o.held = None;
+        o.attempts.push(Attempt {
+            worker,
+            zone: w.entry.zone,
+            cell: w.entry.cell,
+            sent: self.now,
+            loading,
+            outcome: None,
+            cancelled: false,
+        });
+        out.push(Action::Send { id, worker, timeout: None });
+    }
+
+    fn close(&mut self, id: RequestId) {
+        let Some(o) = self.open.get_mut(&id) else { return };
+        o.done = true;
+        o.held = None;
+        if o.out() == 0 {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Ends a request that is not going to be served.
+    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(o) = self.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
+        if self.may_refuse(o) {
+            out.push(Action::Refuse { id, retry_after: None });
+        } else {
+            out.push(Action::Fail { id });
+        }
+        self.close(id);
+    }
+
+    fn answer(&mut self, a: Answer, out: &mut Vec<Action>) {
+        let Some(o) = self.open.get_mut(&a.id) else { return };
+        let function = o.req.function;
+        let class = o.req.class;
+        let Some(t) = o.attempts.get_mut(a.attempt).filter(|t| t.outcome.is_none()) else { return };
+        t.outcome = Some(a.outcome);
+        let (worker, loading, sent, cancelled) = (t.worker, t.loading, t.sent, t.cancelled);
+        if let Some(w) = self.workers.get_mut(&worker) {
+            w.own = w.own.saturating_sub(1);
+        }
+        self.learn(worker, function, class, &a, loading, sent, cancelled);
+        let Some(o) = self.open.get_mut(&a.id) else { return };
+        if a.closed || o.done {
+            if self.s.limits.cancel {
+                for (n, t) in o.attempts.iter_mut().enumerate().filter(|(_, t)| t.outcome.is_none()) {
+                    if !t.cancelled {
+                        t.cancelled = true;
+                        out.push(Action::Cancel { id: a.id, attempt: n });
+                    }
+                }
+            }
+            self.close(a.id);
+        } else if o.out() == 0 {
+            // The last word on an attempt that may have run and may not be repeated is a failure.
+            self.again(a.id, out);
+        }
+    }
+
+    /// A further attempt where one is allowed, else the final answer.
+    fn again(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(o) = self.open.get(&id).filter(|o| !o.done) else { return };
+        let spent = o.attempts.len() >= self.s.limits.max_attempts;
+        let possible = self.workers.values().any(|w| self.effect_allows(o, w));
+        let cheap = o.attempts.last().is_none_or(|t| t.outcome == Some(Outcome::Miss));
+        if spent || !possible || self.now >= o.until || (!cheap && self.retries < 1.0) {
+            return self.give_up(id, out);
+        }
+        if !cheap {
+            self.retries -= 1.0;
+        }
+        self.dispatch(id, out);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn learn(
+        &mut self,
+        worker: WorkerId,
+        function: FunctionId,
+        class: ClassId,
+        a: &Answer,
+        loading: bool,
+        sent: Micros,
+        cancelled: bool,
+    ) {
+        let taken = secs(a.latency).max(1e-4);
+        let hinted = self.open.get(&a.id).is_some_and(|o| o.req.work.is_some());
+        if let Some(f) = self.functions.get_mut(&function) {
+            let p = f.places.entry(worker).or_default();
+            p.own = p.own.saturating_sub(1);
+            match a.outcome {
+                Outcome::Ok => {
+                    p.stood = Some(self.now);
+                    p.copies = p.copies.max(1);
+                    p.due = None;
+                    if loading {
+                        blend(&mut f.load, (taken - f.svc).clamp(0.05, 5.0), 0.1);
+                    } else {
+                        let ratio = (taken / f.svc.max(1e-3)).clamp(0.1, 10.0);
+                        blend(&mut f.svc, taken, 0.05);
+                        if let Some(w) = self.workers.get_mut(&worker) {
+                            blend(&mut w.slow, ratio, 0.1);
+                        }
+                    }
+                }
+                Outcome::Miss => {
+                    // What was believed to stand is gone: unloaded, released anew or restarted.
+                    p.stood = None;
+                    p.copies = 0;
+                    if p.ordered.is_none() {
+                        p.due = None;
+                    }
+                }
+                Outcome::ConnectFailed | Outcome::Reset => *p = Place { own: p.own, ..Place::default() },
+                _ => {}
+            }
+        }
+        if a.outcome == Outcome::Ok {
+            let work = match self.class_work.get_mut(class.0) {
+                Some(m) => {
+                    if !hinted && !loading {
+                        blend(m, taken, 0.02);
+                    }
+                    *m
+                }
+                None => 0.1,
+            };
+            self.served += work;
+        }
+        if let Some(r) = a.report {
+            self.report(worker, r);
+        }
+        match a.outcome {
+            Outcome::Ok => self.good(worker, sent),
+            Outcome::Full => self.doubt(worker, false),
+            Outcome::TimedOut if !loading && !cancelled => self.doubt(worker, true),
+            Outcome::ConnectFailed | Outcome::Reset => self.doubt(worker, true),
+            _ => {}
+        }
+    }
+
+    // ---- health ----
+
+    fn good(&mut self, worker: WorkerId, sent: Micros) {
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        w.last_good = self.now;
+        if sent >= w.busy_until || since(w.busy_until, sent) < SUSPECT {
+            w.doubts = 0;
+            w.busy_until = self.now;
+        }
+    }
+
+    fn doubt(&mut self, worker: WorkerId, hard: bool) {
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        if hard && self.now < w.busy_until {
+            return;
+        }
+        w.doubts = (w.doubts + 1).min(4);
+        let long = if hard { SUSPECT.0 << (w.doubts - 1) } else { SUSPECT.0 / 3 };
+        w.busy_until = w.busy_until.max(after(self.now, Micros(long)));
+    }
+
+    fn report(&mut self, worker: WorkerId, r: Report) {
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        if let Some(q) = r.queue {
+            w.queue = Some((self.now, q.max(0.0)));
+        }
+    }
+
+    fn probed(&mut self, worker: WorkerId, outcome: Outcome, report: Option<Report>) {
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        w.probe_out = false;
+        match outcome {
+            Outcome::Ok => {
+                if let Some(r) = report {
+                    self.report(worker, r);
+                }
+            }
+            Outcome::Full => {}
+            _ => self.doubt(worker, true),
+        }
+    }
+
+    fn loaded(&mut self, id: WorkerId, f: FunctionId, outcome: Outcome, copies: u32, latency: Micros) {
+        let Some(f) = self.functions.get_mut(&f) else { return };
+        let Some(p) = f.places.get_mut(&id) else { return };
+        p.ordered = None;
+        p.due = None;
+        match outcome {
+            Outcome::Ok => {
+                if p.stood.is_none() {
+                    blend(&mut f.load, secs(latency).clamp(0.05, 5.0), 0.2);
+                }
+                p.stood = Some(self.now);
+                p.copies = copies.max(1);
+            }
+            Outcome::Full => {
+                p.copies = copies;
+                p.rest = after(self.now, Micros(1_000_000));
+            }
+            Outcome::Error | Outcome::TimedOut => p.rest = after(self.now, Micros(300_000)),
+            _ => self.doubt(id, true),
+        }
+    }
+
+    // ---- housekeeping ----
+
+    fn tick(&mut self, out: &mut Vec<Action>) {
+        let rate = self.served * self.s.routers.max(1) as f64 / secs(TICK);
+        self.served = 0.0;
+        // The start of a day shows the rate only after some seconds; it begins low, which is careful.
+        blend(&mut self.served_rate, rate, 0.005);
+        let ids: Vec<RequestId> = self.open.iter().filter(|o| !o.1.done).map(|o| *o.0).collect();
+        let (mut silent, mut again, mut over) = (Vec::new(), Vec::new(), Vec::new());
+        for id in ids {
+            let Some(o) = self.open.get(&id).filter(|o| !o.streaming) else { continue };
+            let svc = self.functions.get(&o.req.function).map_or((0.15, 0.7), |f| (f.svc, f.load));
+            if o.out() == 0 {
+                if since(o.until, self.now) <= TICK {
+                    over.push(id);
+                } else if o.held.is_none_or(|h| h.1 <= self.now) {
+                    again.push(id);
+                }
+                continue;
+            }
+            let Some(t) = o.attempts.iter().filter(|t| t.outcome.is_none()).next_back() else { continue };
+            let age = secs(since(self.now, t.sent));
+            let load = if t.loading { 2.5 * svc.1 } else { 0.0 };
+            let patience = (4.0 * svc.0).max(0.3 * secs(self.class(o).aim)) + load;
+            let quiet = self.workers.get(&t.worker).is_none_or(|w| w.last_good < t.sent);
+            if age > patience && quiet && !t.cancelled {
+                silent.push((id, t.worker));
+            }
+        }
+        for id in over {
+            self.give_up(id, out);
+        }
+        for id in again {
+            self.dispatch(id, out);
+        }
+        for (id, worker) in silent {
+            self.doubt(worker, true);
+            self.rescue(id, worker, out);
+        }
+        self.probe(out);
+    }
+
+    /// A request whose worker has said nothing for too long goes to another, where its class allows that.
+    fn rescue(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) {
+        let Some(o) = self.open.get(&id) else { return };
+        if self.shared_doubt() || self.retries < 1.0 || o.attempts.len() >= self.s.limits.max_attempts {
+            return;
+        }
+        let other = self.workers.iter().any(|(w, e)| {
+            *w != worker && e.entry.state == WorkerState::Ready && !self.suspect(e) && self.effect_allows(o, e)
+        });
+        if !other || o.out() > 1 {
+            return;
+        }
+        if self.s.limits.second_copies {
+            self.retries -= 1.0;
+            self.dispatch(id, out);
+        } else if self.s.limits.cancel {
+            let last = o.attempts.len() - 1;
+            if let Some(t) = self.open.get_mut(&id).and_then(|o| o.attempts.last_mut()) {
+                t.cancelled = true;
+                out.push(Action::Cancel { id, attempt: last });
+            }
+        }
+    }
+
+    fn probe(&mut self, out: &mut Vec<Action>) {
+        if !self.s.limits.probes {
+            return;
+        }
+        let useful = self.s.reports == Reports::Probes;
+        let (now, mut rng) = (self.now, self.rng);
+        for (id, w) in self.workers.iter_mut() {
+            let doubted = w.doubts > 0;
+            if w.probe_out || w.entry.state != WorkerState::Ready || !(doubted || useful) {
+                continue;
+            }
+            rng = mix(rng);
+            let every = if doubted { PROBE_EVERY.0 } else { PROBE_EVERY.1 };
+            if since(now, w.probed).0 >= every.0 + (rng % 100_000) as i64 {
+                w.probed = now;
+                w.probe_out = true;
+                out.push(Action::Probe { worker: *id });
+            }
+        }
+        self.rng = rng;
+    }
+}
+
+fn o_lanes(f: Option<&Function>) -> usize {
+    f.map_or(1, |f| f.lanes.max(1))
+}
