--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -63,7 +63,11 @@
 }
 
 fn number_or(o: &Obj, name: &str, other: f64) -> Res<f64> {
-    if opt(o, name).is_some() { number(o, name) } else { Ok(other) }
+    if opt(o, name).is_some() {
+        number(o, name)
+    } else {
+        Ok(other)
+    }
 }
 
 fn time(o: &Obj, name: &str) -> Res<Micros> {
@@ -71,7 +75,11 @@
 }
 
 fn time_or(o: &Obj, name: &str, other: Micros) -> Res<Micros> {
-    if opt(o, name).is_some() { time(o, name) } else { Ok(other) }
+    if opt(o, name).is_some() {
+        time(o, name)
+    } else {
+        Ok(other)
+    }
 }
 
 fn flag(o: &Obj, name: &str, other: bool) -> Res<bool> {
@@ -97,7 +105,8 @@
 }
 
 fn texts(o: &Obj, name: &str) -> Res<Vec<String>> {
-    let one = |v: &Value| v.as_str().map(String::from).ok_or_else(|| format!("field '{name}' holds no texts"));
+    let one =
+        |v: &Value| v.as_str().map(String::from).ok_or_else(|| format!("field '{name}' holds no texts"));
     list(o, name)?.iter().map(one).collect()
 }
 
@@ -107,7 +116,10 @@
 
 fn place(names: &[String], o: &Obj, name: &str) -> Res<usize> {
     let word = text(o, name)?;
-    names.iter().position(|n| n == word).ok_or_else(|| format!("field '{name}' has the unknown value '{word}'"))
+    names
+        .iter()
+        .position(|n| n == word)
+        .ok_or_else(|| format!("field '{name}' has the unknown value '{word}'"))
 }
 
 fn outcome(o: &Obj) -> Res<Outcome> {
@@ -334,7 +346,8 @@
                 let mut entries = Vec::new();
                 if scope != Scope::Refused {
                     let page = whole(o, "page")?;
-                    let lines = pages.get(&page).ok_or_else(|| format!("field 'page': no list {page} was given"))?;
+                    let lines =
+                        pages.get(&page).ok_or_else(|| format!("field 'page': no list {page} was given"))?;
                     entries = lines.iter().map(|v| entry(v, &self.names)).collect::<Res<_>>()?;
                 }
                 Event::Listed(Listing { scope, entries })
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -204,7 +204,8 @@
                 }
             }
         }
-        if self.s.must_ask && self.asked.is_none_or(|t| since(self.now, t).0 > self.s.rules.ask_within.0 / 3) {
+        if self.s.must_ask && self.asked.is_none_or(|t| since(self.now, t).0 > self.s.rules.ask_within.0 / 3)
+        {
             self.asked = Some(self.now);
             out.push(Action::Subscribe);
         }
@@ -319,8 +320,8 @@
     fn may_send(&self, o: &Open, id: WorkerId) -> bool {
         let Some(w) = self.workers.get(&id) else { return false };
         let ready = w.entry.state == WorkerState::Ready && !o.done && !o.streaming && self.now < o.until;
-        let copies = o.attempts.len() < self.s.limits.max_attempts
-            && (self.s.limits.second_copies || o.out() == 0);
+        let copies =
+            o.attempts.len() < self.s.limits.max_attempts && (self.s.limits.second_copies || o.out() == 0);
         ready && copies && self.effect_allows(o, w) && self.cold_allows(o, w)
     }
 
@@ -837,7 +838,10 @@
             return;
         }
         let other = self.workers.iter().any(|(w, e)| {
-            *w != worker && e.entry.state == WorkerState::Ready && !self.suspect(e) && self.effect_allows(o, e)
+            *w != worker
+                && e.entry.state == WorkerState::Ready
+                && !self.suspect(e)
+                && self.effect_allows(o, e)
         });
         if !other || o.out() > 1 {
             return;
