--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,6 +13,8 @@
 const MARGIN: (f64, f64) = (1.5, 0.5);
 /// How long one piece of bad evidence keeps a worker busy; it doubles with each further piece.
 const SUSPECT: Micros = Micros(1_500_000);
+/// How long a full refusal keeps a worker busy; it doubles with each one after that.
+const FULL: Micros = Micros(400_000);
 /// Beyond this share of suspects the cause is shared, and all stay on the ring.
 const SUSPECT_SHARE: f64 = 0.4;
 /// A call follows its order to load after this, so as not to overtake it.
@@ -66,6 +68,10 @@
     doubts: u32,
     busy_until: Micros,
     last_good: Micros,
+    /// Refusals in a row, and until when they keep the worker busy: a full worker answers fast and would
+    /// look idle by its own requests.
+    fulls: u32,
+    full_until: Micros,
     /// Latency beside what its functions take elsewhere.
     slow: f64,
     queue: Option<(Micros, f64)>,
@@ -238,6 +244,8 @@
                 doubts: 0,
                 busy_until: Micros(i64::MIN),
                 last_good: Micros(i64::MIN),
+                fulls: 0,
+                full_until: Micros(i64::MIN),
                 slow: 1.0,
                 queue: None,
                 probe_out: false,
@@ -455,6 +463,8 @@
                 _ if self.now < p.rest => f.load * 3.0,
                 _ => f.load,
             };
+            let full = self.now < w.full_until;
+            let tried = tried || full;
             if load == 0.0 && over <= 0.0 && !suspect && !tried {
                 ordinary = Some(id);
                 break;
@@ -462,7 +472,7 @@
             if over <= 0.0 && load > 0.0 && !suspect && !tried {
                 wanted.push(id);
             }
-            let doubt = if suspect { 3.0 * w.doubts as f64 } else { 0.0 } + if tried { 1.0 } else { 0.0 };
+            let doubt = if suspect { 3.0 * w.doubts as f64 } else { 0.0 } + if tried { 1.0 } else { 0.0 } + if full { w.fulls as f64 } else { 0.0 };
             let wait = over.max(0.0) * f.svc * w.slow.max(0.5);
             let cost = wait + load + doubt + step as f64 * 1e-3;
             if best.is_none_or(|b| cost < b.0) {
@@ -528,9 +538,14 @@
         let Some(o) = self.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
         let f = o.req.function;
         let Some((worker, wanted)) = self.pick(o) else {
+            // Nowhere to go for now: the next ticks try again. An answer must not wait for a tick too many.
+            let last = o.out() == 0 && since(o.until, self.now).0 <= 2 * TICK.0;
             if let Some(o) = self.open.get_mut(&id) {
                 o.held = None;
             }
+            if last {
+                self.give_up(id, out);
+            }
             return;
         };
         // The home or the next free worker gets a copy when calls come often enough to find it standing.
@@ -718,9 +733,14 @@
         }
         match a.outcome {
             Outcome::Ok => self.good(worker, sent),
-            Outcome::Full => self.doubt(worker, false),
-            Outcome::TimedOut if !loading && !cancelled => self.doubt(worker, true),
-            Outcome::ConnectFailed | Outcome::Reset => self.doubt(worker, true),
+            Outcome::Full => {
+                if let Some(w) = self.workers.get_mut(&worker).filter(|w| sent >= w.full_until) {
+                    w.fulls = (w.fulls + 1).min(4);
+                    w.full_until = after(self.now, Micros(FULL.0 << (w.fulls - 1)));
+                }
+            }
+            Outcome::TimedOut if !loading && !cancelled => self.doubt(worker),
+            Outcome::ConnectFailed | Outcome::Reset => self.doubt(worker),
             _ => {}
         }
     }
@@ -730,19 +750,22 @@
     fn good(&mut self, worker: WorkerId, sent: Micros) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.last_good = self.now;
+        if self.now >= w.full_until {
+            w.fulls = 0;
+        }
         if sent >= w.busy_until || since(w.busy_until, sent) < SUSPECT {
             w.doubts = 0;
             w.busy_until = self.now;
         }
     }
 
-    fn doubt(&mut self, worker: WorkerId, hard: bool) {
+    fn doubt(&mut self, worker: WorkerId) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
-        if hard && self.now < w.busy_until {
+        if self.now < w.busy_until {
             return;
         }
         w.doubts = (w.doubts + 1).min(4);
-        let long = if hard { SUSPECT.0 << (w.doubts - 1) } else { SUSPECT.0 / 3 };
+        let long = SUSPECT.0 << (w.doubts - 1);
         w.busy_until = w.busy_until.max(after(self.now, Micros(long)));
     }
 
@@ -763,7 +786,7 @@
                 }
             }
             Outcome::Full => {}
-            _ => self.doubt(worker, true),
+            _ => self.doubt(worker),
         }
     }
 
@@ -785,7 +808,7 @@
                 p.rest = after(self.now, Micros(1_000_000));
             }
             Outcome::Error | Outcome::TimedOut => p.rest = after(self.now, Micros(300_000)),
-            _ => self.doubt(id, true),
+            _ => self.doubt(id),
         }
     }
 
@@ -802,7 +825,7 @@
             let Some(o) = self.open.get(&id).filter(|o| !o.streaming) else { continue };
             let svc = self.functions.get(&o.req.function).map_or((0.15, 0.7), |f| (f.svc, f.load));
             if o.out() == 0 {
-                if since(o.until, self.now) <= TICK {
+                if since(o.until, self.now).0 <= 2 * TICK.0 {
                     over.push(id);
                 } else if o.held.is_none_or(|h| h.1 <= self.now) {
                     again.push(id);
@@ -825,7 +848,7 @@
             self.dispatch(id, out);
         }
         for (id, worker) in silent {
-            self.doubt(worker, true);
+            self.doubt(worker);
             self.rescue(id, worker, out);
         }
         self.probe(out);
