--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,7 +10,7 @@
 /// Ring points of a worker of middling weight: arcs even to a few parts in a hundred, a walk stays cheap.
 const POINTS: f64 = 96.0;
 /// Own requests above the weighted average, as a factor and in requests, before a worker counts as busy.
-const MARGIN: (f64, f64) = (1.5, 0.5);
+const MARGIN: (f64, f64) = (1.5, 2.0);
 /// How long one piece of bad evidence keeps a worker busy; it doubles with each further piece.
 const SUSPECT: Micros = Micros(1_500_000);
 /// How long a full refusal keeps a worker busy; it doubles with each one after that.
@@ -146,7 +146,7 @@
     ring: Vec<(u64, WorkerId, f64)>,
     open: BTreeMap<RequestId, Open>,
     functions: BTreeMap<FunctionId, Function>,
-    /// Mean work of each class, in seconds, and the smoothed rate of work served.
+    /// Mean work of each class, in seconds, and the smoothed rate of work served to this router.
     class_work: Vec<f64>,
     served: f64,
     served_rate: f64,
@@ -269,7 +269,7 @@
             f.places.retain(|id, _| workers.contains_key(id));
         }
         for (id, w) in self.workers.iter_mut() {
-            let out = |a: &Attempt| a.outcome.is_none() && a.worker == *id;
+            let out = |a: &Attempt| a.outcome.is_none() && a.worker == *id && !a.loading;
             w.own = self.open.values().flat_map(|o| &o.attempts).filter(|a| out(a)).count();
         }
         self.build_ring();
@@ -351,7 +351,8 @@
     }
 
     /// This router's share of what a cold worker may be sent in a window. Capacity is judged from the
-    /// rate of work this router sees served by all, so both sides are in the same unit.
+    /// rate of work this router sees served by all: both sides are in the same unit, and what the other
+    /// routers see served is their share of the budget.
     fn cold_allows(&self, o: &Open, w: &Worker) -> bool {
         let r = &self.s.rules;
         if self.warmth(w) >= 1.0 {
@@ -560,7 +561,7 @@
             if !self.s.loading.on_request && self.order(f, worker, 1, out) {
                 ordered = Some(self.now);
             }
-        } else if self.stands(&place) && place.own + 1 > lanes * place.copies.max(1) as usize && often {
+        } else if self.stands(&place) && place.own > lanes * place.copies.max(1) as usize && often {
             self.order(f, worker, place.copies.max(1) + 1, out);
         }
         let fresh = ordered.filter(|t| since(self.now, *t) < BEHIND_ORDER && !self.stands(&place));
@@ -592,7 +593,9 @@
                 p.due = Some(after(self.now, micros(f.load)));
             }
         }
-        w.own += 1;
+        if !loading {
+            w.own += 1;
+        }
         w.sent.push_back((self.now, work));
         while w.sent.front().is_some_and(|t| since(self.now, t.0) > self.s.rules.fall_window) {
             w.sent.pop_front();
@@ -637,7 +640,7 @@
         let Some(t) = o.attempts.get_mut(a.attempt).filter(|t| t.outcome.is_none()) else { return };
         t.outcome = Some(a.outcome);
         let (worker, loading, sent, cancelled) = (t.worker, t.loading, t.sent, t.cancelled);
-        if let Some(w) = self.workers.get_mut(&worker) {
+        if let Some(w) = self.workers.get_mut(&worker).filter(|_| !loading) {
             w.own = w.own.saturating_sub(1);
         }
         self.learn(worker, function, class, &a, loading, sent, cancelled);
@@ -815,7 +818,7 @@
     // ---- housekeeping ----
 
     fn tick(&mut self, out: &mut Vec<Action>) {
-        let rate = self.served * self.s.routers.max(1) as f64 / secs(TICK);
+        let rate = self.served / secs(TICK);
         self.served = 0.0;
         // The start of a day shows the rate only after some seconds; it begins low, which is careful.
         blend(&mut self.served_rate, rate, 0.005);
