--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,6 +21,8 @@
 const BEHIND_ORDER: Micros = Micros(4_000);
 /// The pace of housekeeping.
 const TICK: Micros = Micros(20_000);
+/// The part of the aim that the expected time may take, for work of the least and of the most worth.
+const REFUSE: (f64, f64) = (0.35, 0.8);
 /// Between two probes of one worker, when it is in doubt and when it is not.
 const PROBE_EVERY: (Micros, Micros) = (Micros(400_000), Micros(1_000_000));
 /// Further attempts allowed for each request taken, and how many may be saved up.
@@ -150,6 +152,9 @@
     class_work: Vec<f64>,
     served: f64,
     served_rate: f64,
+    /// Answers since the last tick, and their smoothed rate.
+    answers: f64,
+    answer_rate: f64,
     retries: f64,
     orders: VecDeque<Micros>,
     taken: VecDeque<Micros>,
@@ -172,6 +177,8 @@
             class_work,
             served: 0.0,
             served_rate: 0.0,
+            answers: 0.0,
+            answer_rate: 0.0,
             retries: RETRIES.1,
             orders: VecDeque::new(),
             taken: VecDeque::new(),
@@ -530,8 +537,34 @@
             streaming: false,
             held: None,
         };
+        let refuse = self.too_late(&o);
         self.open.insert(id, o);
-        self.dispatch(id, out);
+        if refuse {
+            self.give_up(id, out);
+        } else {
+            self.dispatch(id, out);
+        }
+    }
+
+    /// Whether the answer to a new request would come too late to be worth its work. By Little's law the
+    /// time in the system is what is out over the pace of answers. Work of low worth, and what a tenant
+    /// sends beyond its share, is turned away sooner.
+    fn too_late(&mut self, o: &Open) -> bool {
+        let class = self.class(o);
+        let density = |c: &Class, w: f64| if self.s.worth_by_work { c.worth } else { c.worth / w.max(1e-3) };
+        let most = self.s.classes.iter().zip(&self.class_work).map(|(c, w)| density(c, *w)).fold(1e-9, f64::max);
+        let part = (density(&class, self.work(o)) / most).clamp(0.0, 1.0);
+        let mut patience = REFUSE.0 + (REFUSE.1 - REFUSE.0) * part;
+        if let Some((left, t)) = o.req.tenant.and_then(|t| Some((self.tenants.get_mut(t.0)?, t))) {
+            *left -= 1.0;
+            if *left < 0.0 && self.s.tenants[t.0].quota_per_s > 0.0 {
+                *left = 0.0;
+                patience *= REFUSE.0;
+            }
+        }
+        let total: usize = self.workers.values().map(|w| w.own).sum();
+        let wait = (total + 1) as f64 / self.answer_rate.max(1.0);
+        total > self.workers.len() && wait > patience * secs(class.aim)
     }
 
     /// Sends an open request on, holds it for a moment, or leaves it for the next tick.
@@ -730,6 +763,7 @@
                 None => 0.1,
             };
             self.served += work;
+            self.answers += 1.0;
         }
         if let Some(r) = a.report {
             self.report(worker, r);
@@ -820,8 +854,14 @@
     fn tick(&mut self, out: &mut Vec<Action>) {
         let rate = self.served / secs(TICK);
         self.served = 0.0;
+        blend(&mut self.answer_rate, self.answers / secs(TICK), 0.02);
+        self.answers = 0.0;
         // The start of a day shows the rate only after some seconds; it begins low, which is careful.
         blend(&mut self.served_rate, rate, 0.005);
+        for (left, t) in self.tenants.iter_mut().zip(&self.s.tenants) {
+            let share = t.quota_per_s / self.s.routers.max(1) as f64;
+            *left = (*left + share * secs(TICK)).min(2.0 * share);
+        }
         let ids: Vec<RequestId> = self.open.iter().filter(|o| !o.1.done).map(|o| *o.0).collect();
         let (mut silent, mut again, mut over) = (Vec::new(), Vec::new(), Vec::new());
         for id in ids {
