--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,6 +17,8 @@
 const FULL: Micros = Micros(400_000);
 /// Beyond this share of suspects the cause is shared, and all stay on the ring.
 const SUSPECT_SHARE: f64 = 0.4;
+/// A load away from home costs others too, by what it pushes out and by its place in the store's queue.
+const COLD_COST: f64 = 3.0;
 /// A call follows its order to load after this, so as not to overtake it.
 const BEHIND_ORDER: Micros = Micros(4_000);
 /// The pace of housekeeping.
@@ -456,6 +458,7 @@
         let mut best: Option<(f64, WorkerId)> = None;
         let mut wanted = Vec::new();
         let mut ordinary = None;
+        let mut first = true;
         for (step, id) in self.walk(o.req.function).into_iter().enumerate() {
             let Some(w) = self.workers.get(&id) else { continue };
             if !self.may_send(o, id) {
@@ -469,8 +472,10 @@
                 (true, _) => 0.0,
                 (_, Some(due)) => secs(since(due, self.now)).max(0.05),
                 _ if self.now < p.rest => f.load * 3.0,
-                _ => f.load,
+                _ if first => f.load,
+                _ => f.load * COLD_COST,
             };
+            first = false;
             let full = self.now < w.full_until;
             let tried = tried || full;
             if load == 0.0 && over <= 0.0 && !suspect && !tried {
