--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,8 +17,10 @@
 const FULL: Micros = Micros(400_000);
 /// Beyond this share of suspects the cause is shared, and all stay on the ring.
 const SUSPECT_SHARE: f64 = 0.4;
-/// A load away from home costs others too, by what it pushes out and by its place in the store's queue.
-const COLD_COST: f64 = 3.0;
+/// A load away from home costs others too, by what it pushes out and by its place in the store's queue:
+/// so many times its own time, and more by the loads begun for each request lately, so that a storm of
+/// loads that push each other out dies down.
+const COLD_COST: (f64, f64) = (2.0, 20.0);
 /// A call follows its order to load after this, so as not to overtake it.
 const BEHIND_ORDER: Micros = Micros(4_000);
 /// The pace of housekeeping.
@@ -157,6 +159,8 @@
     /// Answers since the last tick, and their smoothed rate.
     answers: f64,
     answer_rate: f64,
+    /// Loads begun for each request, smoothed.
+    cold_rate: f64,
     retries: f64,
     orders: VecDeque<Micros>,
     taken: VecDeque<Micros>,
@@ -181,6 +185,7 @@
             served_rate: 0.0,
             answers: 0.0,
             answer_rate: 0.0,
+            cold_rate: 0.0,
             retries: RETRIES.1,
             orders: VecDeque::new(),
             taken: VecDeque::new(),
@@ -410,6 +415,7 @@
         place.ordered = Some(self.now);
         if place.due.is_none() {
             place.due = Some(after(self.now, micros(fun.load)));
+            self.cold_rate += 0.01;
         }
         out.push(Action::Load { worker: id, function: f, copies: copies.clamp(1, 16) });
         true
@@ -473,7 +479,7 @@
                 (_, Some(due)) => secs(since(due, self.now)).max(0.05),
                 _ if self.now < p.rest => f.load * 3.0,
                 _ if first => f.load,
-                _ => f.load * COLD_COST,
+                _ => f.load * (COLD_COST.0 + COLD_COST.1 * self.cold_rate),
             };
             first = false;
             let full = self.now < w.full_until;
@@ -501,6 +507,7 @@
         if self.open.contains_key(&r.id) {
             return;
         }
+        self.cold_rate *= 0.99;
         self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
         if self.s.loading.ration_window.0 > 0 {
             self.taken.push_back(self.now);
@@ -629,6 +636,7 @@
             loading = !p.stood.is_some_and(|t| since(self.now, t) < keep);
             if loading && p.due.is_none() && self.s.loading.on_request {
                 p.due = Some(after(self.now, micros(f.load)));
+                self.cold_rate += 0.01;
             }
         }
         if !loading {
