--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,7 +5,7 @@
 //! this file either keeps one of the five rules or is an exception listed in `docs/design.md`.
 
 use crate::api::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Ring points of a worker of middling weight: arcs even to a few parts in a hundred, a walk stays cheap.
 const POINTS: f64 = 96.0;
@@ -65,6 +65,7 @@
     *mean += (value - *mean) * part;
 }
 
+#[derive(Default)]
 struct Worker {
     entry: WorkerEntry,
     /// When it last started cold, as far as told or seen.
@@ -87,6 +88,12 @@
     sent: VecDeque<(Micros, f64)>,
 }
 
+impl Worker {
+    fn new(entry: WorkerEntry) -> Self {
+        Worker { entry, slow: 1.0, ..Worker::default() }
+    }
+}
+
 #[derive(Clone, Default)]
 struct Place {
     own: usize,
@@ -128,7 +135,6 @@
 
 struct Open {
     req: Request,
-    came: Micros,
     until: Micros,
     attempts: Vec<Attempt>,
     done: bool,
@@ -144,6 +150,7 @@
 }
 
 /// One router's decisions.
+#[derive(Default)]
 pub struct Brain {
     s: Settings,
     now: Micros,
@@ -163,37 +170,23 @@
     cold_rate: f64,
     retries: f64,
     orders: VecDeque<Micros>,
+    /// Orders not yet answered; they outlive what is believed of the worker.
+    orders_out: BTreeSet<(WorkerId, FunctionId)>,
     taken: VecDeque<Micros>,
     ticking: bool,
     asked: Option<Micros>,
+    /// Requests that each tenant may still send within its share.
     tenants: Vec<f64>,
+    /// Stands in for a class that the settings lack: the most careful one.
+    unknown: Class,
 }
 
 impl Brain {
     /// A router that knows its settings and nothing else yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let class_work = settings.classes.iter().map(|c| secs(c.aim) / 6.0).collect();
-        Brain {
-            now: Micros(i64::MIN),
-            rng: seed,
-            workers: BTreeMap::new(),
-            ring: Vec::new(),
-            open: BTreeMap::new(),
-            functions: BTreeMap::new(),
-            class_work,
-            served: 0.0,
-            served_rate: 0.0,
-            answers: 0.0,
-            answer_rate: 0.0,
-            cold_rate: 0.0,
-            retries: RETRIES.1,
-            orders: VecDeque::new(),
-            taken: VecDeque::new(),
-            ticking: false,
-            asked: None,
-            tenants: vec![0.0; settings.tenants.len()],
-            s: settings,
-        }
+        let tenants = vec![0.0; settings.tenants.len()];
+        Brain { rng: seed, class_work, retries: RETRIES.1, tenants, s: settings, ..Brain::default() }
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -235,6 +228,11 @@
         }
     }
 
+    /// Requests and attempts that the module still keeps track of; 0 once all is answered.
+    pub fn in_hand(&self) -> usize {
+        self.open.len()
+    }
+
     // ---- the list of workers and the ring ----
 
     fn listed(&mut self, l: Listing) {
@@ -251,26 +249,11 @@
                 self.workers.remove(&e.id);
                 continue;
             }
-            let w = self.workers.entry(e.id).or_insert_with(|| Worker {
-                entry: WorkerEntry { up_since: e.up_since, ..e },
-                started: None,
-                own: 0,
-                doubts: 0,
-                busy_until: Micros(i64::MIN),
-                last_good: Micros(i64::MIN),
-                fulls: 0,
-                full_until: Micros(i64::MIN),
-                slow: 1.0,
-                queue: None,
-                probe_out: false,
-                probed: Micros(i64::MIN),
-                sent: VecDeque::new(),
-            });
+            let w = self.workers.entry(e.id).or_insert_with(|| Worker::new(e.clone()));
             // A restart under the same id comes back empty and cold, and owes nothing for what it was.
             if e.up_since > w.entry.up_since {
-                w.doubts = 0;
-                w.slow = 1.0;
-                w.busy_until = Micros(i64::MIN);
+                let sent = std::mem::take(&mut w.sent);
+                *w = Worker { sent, started: w.started, ..Worker::new(e.clone()) };
                 for f in self.functions.values_mut() {
                     f.places.remove(&e.id);
                 }
@@ -394,24 +377,20 @@
         let ready = self.workers.get(&id).is_some_and(|w| w.entry.state == WorkerState::Ready);
         let Some(fun) = self.functions.get_mut(&f) else { return false };
         let place = fun.places.entry(id).or_default();
-        if !l.orders || !ready || place.ordered.is_some() || self.now < place.rest {
+        if !l.orders || !ready || self.orders_out.contains(&(id, f)) || self.now < place.rest {
             return false;
         }
         if l.ration_window.0 > 0 {
-            let inside = |t: &Micros| since(self.now, *t) <= l.ration_window;
-            while self.orders.front().is_some_and(|t| !inside(t)) {
-                self.orders.pop_front();
-            }
+            self.orders.retain(|t| since(self.now, *t) <= l.ration_window);
             // Requests at the window's edge may count or not: one tick is left out.
-            while self.taken.front().is_some_and(|t| since(self.now, *t).0 + TICK.0 > l.ration_window.0) {
-                self.taken.pop_front();
-            }
+            self.taken.retain(|t| since(self.now, *t).0 + TICK.0 <= l.ration_window.0);
             let allowed = l.ration_free + l.ration_share * self.taken.len() as f64;
             if self.orders.len() as f64 + 1.0 > allowed {
                 return false;
             }
             self.orders.push_back(self.now);
         }
+        self.orders_out.insert((id, f));
         place.ordered = Some(self.now);
         if place.due.is_none() {
             place.due = Some(after(self.now, micros(fun.load)));
@@ -423,8 +402,8 @@
 
     // ---- what is believed ----
 
-    fn class(&self, o: &Open) -> Class {
-        self.s.classes.get(o.req.class.0).cloned().unwrap_or_default()
+    fn class(&self, o: &Open) -> &Class {
+        self.s.classes.get(o.req.class.0).unwrap_or(&self.unknown)
     }
 
     /// Mean work of the request's class in the unit of `served_rate`.
@@ -491,7 +470,9 @@
             if over <= 0.0 && load > 0.0 && !suspect && !tried {
                 wanted.push(id);
             }
-            let doubt = if suspect { 3.0 * w.doubts as f64 } else { 0.0 } + if tried { 1.0 } else { 0.0 } + if full { w.fulls as f64 } else { 0.0 };
+            let doubt = if suspect { 3.0 * w.doubts as f64 } else { 0.0 }
+                + if tried { 1.0 } else { 0.0 }
+                + if full { w.fulls as f64 } else { 0.0 };
             let wait = over.max(0.0) * f.svc * w.slow.max(0.5);
             let cost = wait + load + doubt + step as f64 * 1e-3;
             if best.is_none_or(|b| cost < b.0) {
@@ -540,15 +521,7 @@
             blend(mean, secs(work).clamp(1e-4, 60.0), 0.02);
         }
         let until = after(self.now, r.budget);
-        let o = Open {
-            req: r,
-            came: self.now,
-            until,
-            attempts: Vec::new(),
-            done: false,
-            streaming: false,
-            held: None,
-        };
+        let o = Open { req: r, until, attempts: Vec::new(), done: false, streaming: false, held: None };
         let refuse = self.too_late(&o);
         self.open.insert(id, o);
         if refuse {
@@ -563,9 +536,11 @@
     /// sends beyond its share, is turned away sooner.
     fn too_late(&mut self, o: &Open) -> bool {
         let class = self.class(o);
+        let aim = secs(class.aim);
         let density = |c: &Class, w: f64| if self.s.worth_by_work { c.worth } else { c.worth / w.max(1e-3) };
-        let most = self.s.classes.iter().zip(&self.class_work).map(|(c, w)| density(c, *w)).fold(1e-9, f64::max);
-        let part = (density(&class, self.work(o)) / most).clamp(0.0, 1.0);
+        let most =
+            self.s.classes.iter().zip(&self.class_work).map(|(c, w)| density(c, *w)).fold(1e-9, f64::max);
+        let part = (density(class, self.work(o)) / most).clamp(0.0, 1.0);
         let mut patience = REFUSE.0 + (REFUSE.1 - REFUSE.0) * part;
         if let Some((left, t)) = o.req.tenant.and_then(|t| Some((self.tenants.get_mut(t.0)?, t))) {
             *left -= 1.0;
@@ -576,7 +551,7 @@
         }
         let total: usize = self.workers.values().map(|w| w.own).sum();
         let wait = (total + 1) as f64 / self.answer_rate.max(1.0);
-        total > self.workers.len() && wait > patience * secs(class.aim)
+        total > self.workers.len() && wait > patience * aim
     }
 
     /// Sends an open request on, holds it for a moment, or leaves it for the next tick.
@@ -601,7 +576,7 @@
             self.order(f, *next, 1, out);
         }
         let mut ordered = place.ordered;
-        let lanes = o_lanes(self.functions.get(&f));
+        let lanes = self.functions.get(&f).map_or(1, |f| f.lanes);
         if !self.stands(&place) && place.due.is_none() {
             if !self.s.loading.on_request && self.order(f, worker, 1, out) {
                 ordered = Some(self.now);
@@ -633,7 +608,7 @@
             let keep = self.s.loading.keep;
             let p = f.places.entry(worker).or_default();
             p.own += 1;
-            loading = !p.stood.is_some_and(|t| since(self.now, t) < keep);
+            loading = p.stood.is_none_or(|t| since(self.now, t) >= keep);
             if loading && p.due.is_none() && self.s.loading.on_request {
                 p.due = Some(after(self.now, micros(f.load)));
                 self.cold_rate += 0.01;
@@ -643,9 +618,7 @@
             w.own += 1;
         }
         w.sent.push_back((self.now, work));
-        while w.sent.front().is_some_and(|t| since(self.now, t.0) > self.s.rules.fall_window) {
-            w.sent.pop_front();
-        }
+        w.sent.retain(|t| since(self.now, t.0) <= self.s.rules.fall_window);
         o.held = None;
         o.attempts.push(Attempt {
             worker,
@@ -681,101 +654,49 @@
 
     fn answer(&mut self, a: Answer, out: &mut Vec<Action>) {
         let Some(o) = self.open.get_mut(&a.id) else { return };
-        let function = o.req.function;
-        let class = o.req.class;
+        let (function, class, hinted) = (o.req.function, o.req.class, o.req.work.is_some());
         let Some(t) = o.attempts.get_mut(a.attempt).filter(|t| t.outcome.is_none()) else { return };
         t.outcome = Some(a.outcome);
         let (worker, loading, sent, cancelled) = (t.worker, t.loading, t.sent, t.cancelled);
-        if let Some(w) = self.workers.get_mut(&worker).filter(|_| !loading) {
-            w.own = w.own.saturating_sub(1);
-        }
-        self.learn(worker, function, class, &a, loading, sent, cancelled);
-        let Some(o) = self.open.get_mut(&a.id) else { return };
-        if a.closed || o.done {
-            if self.s.limits.cancel {
-                for (n, t) in o.attempts.iter_mut().enumerate().filter(|(_, t)| t.outcome.is_none()) {
-                    if !t.cancelled {
-                        t.cancelled = true;
-                        out.push(Action::Cancel { id: a.id, attempt: n });
-                    }
-                }
-            }
-            self.close(a.id);
-        } else if o.out() == 0 {
-            // The last word on an attempt that may have run and may not be repeated is a failure.
-            self.again(a.id, out);
-        }
-    }
-
-    /// A further attempt where one is allowed, else the final answer.
-    fn again(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(o) = self.open.get(&id).filter(|o| !o.done) else { return };
-        let spent = o.attempts.len() >= self.s.limits.max_attempts;
-        let possible = self.workers.values().any(|w| self.effect_allows(o, w));
-        let cheap = o.attempts.last().is_none_or(|t| t.outcome == Some(Outcome::Miss));
-        if spent || !possible || self.now >= o.until || (!cheap && self.retries < 1.0) {
-            return self.give_up(id, out);
-        }
-        if !cheap {
-            self.retries -= 1.0;
-        }
-        self.dispatch(id, out);
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    fn learn(
-        &mut self,
-        worker: WorkerId,
-        function: FunctionId,
-        class: ClassId,
-        a: &Answer,
-        loading: bool,
-        sent: Micros,
-        cancelled: bool,
-    ) {
         let taken = secs(a.latency).max(1e-4);
-        let hinted = self.open.get(&a.id).is_some_and(|o| o.req.work.is_some());
+        let mut ratio = None;
         if let Some(f) = self.functions.get_mut(&function) {
             let p = f.places.entry(worker).or_default();
             p.own = p.own.saturating_sub(1);
             match a.outcome {
                 Outcome::Ok => {
-                    p.stood = Some(self.now);
-                    p.copies = p.copies.max(1);
-                    p.due = None;
+                    (p.stood, p.copies, p.due) = (Some(self.now), p.copies.max(1), None);
                     if loading {
                         blend(&mut f.load, (taken - f.svc).clamp(0.05, 5.0), 0.1);
                     } else {
-                        let ratio = (taken / f.svc.max(1e-3)).clamp(0.1, 10.0);
+                        ratio = Some((taken / f.svc.max(1e-3)).clamp(0.1, 10.0));
                         blend(&mut f.svc, taken, 0.05);
-                        if let Some(w) = self.workers.get_mut(&worker) {
-                            blend(&mut w.slow, ratio, 0.1);
-                        }
                     }
                 }
+                // What was believed to stand is gone: unloaded, released anew or restarted.
                 Outcome::Miss => {
-                    // What was believed to stand is gone: unloaded, released anew or restarted.
-                    p.stood = None;
-                    p.copies = 0;
-                    if p.ordered.is_none() {
-                        p.due = None;
-                    }
+                    (p.stood, p.copies) = (None, 0);
+                    p.due = p.due.filter(|_| p.ordered.is_some());
                 }
                 Outcome::ConnectFailed | Outcome::Reset => *p = Place { own: p.own, ..Place::default() },
                 _ => {}
             }
         }
-        if a.outcome == Outcome::Ok {
-            let work = match self.class_work.get_mut(class.0) {
-                Some(m) => {
-                    if !hinted && !loading {
-                        blend(m, taken, 0.02);
-                    }
-                    *m
-                }
-                None => 0.1,
-            };
-            self.served += work;
+        if let Some(w) = self.workers.get_mut(&worker) {
+            w.own = w.own.saturating_sub(usize::from(!loading));
+            if let Some(ratio) = ratio {
+                blend(&mut w.slow, ratio, 0.1);
+            }
+            if a.outcome == Outcome::Full && sent >= w.full_until {
+                w.fulls = (w.fulls + 1).min(4);
+                w.full_until = after(self.now, Micros(FULL.0 << (w.fulls - 1)));
+            }
+        }
+        if let (Outcome::Ok, Some(mean)) = (a.outcome, self.class_work.get_mut(class.0)) {
+            if !hinted && !loading {
+                blend(mean, taken, 0.02);
+            }
+            self.served += *mean;
             self.answers += 1.0;
         }
         if let Some(r) = a.report {
@@ -783,16 +704,39 @@
         }
         match a.outcome {
             Outcome::Ok => self.good(worker, sent),
-            Outcome::Full => {
-                if let Some(w) = self.workers.get_mut(&worker).filter(|w| sent >= w.full_until) {
-                    w.fulls = (w.fulls + 1).min(4);
-                    w.full_until = after(self.now, Micros(FULL.0 << (w.fulls - 1)));
-                }
-            }
             Outcome::TimedOut if !loading && !cancelled => self.doubt(worker),
             Outcome::ConnectFailed | Outcome::Reset => self.doubt(worker),
             _ => {}
         }
+        let Some(o) = self.open.get_mut(&a.id) else { return };
+        if a.closed || o.done {
+            for (n, t) in
+                o.attempts.iter_mut().enumerate().filter(|(_, t)| t.outcome.is_none() && !t.cancelled)
+            {
+                t.cancelled = self.s.limits.cancel;
+                if t.cancelled {
+                    out.push(Action::Cancel { id: a.id, attempt: n });
+                }
+            }
+            self.close(a.id);
+        } else if o.out() == 0 {
+            self.again(a.id, out);
+        }
+    }
+
+    /// A further attempt where one is allowed, else the final answer.
+    fn again(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(o) = self.open.get(&id).filter(|o| !o.done) else { return };
+        let spent = o.attempts.len() >= self.s.limits.max_attempts;
+        let possible = self.workers.values().any(|w| self.effect_allows(o, w));
+        let cheap = o.attempts.last().is_none_or(|t| t.outcome == Some(Outcome::Miss));
+        if spent || !possible || self.now >= o.until || (!cheap && self.retries < 1.0) {
+            return self.give_up(id, out);
+        }
+        if !cheap {
+            self.retries -= 1.0;
+        }
+        self.dispatch(id, out);
     }
 
     // ---- health ----
@@ -841,6 +785,7 @@
     }
 
     fn loaded(&mut self, id: WorkerId, f: FunctionId, outcome: Outcome, copies: u32, latency: Micros) {
+        self.orders_out.remove(&(id, f));
         let Some(f) = self.functions.get_mut(&f) else { return };
         let Some(p) = f.places.get_mut(&id) else { return };
         p.ordered = None;
@@ -888,7 +833,7 @@
                 }
                 continue;
             }
-            let Some(t) = o.attempts.iter().filter(|t| t.outcome.is_none()).next_back() else { continue };
+            let Some(t) = o.attempts.iter().rfind(|t| t.outcome.is_none()) else { continue };
             let age = secs(since(self.now, t.sent));
             let load = if t.loading { 2.5 * svc.1 } else { 0.0 };
             let patience = (4.0 * svc.0).max(0.3 * secs(self.class(o).aim)) + load;
@@ -959,7 +904,3 @@
         self.rng = rng;
     }
 }
-
-fn o_lanes(f: Option<&Function>) -> usize {
-    f.map_or(1, |f| f.lanes.max(1))
-}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,408 @@
+//! Arbitrary histories against a checker that knows the rules but nothing of the module.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use slatevalve::*;
+use std::collections::BTreeMap;
+
+const GRACE: i64 = 250_000;
+const SLACK: i64 = 8_000;
+const ATTEMPTS: usize = 3;
+const WINDOW: i64 = 2_000_000;
+const FREE: f64 = 2.0;
+const SHARE: f64 = 0.5;
+
+#[derive(Clone)]
+struct Try {
+    worker: u64,
+    cell: u64,
+    at: i64,
+    end: Option<Outcome>,
+}
+
+struct Asked {
+    class: usize,
+    until: i64,
+    tries: Vec<Try>,
+    over: bool,
+}
+
+/// What the rules say about one action, told apart from any decision.
+struct Checker {
+    second: bool,
+    ration: bool,
+    asked: BTreeMap<u64, Asked>,
+    /// Worker: cell, and since when it drains or is gone.
+    workers: BTreeMap<u64, (u64, Option<i64>)>,
+    took: Vec<i64>,
+    loads: Vec<i64>,
+    orders: Vec<(u64, u64)>,
+    probes: Vec<u64>,
+}
+
+impl Checker {
+    fn worker_open(&self, worker: u64, now: i64) -> Result<u64, String> {
+        let (cell, stop) = self.workers.get(&worker).ok_or("a worker never named")?;
+        if stop.is_some_and(|t| now > t + GRACE) {
+            return Err(format!("drain: worker {worker} was used too late"));
+        }
+        Ok(*cell)
+    }
+
+    fn act(&mut self, now: i64, action: &Action) -> Result<(), String> {
+        match action {
+            Action::Send { id, worker, .. } => {
+                let cell = self.worker_open(worker.0, now)?;
+                let (second, a) = (self.second, self.asked.get_mut(&id.0).ok_or("a request never taken")?);
+                if a.over {
+                    return Err("lost: sent after the end".into());
+                }
+                if a.tries.len() >= ATTEMPTS {
+                    return Err("limit: attempts".into());
+                }
+                if !second && a.tries.iter().any(|t| t.end.is_none()) {
+                    return Err("limit: two attempts out".into());
+                }
+                for t in a.tries.iter().filter(|t| !t.end.is_some_and(proven)) {
+                    let same = t.cell == cell && now - t.at < 1_000_000;
+                    if a.class == 2 || (a.class == 1 && !same) {
+                        return Err("effect: sent again".into());
+                    }
+                }
+                a.tries.push(Try { worker: worker.0, cell, at: now, end: None });
+            }
+            Action::Refuse { id, .. } => {
+                let a = self.asked.get_mut(&id.0).ok_or("a request never taken")?;
+                let ran = a.tries.iter().any(|t| !t.end.is_some_and(proven));
+                if a.over {
+                    return Err("lost: two final answers".into());
+                }
+                if a.class > 0 && ran {
+                    return Err("effect: refused what may have run".into());
+                }
+                a.over = true;
+            }
+            Action::Fail { id } => {
+                let a = self.asked.get_mut(&id.0).ok_or("a request never taken")?;
+                if std::mem::replace(&mut a.over, true) {
+                    return Err("lost: two final answers".into());
+                }
+            }
+            Action::Cancel { id, attempt } => {
+                let a = self.asked.get(&id.0).ok_or("a request never taken")?;
+                a.tries.get(*attempt).ok_or("cancelled an attempt never made")?;
+            }
+            Action::Load { worker, function, copies } => {
+                self.worker_open(worker.0, now)?;
+                self.loads.push(now);
+                let count = |v: &[i64]| v.iter().filter(|t| now - **t < WINDOW).count() as f64;
+                if self.ration && *copies > 0 && count(&self.loads) > FREE + SHARE * count(&self.took) {
+                    return Err("loads: over the ration".into());
+                }
+                if self.orders.contains(&(worker.0, function.0)) {
+                    return Err("two orders out for one function and worker".into());
+                }
+                self.orders.push((worker.0, function.0));
+            }
+            Action::Probe { worker } => self.probes.push(worker.0),
+            Action::Wake { at, .. } if at.0 <= now => return Err("a wake in the past".into()),
+            Action::Drop { .. } | Action::Subscribe | Action::Wake { .. } => {}
+        }
+        Ok(())
+    }
+
+    fn late(&self, now: i64) -> Result<(), String> {
+        match self.asked.iter().find(|(_, a)| !a.over && now > a.until + SLACK) {
+            Some((id, _)) => Err(format!("lost: request {id} has no answer in time")),
+            None => Ok(()),
+        }
+    }
+}
+
+fn proven(o: Outcome) -> bool {
+    matches!(o, Outcome::Full | Outcome::Miss | Outcome::ConnectFailed | Outcome::NotSent)
+}
+
+struct World {
+    brain: Brain,
+    check: Checker,
+    now: i64,
+    wakes: Vec<(i64, u64)>,
+    log: Vec<Action>,
+    next: u64,
+}
+
+impl World {
+    fn new(shape: u8) -> Self {
+        let keyed = Effect::Keyed { group: Group::Cell, memory: Micros(1_000_000) };
+        let class = |effect| Class { effect, ..Class::default() };
+        let (second, ration) = (shape & 1 == 0, shape & 2 == 0);
+        let settings = Settings {
+            routers: 3,
+            classes: vec![class(Effect::Safe), class(keyed), class(Effect::Unsafe)],
+            tenants: vec![Tenant { quota_per_s: 3.0 }],
+            weights: Weights::Size,
+            reports: if shape & 8 == 0 { Reports::Probes } else { Reports::None },
+            loading: Loading {
+                on_request: shape & 4 == 0,
+                orders: true,
+                keep: Micros(3_000_000),
+                order_timeout: Micros(5_000_000),
+                ration_window: Micros(if ration { WINDOW } else { 0 }),
+                ration_free: FREE,
+                ration_share: SHARE,
+                ..Loading::default()
+            },
+            limits: Limits { second_copies: second, max_attempts: ATTEMPTS, ..Limits::default() },
+            rules: Rules {
+                answer_slack: Micros(SLACK),
+                drain_grace: Micros(GRACE),
+                fall_multiple: 3.0,
+                ..Rules::default()
+            },
+            ..Settings::default()
+        };
+        let check = Checker {
+            second,
+            ration,
+            asked: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            took: Vec::new(),
+            loads: Vec::new(),
+            orders: Vec::new(),
+            probes: Vec::new(),
+        };
+        let brain = Brain::new(settings, 5);
+        World { brain, check, now: 1_000, wakes: Vec::new(), log: Vec::new(), next: 1 }
+    }
+
+    fn tell(&mut self, event: Event) -> Result<(), String> {
+        let mut out = Vec::new();
+        self.brain.handle(Micros(self.now), event, &mut out);
+        for a in &out {
+            self.check.act(self.now, a)?;
+            if let Action::Wake { at, token } = a {
+                self.wakes.push((at.0, *token));
+            }
+        }
+        self.log.extend(out);
+        Ok(())
+    }
+
+    /// Lets time pass: wakes come, and an attempt still out when its client gives up times out.
+    fn pass(&mut self, by: i64) -> Result<(), String> {
+        let end = self.now + by;
+        while self.now < end {
+            self.now = end.min(self.now + 2_000);
+            let (now, wakes) = (self.now, std::mem::take(&mut self.wakes));
+            let (due, later): (Vec<_>, Vec<_>) = wakes.into_iter().partition(|w| w.0 <= now);
+            self.wakes = later;
+            for (_, token) in due {
+                self.tell(Event::Wake { token })?;
+            }
+            let overdue = self.check.asked.iter().filter(|(_, a)| now >= a.until).map(|(id, _)| *id);
+            for id in overdue.collect::<Vec<_>>() {
+                for n in 0..self.check.asked[&id].tries.len() {
+                    self.end(id, n, Outcome::TimedOut)?;
+                }
+            }
+            self.check.late(self.now)?;
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, id: u64, n: usize, outcome: Outcome) -> Result<(), String> {
+        let Some(a) = self.check.asked.get_mut(&id) else { return Ok(()) };
+        let Some(t) = a.tries.get_mut(n).filter(|t| t.end.is_none()) else { return Ok(()) };
+        t.end = Some(outcome);
+        let (worker, latency) = (WorkerId(t.worker), Micros(self.now - t.at));
+        a.over |= outcome == Outcome::Ok;
+        let closed = a.over;
+        let id = RequestId(id);
+        self.tell(Event::Answer(Answer {
+            id,
+            attempt: n,
+            worker,
+            outcome,
+            closed,
+            latency,
+            crowd: None,
+            load_failed: false,
+            report: Some(Report { queue: Some(1.0), inflight: None, util: Some(0.5) }),
+        }))
+    }
+
+    fn list(&mut self, id: u64, state: WorkerState, started: bool, full: bool) -> Result<(), String> {
+        let stop = (state != WorkerState::Ready).then_some(self.now);
+        let up_since = started.then_some(Micros(self.now));
+        let entry = |id: u64, state, up_since| WorkerEntry {
+            id: WorkerId(id),
+            cell: CellId(id % 2),
+            weight: 1.0 + (id % 3) as f64 * 0.5,
+            state,
+            up_since,
+            ..WorkerEntry::default()
+        };
+        let mut entries = vec![entry(id, state, up_since)];
+        if full {
+            let named = self.check.workers.iter().filter(|(w, s)| **w != id && s.1.is_none());
+            entries.extend(named.map(|(w, _)| entry(*w, WorkerState::Ready, None)));
+            entries.retain(|e| e.state != WorkerState::Gone);
+        }
+        let old = self.check.workers.get(&id).and_then(|w| w.1);
+        self.check.workers.insert(id, (id % 2, stop.map(|t| old.unwrap_or(t))));
+        self.tell(Event::Listed(Listing { scope: if full { Scope::Full } else { Scope::Changes }, entries }))
+    }
+
+    fn step(&mut self, (op, a, b): (u8, u16, u16)) -> Result<(), String> {
+        const ENDS: [Outcome; 9] = [
+            Outcome::Ok,
+            Outcome::Error,
+            Outcome::Full,
+            Outcome::TimedOut,
+            Outcome::ConnectFailed,
+            Outcome::Reset,
+            Outcome::Cancelled,
+            Outcome::NotSent,
+            Outcome::Miss,
+        ];
+        let (x, y) = (a as usize, b as usize);
+        match op % 12 {
+            0..=3 => {
+                let budget = [5_000, 60_000, 900_000, 3_000_000][y % 4];
+                self.check.took.push(self.now);
+                let asked = Asked { class: x % 3, until: self.now + budget, tries: vec![], over: false };
+                self.check.asked.insert(self.next, asked);
+                self.next += 1;
+                self.tell(Event::Request(Request {
+                    id: RequestId(self.next - 1),
+                    budget: Micros(budget),
+                    class: ClassId(x % 3),
+                    tenant: (y % 3 == 0).then_some(TenantId(0)),
+                    function: FunctionId((x / 3 % 7) as u64),
+                    lanes: y % 3,
+                    work: (y % 2 == 0).then_some(Micros(b as i64)),
+                    ..Request::default()
+                }))
+            }
+            4..=6 => {
+                let out = |(id, a): (&u64, &Asked)| {
+                    let n = a.tries.iter().position(|t| t.end.is_none())?;
+                    Some((*id, n))
+                };
+                let all: Vec<_> = self.check.asked.iter().filter_map(out).collect();
+                match all.get(x % all.len().max(1)) {
+                    Some(&(id, n)) => self.end(id, n, ENDS[if y % 2 == 0 { 0 } else { y / 2 % 9 }]),
+                    None => Ok(()),
+                }
+            }
+            7 => self.pass(b as i64 * 8),
+            8 => {
+                let state =
+                    [WorkerState::Ready, WorkerState::Ready, WorkerState::Draining, WorkerState::Gone];
+                self.list((x % 6) as u64, state[y % 4], y % 3 == 0, y % 5 == 0)
+            }
+            9 if !self.check.orders.is_empty() => {
+                let (worker, function) = self.check.orders.remove(x % self.check.orders.len());
+                let (worker, function) = (WorkerId(worker), FunctionId(function));
+                let (outcome, copies) = (ENDS[y % 6], (y % 3) as u32);
+                self.tell(Event::Loaded { worker, function, outcome, copies, latency: Micros(b as i64 * 9) })
+            }
+            10 if !self.check.probes.is_empty() => {
+                let worker = WorkerId(self.check.probes.remove(0));
+                let (outcome, latency) = (ENDS[y % 6], Micros(1_000));
+                self.tell(Event::Probed { worker, outcome, latency, report: None })
+            }
+            11 => {
+                // A client leaves, or an event speaks of what nobody knows.
+                let id = 1 + (a as u64) % self.next;
+                if let Some(a) = self.check.asked.get_mut(&id) {
+                    a.over = true;
+                }
+                self.tell(Event::Left { id: RequestId(id) })?;
+                self.tell(Event::Wake { token: b as u64 })?;
+                self.tell(Event::Loaded {
+                    worker: WorkerId(999),
+                    function: FunctionId(999),
+                    outcome: Outcome::Ok,
+                    copies: 1,
+                    latency: Micros(0),
+                })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn history(shape: u8, steps: &[(u8, u16, u16)]) -> Result<Vec<Action>, String> {
+        let mut w = World::new(shape);
+        for id in 0..4 {
+            w.list(id, WorkerState::Ready, false, false)?;
+        }
+        for (n, s) in steps.iter().enumerate() {
+            w.step(*s).map_err(|e| format!("step {n} {s:?}: {e}"))?;
+        }
+        w.pass(4_000_000)?;
+        match w.brain.in_hand() {
+            0 => Ok(w.log),
+            n => Err(format!("{n} requests are kept after all was answered")),
+        }
+    }
+}
+
+#[test]
+fn every_rule_holds_over_arbitrary_histories() {
+    let config = Config { cases: 150, max_shrink_iters: 300, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = prop::collection::vec(any::<(u8, u16, u16)>(), 1..250);
+    runner
+        .run(&(any::<u8>(), steps), |(shape, steps)| {
+            let first = World::history(shape, &steps).map_err(TestCaseError::fail)?;
+            let again = World::history(shape, &steps).map_err(TestCaseError::fail)?;
+            prop_assert!(first == again, "equal events gave other actions");
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// The checker must bite: each broken action list is caught by the rule it breaks.
+#[test]
+fn the_checker_catches_each_broken_rule() {
+    let world = |class: usize| {
+        let mut c = World::new(1).check;
+        c.ration = true;
+        c.workers.extend([(1, (1, None)), (2, (0, None)), (3, (1, Some(0)))]);
+        c.asked.insert(1, Asked { class, until: 3_000_000, tries: vec![], over: false });
+        c
+    };
+    let send = |w| Action::Send { id: RequestId(1), worker: WorkerId(w), timeout: None };
+    let refuse = || Action::Refuse { id: RequestId(1), retry_after: None };
+    let load = |f| Action::Load { worker: WorkerId(1), function: FunctionId(f), copies: 1 };
+    let broken = |class, end: Option<Outcome>, actions: &[Action]| {
+        let mut c = world(class);
+        for (n, a) in actions.iter().enumerate() {
+            if let Err(e) = c.act(1_000_000, a) {
+                assert_eq!(n + 1, actions.len(), "caught too early: {e}");
+                return e.split(':').next().unwrap_or_default().to_string();
+            }
+            for t in c.asked.get_mut(&1).unwrap().tries.iter_mut() {
+                t.end = end;
+            }
+        }
+        match c.late(3_100_000) {
+            Err(e) => e.split(':').next().unwrap_or_default().to_string(),
+            Ok(()) => "kept".into(),
+        }
+    };
+    assert_eq!(broken(2, Some(Outcome::TimedOut), &[send(1), send(2)]), "effect");
+    assert_eq!(broken(1, Some(Outcome::TimedOut), &[send(1), send(2)]), "effect");
+    assert_eq!(broken(2, Some(Outcome::Error), &[send(1), refuse()]), "effect");
+    assert_eq!(broken(0, None, &[send(1), send(2)]), "limit");
+    assert_eq!(broken(0, Some(Outcome::Full), &[send(1), send(1), send(1), send(1)]), "limit");
+    assert_eq!(broken(0, None, &[send(3)]), "drain");
+    assert_eq!(broken(0, None, &[refuse(), refuse()]), "lost");
+    assert_eq!(broken(0, None, &[refuse(), send(1)]), "lost");
+    assert_eq!(broken(0, None, &[send(1)]), "lost");
+    assert_eq!(broken(0, None, &[load(1), load(2), load(3)]), "loads");
+    assert_eq!(broken(2, Some(Outcome::Miss), &[send(1), send(2), refuse()]), "kept");
+}
