In a storm of loads nothing is ordered ahead where calls bring their loads themselves

Told from a slow store by few fetches in hand, from bad workers by the even spread. Should also hold against flushes and one-off keys; could hurt where spills keep moving with plenty of memory.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,6 +21,9 @@
 /// so many times its own time, and more by the loads begun for each request lately, so that a storm of
 /// loads that push each other out dies down.
 const COLD_COST: (f64, f64) = (2.0, 20.0);
+/// Loads for each request beyond which nothing is ordered ahead where calls bring their loads themselves:
+/// copies are pushing each other out.
+const STORM: f64 = 0.05;
 /// A call follows its order to load after this, so as not to overtake it.
 const BEHIND_ORDER: Micros = Micros(4_000);
 /// The pace of housekeeping.
@@ -572,9 +575,10 @@
             return;
         };
         // The home or the next free worker gets a copy when calls come often enough to find it standing.
+        let calm = !self.s.loading.on_request || self.cold_rate < STORM;
         let often = self.functions.get(&f).is_some_and(|f| f.gap < secs(self.s.loading.keep) / 2.0);
         let place = self.functions.get(&f).and_then(|f| f.places.get(&worker)).cloned().unwrap_or_default();
-        if let Some(next) = wanted.first().filter(|w| often && **w != worker) {
+        if let Some(next) = wanted.first().filter(|w| often && **w != worker && calm) {
             self.order(f, *next, 1, out);
         }
         let mut ordered = place.ordered;
@@ -583,7 +587,7 @@
             if !self.s.loading.on_request && self.order(f, worker, 1, out) {
                 ordered = Some(self.now);
             }
-        } else if self.stands(&place) && place.own > lanes * place.copies.max(1) as usize && often {
+        } else if self.stands(&place) && place.own > lanes * place.copies.max(1) as usize && often && calm {
             self.order(f, worker, place.copies.max(1) + 1, out);
         }
         let fresh = ordered.filter(|t| since(self.now, *t) < BEHIND_ORDER && !self.stands(&place));
