--- a/adapter/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -157,7 +157,7 @@
         ),
     ];
     for (line, words) in cases {
-        let out = run(&[line.clone()]);
+        let out = run(std::slice::from_ref(&line));
         let told = String::from_utf8_lossy(&out.stderr).to_string();
         assert!(!out.status.success(), "accepted: {line}");
         assert_eq!(told.lines().count(), 1, "{told}");
