--- a/src/brain.rs
+++ b/src/brain.rs
@@ -553,10 +553,13 @@
                 patience *= REFUSE.0;
             }
         }
-        let total: usize = self.workers.values().map(|w| w.own).sum();
+        // Calls stuck at workers in doubt are no queue for the others; were they counted, a silent zone would
+        // stop the sound ones too.
+        let sound = || self.workers.values().filter(|w| w.doubts < 2);
+        let total: usize = sound().map(|w| w.own).sum();
         let wait = (total + 1) as f64 / self.answer_rate.max(1.0);
         // A router that has just started knows no pace yet.
-        self.ticks > START_TICKS && total > self.workers.len() && wait > patience * aim
+        self.ticks > START_TICKS && total > sound().count() && wait > patience * aim
     }
 
     /// Sends an open request on, holds it for a moment, or leaves it for the next tick.
@@ -767,22 +770,17 @@
 
     fn report(&mut self, worker: WorkerId, r: Report) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
-        if let Some(q) = r.queue {
-            w.queue = Some((self.now, q.max(0.0)));
-        }
+        w.queue = r.queue.map(|q| (self.now, q.max(0.0))).or(w.queue);
     }
 
     fn probed(&mut self, worker: WorkerId, outcome: Outcome, report: Option<Report>) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.probe_out = false;
-        match outcome {
-            Outcome::Ok => {
-                if let Some(r) = report {
-                    self.report(worker, r);
-                }
-            }
-            Outcome::Full => {}
-            _ => self.doubt(worker),
+        if let Some(r) = report {
+            self.report(worker, r);
+        }
+        if !matches!(outcome, Outcome::Ok | Outcome::Full) {
+            self.doubt(worker);
         }
     }
 
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -310,3 +310,26 @@
     let taken = r.out[from..].iter().filter(|a| matches!(a, Action::Send { .. })).count();
     assert!(taken > 5, "some are taken still: {taken}");
 }
+
+/// Incident i2d3d56: a zone goes silent. Calls stuck there are no queue for the workers that answer; counted as
+/// one, they would have the router refuse nearly everything.
+#[test]
+fn calls_stuck_at_silent_workers_do_not_stop_the_rest() {
+    let mut s = site(Effect::Unsafe, true);
+    s.classes[0].aim = Micros(60_000);
+    let mut r = Router::new(s, &[1, 2, 3, 4, 5]);
+    let (mut refusals, mut id) = (0, 0);
+    for step in 0..400 {
+        for _ in 0..2 {
+            id += 1;
+            let from = r.out.len();
+            let to = r.ask(id, id % 30);
+            refusals += usize::from(step >= 300 && refused(&r.out[from..]));
+            if let Some(w) = to.filter(|w| step < 100 || *w > 2) {
+                r.answer(id, w, Outcome::Ok);
+            }
+        }
+        r.pass(20);
+    }
+    assert!(refusals < 20, "{refusals} of 200 calls refused while three workers of five are idle");
+}
