--- a/src/brain.rs
+++ b/src/brain.rs
@@ -683,6 +683,8 @@
                     (p.stood, p.copies) = (None, 0);
                     p.due = p.due.filter(|_| p.ordered.is_some());
                 }
+                // No room for a copy: that speaks of the function, not of the worker.
+                Outcome::Full if loading => p.rest = after(self.now, Micros(FULL.0 * 2)),
                 Outcome::ConnectFailed | Outcome::Reset => *p = Place { own: p.own, ..Place::default() },
                 _ => {}
             }
@@ -692,7 +694,7 @@
             if let Some(ratio) = ratio {
                 blend(&mut w.slow, ratio, 0.1);
             }
-            if a.outcome == Outcome::Full && sent >= w.full_until {
+            if a.outcome == Outcome::Full && !loading && sent >= w.full_until {
                 w.fulls = (w.fulls + 1).min(4);
                 w.full_until = after(self.now, Micros(FULL.0 << (w.fulls - 1)));
             }
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -333,3 +333,16 @@
     }
     assert!(refusals < 20, "{refusals} of 200 calls refused while three workers of five are idle");
 }
+
+/// Incident i517e3b: a full answer to a call that needs a load says that there is no room for that function;
+/// calls of functions that stand there go on.
+#[test]
+fn no_room_for_a_function_does_not_close_its_worker() {
+    let mut r = Router::new(site(Effect::Safe, true), &[1, 2, 3]);
+    let homes = homes(&mut r, 30);
+    let home = r.ask(1, 500).expect("sent");
+    let same = homes.iter().position(|w| *w == home).expect("a function at home there") as u64;
+    let other = sent(&r.answer(1, home, Outcome::Full)).expect("tried elsewhere");
+    assert_ne!(other, home);
+    assert_eq!(r.ask(2, same), Some(home));
+}
