--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,9 +21,9 @@
 /// so many times its own time, and more by the loads begun for each request lately, so that a storm of
 /// loads that push each other out dies down.
 const COLD_COST: (f64, f64) = (2.0, 20.0);
-/// Loads for each request beyond which nothing is ordered ahead where calls bring their loads themselves:
-/// copies are pushing each other out.
-const STORM: f64 = 0.05;
+/// Loads for each request beyond which nothing is ordered ahead, as copies are pushing each other out:
+/// where calls bring their loads themselves, and where only orders do.
+const STORM: (f64, f64) = (0.05, 0.2);
 /// A call follows its order to load after this, so as not to overtake it.
 const BEHIND_ORDER: Micros = Micros(4_000);
 /// The pace of housekeeping.
@@ -578,7 +578,7 @@
             return;
         };
         // The home or the next free worker gets a copy when calls come often enough to find it standing.
-        let calm = !self.s.loading.on_request || self.cold_rate < STORM;
+        let calm = self.cold_rate < if self.s.loading.on_request { STORM.0 } else { STORM.1 };
         let often = self.functions.get(&f).is_some_and(|f| f.gap < secs(self.s.loading.keep) / 2.0);
         let place = self.functions.get(&f).and_then(|f| f.places.get(&worker)).cloned().unwrap_or_default();
         if let Some(next) = wanted.first().filter(|w| often && **w != worker && calm) {
