--- a/src/brain.rs
+++ b/src/brain.rs
@@ -185,6 +185,7 @@
     taken: VecDeque<Micros>,
     ticking: bool,
     asked: Option<Micros>,
+    subscribed: bool,
     /// Requests that each tenant may still send within its share.
     tenants: Vec<f64>,
     /// Stands in for a class that the settings lack: the most careful one.
@@ -206,9 +207,7 @@
             Event::Request(r) => self.request(r, out),
             Event::Answer(a) => self.answer(a, out),
             Event::Streaming { id, .. } => {
-                if let Some(o) = self.open.get_mut(&id) {
-                    o.streaming = true;
-                }
+                self.open.get_mut(&id).into_iter().for_each(|o| o.streaming = true)
             }
             Event::Left { id } => self.close(id),
             Event::Listed(l) => self.listed(l),
@@ -227,8 +226,8 @@
                 }
             }
         }
-        if self.s.must_ask && self.asked.is_none_or(|t| since(self.now, t).0 > self.s.rules.ask_within.0 / 3)
-        {
+        let due = self.asked.is_none_or(|t| since(self.now, t).0 > self.s.rules.ask_within.0 / 5);
+        if self.s.must_ask && !self.subscribed && due {
             self.asked = Some(self.now);
             out.push(Action::Subscribe);
         }
@@ -246,8 +245,10 @@
     // ---- the list of workers and the ring ----
 
     fn listed(&mut self, l: Listing) {
+        // Where the list must be asked for, a failed call or a lost subscription is asked again, but not at once.
+        self.subscribed = matches!(l.scope, Scope::Changes | Scope::Full);
         if l.scope == Scope::Refused {
-            return self.asked = None;
+            return;
         }
         if l.scope != Scope::Changes {
             let named: Vec<WorkerId> = l.entries.iter().map(|e| e.id).collect();
@@ -817,7 +818,6 @@
         self.ticks = self.ticks.saturating_add(1);
         blend(&mut self.answer_rate, self.answers / secs(TICK), 0.02f64.max(1.0 / self.ticks as f64));
         self.answers = 0.0;
-        // The start of a day shows the rate only after some seconds; it begins low, which is careful.
         blend(&mut self.served_rate, rate, 0.005);
         for (left, t) in self.tenants.iter_mut().zip(&self.s.tenants) {
             let share = t.quota_per_s / self.s.routers.max(1) as f64;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,3 +29,8 @@
 
 pub use api::*;
 pub use brain::Brain;
+
+/// The README's examples are compiled and run with the tests.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -352,3 +352,19 @@
     assert!(sent(&r.answer(1, home, Outcome::Full)).is_some(), "it never ran and is tried again");
     assert_eq!(r.ask(2, same), Some(home));
 }
+
+/// A site whose list must be asked for: one call, another some time after a failure, none while subscribed.
+#[test]
+fn the_list_is_asked_for_and_not_in_a_rush() {
+    let mut r = Router::new(site(Effect::Safe, true), &[]);
+    r.brain = Brain::new(Settings { must_ask: true, ..Settings::default() }, 1);
+    let asks = |a: &[Action]| a.iter().filter(|a| matches!(a, Action::Subscribe)).count();
+    let from = r.out.len();
+    r.list(Scope::Remembered, vec![entry(1)]);
+    r.list(Scope::Refused, vec![]);
+    assert_eq!(asks(&r.out[from..]), 1);
+    assert_eq!(asks(&r.pass(1_000)), 0);
+    assert_eq!(asks(&r.pass(2_000)), 1);
+    r.list(Scope::Full, vec![entry(1)]);
+    assert_eq!(asks(&r.pass(20_000)), 0);
+}
