--- a/src/brain.rs
+++ b/src/brain.rs
@@ -245,7 +245,7 @@
     // ---- the list of workers and the ring ----
 
     fn listed(&mut self, l: Listing) {
-        // Where the list must be asked for, a failed call or a lost subscription is asked again, but not at once.
+        // Where the list must be asked for, a failed call or a lost subscription is asked again later.
         self.subscribed = matches!(l.scope, Scope::Changes | Scope::Full);
         if l.scope == Scope::Refused {
             return;
