--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,12 +32,27 @@
 const REFUSE: (f64, f64) = (0.35, 0.8);
 /// Ticks before the pace of answers is trusted.
 const START_TICKS: u32 = 50;
-/// Between two probes of one worker, when it is in doubt and when it is not.
-const PROBE_EVERY: (Micros, Micros) = (Micros(400_000), Micros(1_000_000));
+/// Beyond this a router has not heard from a worker lately and asks it before it sends a call there.
+const FRESH: Micros = Micros(1_000_000);
+/// How long a call waits for a worker that was asked; one that is silent for longer counts as busy.
+const ASK_WAIT: Micros = Micros(10_000);
+/// Workers asked for one call at most; probes for each request taken, and how many may be saved up.
+const ASKS: usize = 3;
+const PROBES: (f64, f64) = (1.5, 5.0);
 /// Further attempts allowed for each request taken, and how many may be saved up.
 const RETRIES: (f64, f64) = (0.15, 12.0);
 /// The part of the cold budget that is used: room for chance and for other routers' larger shares.
 const COLD_USE: f64 = 0.7;
+/// The part of that budget, in a mean worker's load, that the chance of a call to a cold worker aims at.
+const COLD_CHANCE: f64 = 0.4;
+/// How far back the share of a function in this router's work is counted, in seconds, and the calls that are
+/// taken to stand behind the first one seen.
+const SHARE_OVER: f64 = 20.0;
+const SHARE_PRIOR: f64 = 30.0;
+/// The part of a mean worker's load that one function may bring before it is served by one more.
+const PIECE: f64 = 0.6;
+/// Workers looked at beyond those that serve the function, while one of them may be sent to.
+const BEYOND: usize = 4;
 /// Functions remembered at most; the one unused longest goes first.
 const FUNCTIONS: usize = 4096;
 
@@ -86,16 +101,19 @@
     full_until: Micros,
     /// Latency beside what its functions take elsewhere.
     slow: f64,
+    /// When anything was heard from it, and the requests that waited there by its last report.
+    heard: Micros,
     queue: Option<(Micros, f64)>,
-    probe_out: bool,
-    probed: Micros,
+    /// When the probe went out that has no answer yet, and the calls that wait for it.
+    asked: Option<Micros>,
+    asking: Vec<RequestId>,
     /// Work sent lately, for the cold budget.
     sent: VecDeque<(Micros, f64)>,
 }
 
 impl Worker {
     fn new(entry: WorkerEntry) -> Self {
-        Worker { entry, slow: 1.0, ..Worker::default() }
+        Worker { entry, slow: 1.0, heard: Micros(i64::MIN), ..Worker::default() }
     }
 }
 
@@ -120,6 +138,8 @@
     svc: f64,
     seen: Micros,
     gap: f64,
+    /// Calls lately, fading with [`SHARE_OVER`].
+    calls: f64,
     places: BTreeMap<WorkerId, Place>,
 }
 
@@ -148,8 +168,9 @@
     attempts: Vec<Attempt>,
     done: bool,
     streaming: bool,
-    /// Waiting for its order to be ahead of it.
-    held: Option<(WorkerId, Micros)>,
+    /// Until when it waits for its order to be ahead of it, or for a worker that was asked.
+    held: Option<Micros>,
+    asks: usize,
 }
 
 impl Open {
@@ -163,7 +184,8 @@
 pub struct Brain {
     s: Settings,
     now: Micros,
-    rng: u64,
+    /// This router's own seed.
+    salt: u64,
     workers: BTreeMap<WorkerId, Worker>,
     ring: Vec<(u64, WorkerId, f64)>,
     open: BTreeMap<RequestId, Open>,
@@ -179,6 +201,10 @@
     /// Loads begun for each request, smoothed.
     cold_rate: f64,
     retries: f64,
+    probes: f64,
+    /// All calls lately, fading like those of each function.
+    calls: f64,
+    called: Micros,
     orders: VecDeque<Micros>,
     /// Orders not yet answered; they outlive what is believed of the worker.
     orders_out: BTreeSet<(WorkerId, FunctionId)>,
@@ -197,7 +223,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let class_work = settings.classes.iter().map(|c| secs(c.aim) / 6.0).collect();
         let tenants = vec![0.0; settings.tenants.len()];
-        Brain { rng: seed, class_work, retries: RETRIES.1, tenants, s: settings, ..Brain::default() }
+        Brain { salt: seed, class_work, retries: RETRIES.1, probes: PROBES.1, tenants, s: settings, ..Brain::default() }
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -209,9 +235,9 @@
             Event::Streaming { id, .. } => {
                 self.open.get_mut(&id).into_iter().for_each(|o| o.streaming = true)
             }
-            Event::Left { id } => self.close(id),
+            Event::Left { id } => self.left(id, out),
             Event::Listed(l) => self.listed(l),
-            Event::Probed { worker, outcome, report, .. } => self.probed(worker, outcome, report),
+            Event::Probed { worker, outcome, report, .. } => self.probed(worker, outcome, report, out),
             Event::Loaded { worker, function, outcome, copies, latency } => {
                 self.loaded(worker, function, outcome, copies, latency)
             }
@@ -221,7 +247,7 @@
             }
             Event::Wake { token } => {
                 let id = RequestId(token - 1);
-                if self.open.get(&id).is_some_and(|o| !o.done && o.held.is_some_and(|h| h.1 <= self.now)) {
+                if self.open.get(&id).is_some_and(|o| !o.done && o.held.is_some_and(|t| t <= self.now)) {
                     self.dispatch(id, out);
                 }
             }
@@ -313,22 +339,47 @@
         (r.start_capacity + (1.0 - r.start_capacity) * part).clamp(0.0, 1.0)
     }
 
-    /// The distinct workers clockwise from the function's hash. Points of a started worker come up one by
-    /// one as it warms; until then the arc goes on to the next.
-    fn walk(&self, f: FunctionId) -> Vec<WorkerId> {
+    /// The first distinct workers clockwise from the function's hash, `most` of them. Points of a started
+    /// worker come up one by one as it warms; until then the arc goes on to the next.
+    fn walk(&self, f: FunctionId, most: usize) -> Vec<WorkerId> {
         let at = self.ring.partition_point(|p| p.0 < mix(f.0 ^ 0x51a7_e7a1));
         let mut order: Vec<WorkerId> = Vec::new();
         for p in self.ring[at..].iter().chain(&self.ring[..at]) {
+            if order.len() >= most.min(self.workers.len()) {
+                break;
+            }
             if !order.contains(&p.1) && self.workers.get(&p.1).is_some_and(|w| p.2 < self.warmth(w)) {
                 order.push(p.1);
-                if order.len() == self.workers.len() {
-                    break;
-                }
             }
         }
         order
     }
 
+    /// The load that a function brings, in units of a mean worker's: its share of this router's calls, times
+    /// the workers. The share is the same at all routers, whatever their number, but for chance.
+    fn load_of(&self, f: &Function) -> f64 {
+        (f.calls - 0.5).max(0.0) / (self.calls + SHARE_PRIOR) * self.workers.len() as f64
+    }
+
+    /// How many of the first workers clockwise serve a function.
+    fn width(&self, f: &Function) -> usize {
+        (self.load_of(f) / PIECE).ceil().clamp(1.0, self.workers.len().max(1) as f64) as usize
+    }
+
+    /// The workers in the order in which this router tries them: of those that serve the function, the one in
+    /// its own zone or else by a hash of its own, so that routers share them out; then on along the ring.
+    fn order_of(&self, o: &Open, width: usize) -> Vec<WorkerId> {
+        let f = o.req.function;
+        let most = if o.attempts.iter().any(Attempt::may_have_run) { usize::MAX } else { width + BEYOND };
+        let mut order = self.walk(f, most);
+        let serve = width.min(order.len());
+        order[..serve].sort_by_key(|id| {
+            let far = self.workers.get(id).is_none_or(|w| w.entry.zone != self.s.zone);
+            (far, mix(self.salt ^ mix(f.0) ^ id.0))
+        });
+        order
+    }
+
     // ---- the gate: every rule in one place ----
 
     /// Whether the request may be sent to the worker now, by effects, drains and the cold budget.
@@ -357,21 +408,30 @@
         }
     }
 
-    /// This router's share of what a cold worker may be sent in a window. Capacity is judged from the
-    /// rate of work this router sees served by all: both sides are in the same unit, and what the other
-    /// routers see served is their share of the budget.
+    /// Whether a cold worker may be sent the request: within this router's own share of its budget, and by
+    /// chance where that share is less than a call.
     fn cold_allows(&self, o: &Open, w: &Worker) -> bool {
-        let r = &self.s.rules;
-        if self.warmth(w) >= 1.0 {
+        let (r, warmth) = (&self.s.rules, self.warmth(w));
+        if warmth >= 1.0 {
             return true;
         }
-        // By all weight, warm or not: after a mass restart the served rate lags behind what stands warm.
+        // Capacity is judged from the rate of work this router sees served by all: both sides are in the same
+        // unit, and what the other routers see served is their share of the budget. By all weight, warm or
+        // not: after a mass restart the served rate lags behind what stands warm.
         let total: f64 = self.workers.values().map(|w| self.weight(w)).sum();
-        let capacity = self.served_rate * self.weight(w) / total.max(1e-9) * self.warmth(w);
+        let capacity = self.served_rate * self.weight(w) / total.max(1e-9) * warmth;
         let budget = COLD_USE * r.fall_multiple * capacity * secs(r.fall_window);
         let recent = |t: &&(Micros, f64)| since(self.now, t.0) <= r.fall_window;
         let sent: f64 = w.sent.iter().filter(recent).map(|t| t.1).sum();
-        sent == 0.0 || sent + self.work(o) <= budget
+        // What all routers together would send it for this function, in a mean worker's load, is thinned to
+        // what it can take. Where most are cold, each is offered more than its share.
+        let f = self.functions.get(&o.req.function);
+        let piece = f.map_or(0.0, |f| self.load_of(f) / self.width(f) as f64);
+        let warm: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
+        let offered = piece.max(warmth * total / warm.max(1e-9));
+        let chance = COLD_CHANCE * r.fall_multiple * warmth / offered.max(1e-9);
+        let draw = mix(self.salt ^ mix(o.req.id.0) ^ w.entry.id.0) as f64 / u64::MAX as f64;
+        (sent == 0.0 || sent + self.work(o) <= budget) && draw < chance
     }
 
     fn may_refuse(&self, o: &Open) -> bool {
@@ -441,7 +501,8 @@
         let fair = (total + 1) as f64 * self.weight(w) * self.warmth(w) / weight.max(1e-9);
         let limit = (fair * MARGIN.0 + MARGIN.1).max(1.0) / w.slow.max(1.0);
         let queue = w.queue.filter(|q| since(self.now, q.0).0 < 1_000_000).map_or(0.0, |q| q.1);
-        (w.own + 1) as f64 - limit.max(1.0) + (queue - 1.0).max(0.0) * 0.5
+        let silent = w.asked.is_some_and(|t| since(self.now, t) >= ASK_WAIT);
+        (w.own + 1) as f64 - limit.max(1.0) + (queue - 1.0).max(0.0) * 0.5 + if silent { 3.0 } else { 0.0 }
     }
 
     /// Chooses the worker for a request. Ordinary path: the first along the ring that is not busy and
@@ -455,7 +516,12 @@
         let mut wanted = Vec::new();
         let mut ordinary = None;
         let mut first = true;
-        for (step, id) in self.walk(o.req.function).into_iter().enumerate() {
+        let width = self.width(f);
+        let mut order = self.order_of(o, width);
+        if !order.iter().any(|id| self.may_send(o, *id)) {
+            order = self.walk(o.req.function, usize::MAX);
+        }
+        for (step, id) in order.into_iter().enumerate() {
             let Some(w) = self.workers.get(&id) else { continue };
             if !self.may_send(o, id) {
                 continue;
@@ -501,6 +567,10 @@
         }
         self.cold_rate *= 0.99;
         self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
+        self.probes = (self.probes + PROBES.0).min(PROBES.1);
+        let fade = |t: Micros| (-secs(since(self.now, t)) / SHARE_OVER).exp();
+        self.calls = self.calls * fade(self.called) + 1.0;
+        self.called = self.now;
         if self.s.loading.ration_window.0 > 0 {
             self.taken.push_back(self.now);
         }
@@ -509,6 +579,7 @@
         if let Some(f) = self.functions.get_mut(&r.function) {
             blend(&mut f.gap, secs(since(self.now, f.seen)).min(60.0), 0.3);
             f.lanes = r.lanes.max(1);
+            f.calls = f.calls * (-secs(since(self.now, f.seen)) / SHARE_OVER).exp() + 1.0;
             f.seen = self.now;
             if let (Some(t), true) = (r.load_time, f.places.is_empty()) {
                 f.load = secs(t).clamp(0.01, 10.0);
@@ -526,7 +597,7 @@
             blend(mean, secs(work).clamp(1e-4, 60.0), 0.02);
         }
         let until = after(self.now, r.budget);
-        let o = Open { req: r, until, attempts: Vec::new(), done: false, streaming: false, held: None };
+        let o = Open { req: r, until, attempts: Vec::new(), done: false, streaming: false, held: None, asks: 0 };
         let refuse = self.too_late(&o);
         self.open.insert(id, o);
         if refuse {
@@ -578,6 +649,9 @@
             }
             return;
         };
+        if self.ask(id, worker, out) {
+            return;
+        }
         // The home or the next free worker gets a copy when calls come often enough to find it standing.
         let calm = self.cold_rate < if self.s.loading.on_request { STORM.0 } else { STORM.1 };
         let often = self.functions.get(&f).is_some_and(|f| f.gap < secs(self.s.loading.keep) / 2.0);
@@ -598,7 +672,7 @@
         if let (Some(t), false) = (fresh, self.s.loading.on_request) {
             let at = after(t, BEHIND_ORDER);
             if let Some(o) = self.open.get_mut(&id) {
-                o.held = Some((worker, at));
+                o.held = Some(at);
             }
             out.push(Action::Wake { at, token: id.0.wrapping_add(1) });
             return;
@@ -606,6 +680,28 @@
         self.send(id, worker, out);
     }
 
+    /// Asks a worker that was not heard from lately before a call goes there; the call waits for a moment.
+    /// Many routers before many workers meet each one too seldom to know it by their own calls.
+    fn ask(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) -> bool {
+        let (Some(o), Some(w)) = (self.open.get_mut(&id), self.workers.get_mut(&worker)) else { return false };
+        let soon = since(o.until, self.now).0 <= 2 * (TICK.0 + ASK_WAIT.0);
+        let known = since(self.now, w.heard) < FRESH || w.asked.is_some_and(|t| since(self.now, t) >= ASK_WAIT);
+        if !self.s.limits.probes || known || soon || o.asks >= ASKS || self.probes < 1.0 {
+            return false;
+        }
+        o.asks += 1;
+        if w.asked.is_none() {
+            self.probes -= 1.0;
+            w.asked = Some(self.now);
+            out.push(Action::Probe { worker });
+        }
+        let at = after(self.now, ASK_WAIT);
+        o.held = Some(at);
+        w.asking.push(id);
+        out.push(Action::Wake { at, token: id.0.wrapping_add(1) });
+        true
+    }
+
     fn send(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
         if !self.may_send(o, worker) {
@@ -638,6 +734,21 @@
         out.push(Action::Send { id, worker, timeout: None });
     }
 
+    /// The client is gone: nothing is owed, and what still runs for it is work for nobody.
+    fn left(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        self.call_off(id, out);
+        self.close(id);
+    }
+
+    fn call_off(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(o) = self.open.get_mut(&id).filter(|o| self.s.limits.cancel && !o.streaming) else { return };
+        for (attempt, t) in o.attempts.iter_mut().enumerate().filter(|(_, t)| t.outcome.is_none()) {
+            if !std::mem::replace(&mut t.cancelled, true) {
+                out.push(Action::Cancel { id, attempt });
+            }
+        }
+    }
+
     fn close(&mut self, id: RequestId) {
         let Some(o) = self.open.get_mut(&id) else { return };
         o.done = true;
@@ -718,14 +829,7 @@
         }
         let Some(o) = self.open.get_mut(&a.id) else { return };
         if a.closed || o.done {
-            for (n, t) in
-                o.attempts.iter_mut().enumerate().filter(|(_, t)| t.outcome.is_none() && !t.cancelled)
-            {
-                t.cancelled = self.s.limits.cancel;
-                if t.cancelled {
-                    out.push(Action::Cancel { id: a.id, attempt: n });
-                }
-            }
+            self.call_off(a.id, out);
             self.close(a.id);
         } else if o.out() == 0 {
             self.again(a.id, out);
@@ -751,7 +855,7 @@
 
     fn good(&mut self, worker: WorkerId, sent: Micros) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
-        w.last_good = self.now;
+        (w.last_good, w.heard) = (self.now, self.now);
         if self.now >= w.full_until {
             w.fulls = 0;
         }
@@ -776,14 +880,22 @@
         w.queue = r.queue.map(|q| (self.now, q.max(0.0))).or(w.queue);
     }
 
-    fn probed(&mut self, worker: WorkerId, outcome: Outcome, report: Option<Report>) {
-        let Some(w) = self.workers.get_mut(&worker) else { return };
-        w.probe_out = false;
+    fn probed(&mut self, id: WorkerId, outcome: Outcome, report: Option<Report>, out: &mut Vec<Action>) {
+        let Some(w) = self.workers.get_mut(&id) else { return };
+        w.asked = None;
+        let asking = std::mem::take(&mut w.asking);
         if let Some(r) = report {
-            self.report(worker, r);
+            self.report(id, r);
         }
-        if !matches!(outcome, Outcome::Ok | Outcome::Full) {
-            self.doubt(worker);
+        if matches!(outcome, Outcome::Ok | Outcome::Full) {
+            self.workers.get_mut(&id).into_iter().for_each(|w| w.heard = self.now);
+        } else {
+            self.doubt(id);
+        }
+        for id in asking {
+            if self.open.get(&id).is_some_and(|o| !o.done && o.held.is_some()) {
+                self.dispatch(id, out);
+            }
         }
     }
 
@@ -831,7 +943,7 @@
             if o.out() == 0 {
                 if since(o.until, self.now).0 <= 2 * TICK.0 {
                     over.push(id);
-                } else if o.held.is_none_or(|h| h.1 <= self.now) {
+                } else if o.held.is_none_or(|t| t <= self.now) {
                     again.push(id);
                 }
                 continue;
@@ -855,7 +967,6 @@
             self.doubt(worker);
             self.rescue(id, worker, out);
         }
-        self.probe(out);
     }
 
     /// A request whose worker has said nothing for too long goes to another, where its class allows that.
@@ -884,26 +995,4 @@
             }
         }
     }
-
-    fn probe(&mut self, out: &mut Vec<Action>) {
-        if !self.s.limits.probes {
-            return;
-        }
-        let useful = self.s.reports == Reports::Probes;
-        let (now, mut rng) = (self.now, self.rng);
-        for (id, w) in self.workers.iter_mut() {
-            let doubted = w.doubts > 0;
-            if w.probe_out || w.entry.state != WorkerState::Ready || !(doubted || useful) {
-                continue;
-            }
-            rng = mix(rng);
-            let every = if doubted { PROBE_EVERY.0 } else { PROBE_EVERY.1 };
-            if since(now, w.probed).0 >= every.0 + (rng % 100_000) as i64 {
-                w.probed = now;
-                w.probe_out = true;
-                out.push(Action::Probe { worker: *id });
-            }
-        }
-        self.rng = rng;
-    }
 }
