--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,6 +26,8 @@
 const STORM: (f64, f64) = (0.05, 0.2);
 /// A call follows its order to load after this, so as not to overtake it.
 const BEHIND_ORDER: Micros = Micros(4_000);
+/// Calls sent on the belief that others keep a copy alive must have found it at least this often lately.
+const BLIND: f64 = 0.5;
 /// The pace of housekeeping.
 const TICK: Micros = Micros(20_000);
 /// The part of the aim that the expected time may take, for work of the least and of the most worth.
@@ -122,6 +124,8 @@
     own: usize,
     /// Last moment at which a copy is known to have stood.
     stood: Option<Micros>,
+    /// Last moment at which none was there.
+    missed: Option<Micros>,
     copies: u32,
     /// When the outstanding order went out.
     ordered: Option<Micros>,
@@ -152,6 +156,8 @@
     /// also when that try turns out later not to have run.
     anchor: Micros,
     loading: bool,
+    /// Sent on the belief that others keep a copy alive there.
+    blind: bool,
     outcome: Option<Outcome>,
     cancelled: bool,
 }
@@ -200,6 +206,8 @@
     ticks: u32,
     /// Loads begun for each request, smoothed.
     cold_rate: f64,
+    /// How often calls lately found a copy that only others could have kept alive.
+    blind: f64,
     retries: f64,
     probes: f64,
     /// All calls lately, fading like those of each function.
@@ -223,7 +231,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let class_work = settings.classes.iter().map(|c| secs(c.aim) / 6.0).collect();
         let tenants = vec![0.0; settings.tenants.len()];
-        Brain { salt: seed, class_work, retries: RETRIES.1, probes: PROBES.1, tenants, s: settings, ..Brain::default() }
+        Brain { salt: seed, class_work, blind: BLIND, retries: RETRIES.1, probes: PROBES.1, tenants, s: settings, ..Brain::default() }
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -486,6 +494,13 @@
         p.stood.is_some_and(|t| since(self.now, t) < self.s.loading.keep)
     }
 
+    /// Whether a copy should be there: seen lately, or kept alive by the calls of other routers, which come to
+    /// the same workers. How often such calls found one is told by this router's own, at any number of routers.
+    fn believed(&self, p: &Place) -> bool {
+        let lately = |t: Micros| since(self.now, t) < self.s.loading.keep;
+        self.stands(p) || (self.blind >= BLIND && !p.missed.is_some_and(lately))
+    }
+
     fn suspect(&self, w: &Worker) -> bool {
         w.doubts > 0 && (self.now < w.busy_until || w.own > 0)
     }
@@ -530,7 +545,8 @@
             let p = f.places.get(&id).cloned().unwrap_or_default();
             let suspect = !shared && self.suspect(w);
             let over = self.excess(w, total, weight);
-            let load = match (self.stands(&p), p.due) {
+            let stands = if step < width { self.believed(&p) } else { self.stands(&p) };
+            let load = match (stands, p.due) {
                 (true, _) => 0.0,
                 (_, Some(due)) => secs(since(due, self.now)).max(0.05),
                 _ if self.now < p.rest => f.load * 3.0,
@@ -661,14 +677,15 @@
         }
         let mut ordered = place.ordered;
         let lanes = self.functions.get(&f).map_or(1, |f| f.lanes);
-        if !self.stands(&place) && place.due.is_none() {
+        let believed = self.believed(&place);
+        if !believed && place.due.is_none() {
             if !self.s.loading.on_request && self.order(f, worker, 1, out) {
                 ordered = Some(self.now);
             }
         } else if self.stands(&place) && place.own > lanes * place.copies.max(1) as usize && often && calm {
             self.order(f, worker, place.copies.max(1) + 1, out);
         }
-        let fresh = ordered.filter(|t| since(self.now, *t) < BEHIND_ORDER && !self.stands(&place));
+        let fresh = ordered.filter(|t| since(self.now, *t) < BEHIND_ORDER && !believed);
         if let (Some(t), false) = (fresh, self.s.loading.on_request) {
             let at = after(t, BEHIND_ORDER);
             if let Some(o) = self.open.get_mut(&id) {
@@ -708,13 +725,14 @@
             return;
         }
         let work = self.work(o);
+        let place = self.functions.get(&o.req.function).and_then(|f| f.places.get(&worker));
+        let seen = place.is_some_and(|p| self.stands(p));
+        let loading = !seen && !place.map_or(self.blind >= BLIND, |p| self.believed(p));
+        let blind = !seen && !loading && place.is_none_or(|p| p.due.is_none());
         let (Some(o), Some(w)) = (self.open.get_mut(&id), self.workers.get_mut(&worker)) else { return };
-        let mut loading = false;
         if let Some(f) = self.functions.get_mut(&o.req.function) {
-            let keep = self.s.loading.keep;
             let p = f.places.entry(worker).or_default();
             p.own += 1;
-            loading = p.stood.is_none_or(|t| since(self.now, t) >= keep);
             if loading && p.due.is_none() && self.s.loading.on_request {
                 p.due = Some(after(self.now, micros(f.load)));
                 self.cold_rate += 0.01;
@@ -730,7 +748,7 @@
             o.attempts.iter().filter(|a| a.may_have_run()).map(|a| a.anchor).min().unwrap_or(self.now);
         let (zone, cell, sent) = (w.entry.zone, w.entry.cell, self.now);
         let (outcome, cancelled) = (None, false);
-        o.attempts.push(Attempt { worker, zone, cell, sent, anchor, loading, outcome, cancelled });
+        o.attempts.push(Attempt { worker, zone, cell, sent, anchor, loading, blind, outcome, cancelled });
         out.push(Action::Send { id, worker, timeout: None });
     }
 
@@ -775,6 +793,7 @@
         let Some(t) = o.attempts.get_mut(a.attempt).filter(|t| t.outcome.is_none()) else { return };
         t.outcome = Some(a.outcome);
         let (worker, loading, sent, cancelled) = (t.worker, t.loading, t.sent, t.cancelled);
+        let blind = t.blind;
         let taken = secs(a.latency).max(1e-4);
         let mut ratio = None;
         if let Some(f) = self.functions.get_mut(&function) {
@@ -783,6 +802,11 @@
             match a.outcome {
                 Outcome::Ok => {
                     (p.stood, p.copies, p.due) = (Some(self.now), p.copies.max(1), None);
+                    // Where calls load by themselves only the time tells.
+                    if blind {
+                        let found = !self.s.loading.on_request || taken < f.svc + 0.5 * f.load;
+                        blend(&mut self.blind, f64::from(u8::from(found)), 0.05);
+                    }
                     if loading {
                         blend(&mut f.load, (taken - f.svc).clamp(0.05, 5.0), 0.1);
                     } else {
@@ -792,7 +816,10 @@
                 }
                 // What was believed to stand is gone: unloaded, released anew or restarted.
                 Outcome::Miss => {
-                    (p.stood, p.copies) = (None, 0);
+                    (p.stood, p.missed, p.copies) = (None, Some(self.now), 0);
+                    if blind {
+                        blend(&mut self.blind, 0.0, 0.05);
+                    }
                     p.due = p.due.filter(|_| p.ordered.is_some());
                 }
                 // No room for a copy: that speaks of the function, not of the worker.
