--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,6 +66,11 @@
     x ^ (x >> 31)
 }
 
+/// A hash as a number from 0 to 1.
+fn part(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
+}
+
 fn secs(t: Micros) -> f64 {
     t.0 as f64 / 1e6
 }
@@ -93,6 +98,8 @@
     /// When it last started cold, as far as told or seen.
     started: Option<Micros>,
     own: usize,
+    /// What the ring gives it of the functions known, in a mean worker's load; kept up while it is cold.
+    offered: f64,
     /// Pieces of bad evidence in a row, and until when they keep the worker busy.
     doubts: u32,
     busy_until: Micros,
@@ -194,6 +201,7 @@
     salt: u64,
     workers: BTreeMap<WorkerId, Worker>,
     ring: Vec<(u64, WorkerId, f64)>,
+    zones: usize,
     open: BTreeMap<RequestId, Open>,
     functions: BTreeMap<FunctionId, Function>,
     /// Mean work of each class, in seconds, and the smoothed rate of work served to this router.
@@ -213,6 +221,11 @@
     /// All calls lately, fading like those of each function.
     calls: f64,
     called: Micros,
+    /// Attempts and those served, fading alike.
+    attempts: f64,
+    ok: f64,
+    /// When the load offered to cold workers was last added up.
+    summed: Micros,
     orders: VecDeque<Micros>,
     /// Orders not yet answered; they outlive what is believed of the worker.
     orders_out: BTreeSet<(WorkerId, FunctionId)>,
@@ -313,7 +326,9 @@
             let out = |a: &Attempt| a.outcome.is_none() && a.worker == *id && !a.loading;
             w.own = self.open.values().flat_map(|o| &o.attempts).filter(|a| out(a)).count();
         }
+        self.zones = self.workers.values().map(|w| w.entry.zone.0).collect::<BTreeSet<_>>().len();
         self.build_ring();
+        self.offer();
     }
 
     /// Points in proportion to weight, in units of a power of two near the median weight, so that one
@@ -369,6 +384,28 @@
         (f.calls - 0.5).max(0.0) / (self.calls + SHARE_PRIOR) * self.workers.len() as f64
     }
 
+    /// The part of the attempts that is served, lately.
+    fn served_part(&self) -> f64 {
+        ((self.ok + 2.0) / (self.attempts + 2.0)).min(1.0)
+    }
+
+    /// Adds up what the ring gives each worker of the functions this router knows.
+    fn offer(&mut self) {
+        let mut offered: BTreeMap<WorkerId, f64> = BTreeMap::new();
+        if self.workers.values().any(|w| self.warmth(w) < 1.0) {
+            for (id, f) in self.functions.iter().filter(|f| self.load_of(f.1) > 0.0) {
+                let width = self.width(f);
+                for w in self.walk(*id, width) {
+                    *offered.entry(w).or_default() += self.load_of(f) / width as f64;
+                }
+            }
+        }
+        for (id, w) in self.workers.iter_mut() {
+            w.offered = offered.get(id).copied().unwrap_or_default();
+        }
+        self.summed = self.now;
+    }
+
     /// How many of the first workers clockwise serve a function.
     fn width(&self, f: &Function) -> usize {
         (self.load_of(f) / PIECE).ceil().clamp(1.0, self.workers.len().max(1) as f64) as usize
@@ -381,22 +418,24 @@
         let most = if o.attempts.iter().any(Attempt::may_have_run) { usize::MAX } else { width + BEYOND };
         let mut order = self.walk(f, most);
         let serve = width.min(order.len());
-        order[..serve].sort_by_key(|id| {
-            let far = self.workers.get(id).is_none_or(|w| w.entry.zone != self.s.zone);
-            (far, mix(self.salt ^ mix(f.0) ^ id.0))
-        });
+        let draw = |id: u64| mix(self.salt ^ mix(f.0) ^ id);
+        // As many routers keep to their zone as its workers can serve; the rest go to the others.
+        let near = |id: &WorkerId| self.workers.get(id).is_some_and(|w| w.entry.zone == self.s.zone);
+        let mine = order[..serve].iter().filter(|id| near(id)).count();
+        let stay = part(draw(0)) < (mine * self.zones) as f64 / serve.max(1) as f64;
+        order[..serve].sort_by_key(|id| (near(id) != stay, draw(id.0)));
         order
     }
 
     // ---- the gate: every rule in one place ----
 
     /// Whether the request may be sent to the worker now, by effects, drains and the cold budget.
-    fn may_send(&self, o: &Open, id: WorkerId) -> bool {
+    fn may_send(&self, o: &Open, id: WorkerId, reach: usize) -> bool {
         let Some(w) = self.workers.get(&id) else { return false };
         let ready = w.entry.state == WorkerState::Ready && !o.done && !o.streaming && self.now < o.until;
         let copies =
             o.attempts.len() < self.s.limits.max_attempts && (self.s.limits.second_copies || o.out() == 0);
-        ready && copies && self.effect_allows(o, w) && self.cold_allows(o, w)
+        ready && copies && self.effect_allows(o, w) && self.cold_allows(o, w, reach)
     }
 
     fn effect_allows(&self, o: &Open, w: &Worker) -> bool {
@@ -418,7 +457,7 @@
 
     /// Whether a cold worker may be sent the request: within this router's own share of its budget, and by
     /// chance where that share is less than a call.
-    fn cold_allows(&self, o: &Open, w: &Worker) -> bool {
+    fn cold_allows(&self, o: &Open, w: &Worker, reach: usize) -> bool {
         let (r, warmth) = (&self.s.rules, self.warmth(w));
         if warmth >= 1.0 {
             return true;
@@ -431,14 +470,14 @@
         let budget = COLD_USE * r.fall_multiple * capacity * secs(r.fall_window);
         let recent = |t: &&(Micros, f64)| since(self.now, t.0) <= r.fall_window;
         let sent: f64 = w.sent.iter().filter(recent).map(|t| t.1).sum();
-        // What all routers together would send it for this function, in a mean worker's load, is thinned to
-        // what it can take. Where most are cold, each is offered more than its share.
-        let f = self.functions.get(&o.req.function);
-        let piece = f.map_or(0.0, |f| self.load_of(f) / self.width(f) as f64);
+        // What all routers together would send it is thinned to what it can take. Where most are cold, each is
+        // offered more than its share; where many attempts fail, so much more is sent than is served; and a call
+        // that spills is offered to `reach` workers, where an idle one, as a cold one is, draws what all the
+        // busy ones pass on.
         let warm: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
-        let offered = piece.max(warmth * total / warm.max(1e-9));
-        let chance = COLD_CHANCE * r.fall_multiple * warmth / offered.max(1e-9);
-        let draw = mix(self.salt ^ mix(o.req.id.0) ^ w.entry.id.0) as f64 / u64::MAX as f64;
+        let offered = w.offered.max(warmth * total / warm.max(1e-9)) * reach.max(1) as f64;
+        let chance = COLD_CHANCE * r.fall_multiple * warmth * self.served_part() / offered.max(1e-9);
+        let draw = part(mix(self.salt ^ mix(o.req.id.0) ^ w.entry.id.0));
         (sent == 0.0 || sent + self.work(o) <= budget) && draw < chance
     }
 
@@ -533,12 +572,13 @@
         let mut first = true;
         let width = self.width(f);
         let mut order = self.order_of(o, width);
-        if !order.iter().any(|id| self.may_send(o, *id)) {
+        if !order.iter().any(|id| self.may_send(o, *id, order.len())) {
             order = self.walk(o.req.function, usize::MAX);
         }
+        let spill = order.len();
         for (step, id) in order.into_iter().enumerate() {
             let Some(w) = self.workers.get(&id) else { continue };
-            if !self.may_send(o, id) {
+            if !self.may_send(o, id, if step < width && o.attempts.is_empty() { 1 } else { spill }) {
                 continue;
             }
             let tried = o.attempts.iter().any(|a| a.worker == id && a.outcome != Some(Outcome::Miss));
@@ -586,6 +626,7 @@
         self.probes = (self.probes + PROBES.0).min(PROBES.1);
         let fade = |t: Micros| (-secs(since(self.now, t)) / SHARE_OVER).exp();
         self.calls = self.calls * fade(self.called) + 1.0;
+        (self.attempts, self.ok) = (self.attempts * fade(self.called), self.ok * fade(self.called));
         self.called = self.now;
         if self.s.loading.ration_window.0 > 0 {
             self.taken.push_back(self.now);
@@ -721,7 +762,7 @@
 
     fn send(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
-        if !self.may_send(o, worker) {
+        if !self.may_send(o, worker, 1) {
             return;
         }
         let work = self.work(o);
@@ -744,6 +785,7 @@
         w.sent.push_back((self.now, work));
         w.sent.retain(|t| since(self.now, t.0) <= self.s.rules.fall_window);
         o.held = None;
+        self.attempts += 1.0;
         let anchor =
             o.attempts.iter().filter(|a| a.may_have_run()).map(|a| a.anchor).min().unwrap_or(self.now);
         let (zone, cell, sent) = (w.entry.zone, w.entry.cell, self.now);
@@ -844,6 +886,7 @@
             }
             self.served += *mean;
             self.answers += 1.0;
+            self.ok += 1.0;
         }
         if let Some(r) = a.report {
             self.report(worker, r);
@@ -952,6 +995,9 @@
     // ---- housekeeping ----
 
     fn tick(&mut self, out: &mut Vec<Action>) {
+        if since(self.now, self.summed).0 > 500_000 {
+            self.offer();
+        }
         let rate = self.served / secs(TICK);
         self.served = 0.0;
         self.ticks = self.ticks.saturating_add(1);
