--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
 /// A load away from home costs others too, by what it pushes out and by its place in the store's queue:
 /// so many times its own time, and more by the loads begun for each request lately, so that a storm of
 /// loads that push each other out dies down.
-const COLD_COST: (f64, f64) = (2.0, 20.0);
+const COLD_COST: (f64, f64) = (8.0, 20.0);
 /// Loads for each request beyond which nothing is ordered ahead, as copies are pushing each other out:
 /// where calls bring their loads themselves, and where only orders do.
 const STORM: (f64, f64) = (0.05, 0.2);
@@ -52,7 +52,7 @@
 const SHARE_OVER: f64 = 20.0;
 const SHARE_PRIOR: f64 = 30.0;
 /// The part of a mean worker's load that one function may bring before it is served by one more.
-const PIECE: f64 = 0.6;
+const PIECE: f64 = 0.15;
 /// Workers looked at beyond those that serve the function, while one of them may be sent to.
 const BEYOND: usize = 4;
 /// Functions remembered at most; the one unused longest goes first.
@@ -1024,7 +1024,7 @@
             let Some(t) = o.attempts.iter().rfind(|t| t.outcome.is_none()) else { continue };
             let age = secs(since(self.now, t.sent));
             let load = if t.loading { 2.5 * svc.1 } else { 0.0 };
-            let patience = (4.0 * svc.0).max(0.3 * secs(self.class(o).aim)) + load;
+            let patience = (12.0 * svc.0).max(1.0 * secs(self.class(o).aim)) + load;
             let quiet = self.workers.get(&t.worker).is_none_or(|w| w.last_good < t.sent);
             if age > patience && quiet && !t.cancelled {
                 silent.push((id, t.worker));
