--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
 /// A load away from home costs others too, by what it pushes out and by its place in the store's queue:
 /// so many times its own time, and more by the loads begun for each request lately, so that a storm of
 /// loads that push each other out dies down.
-const COLD_COST: (f64, f64) = (8.0, 20.0);
+const COLD_COST: (f64, f64) = (1.5, 3.0);
 /// Loads for each request beyond which nothing is ordered ahead, as copies are pushing each other out:
 /// where calls bring their loads themselves, and where only orders do.
 const STORM: (f64, f64) = (0.05, 0.2);
@@ -38,8 +38,12 @@
 const FRESH: Micros = Micros(1_000_000);
 /// How long a call waits for a worker that was asked; one that is silent for longer counts as busy.
 const ASK_WAIT: Micros = Micros(10_000);
+/// Parts of the aim that a call takes longer where others wait: at all, and for each that waits; and those
+/// that are taken to wait where a probe is not answered at once.
+const CROWD: (f64, f64) = (0.4, 0.15);
+const SILENT: f64 = 4.0;
 /// Workers asked for one call at most; probes for each request taken, and how many may be saved up.
-const ASKS: usize = 3;
+const ASKS: usize = 4;
 const PROBES: (f64, f64) = (1.5, 5.0);
 /// Further attempts allowed for each request taken, and how many may be saved up.
 const RETRIES: (f64, f64) = (0.15, 12.0);
@@ -53,6 +57,11 @@
 const SHARE_PRIOR: f64 = 30.0;
 /// The part of a mean worker's load that one function may bring before it is served by one more.
 const PIECE: f64 = 0.15;
+/// How the spread of functions changes with each call that found its copy and with each that did not, and its
+/// least: where copies push each other out, fewer workers serve each function.
+const SPREAD: (f64, f64, f64) = (1.01, 0.9, 0.05);
+/// Calls that a copy should see in the time it is kept.
+const ALIVE: f64 = 3.0;
 /// Workers looked at beyond those that serve the function, while one of them may be sent to.
 const BEYOND: usize = 4;
 /// Functions remembered at most; the one unused longest goes first.
@@ -216,6 +225,8 @@
     cold_rate: f64,
     /// How often calls lately found a copy that only others could have kept alive.
     blind: f64,
+    /// How far functions are spread, beside the most: less while copies are found gone.
+    spread: f64,
     retries: f64,
     probes: f64,
     /// All calls lately, fading like those of each function.
@@ -244,7 +255,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let class_work = settings.classes.iter().map(|c| secs(c.aim) / 6.0).collect();
         let tenants = vec![0.0; settings.tenants.len()];
-        Brain { salt: seed, class_work, blind: BLIND, retries: RETRIES.1, probes: PROBES.1, tenants, s: settings, ..Brain::default() }
+        Brain { salt: seed, class_work, blind: BLIND, spread: 1.0, retries: RETRIES.1, probes: PROBES.1, tenants, s: settings, ..Brain::default() }
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -381,7 +392,7 @@
     /// The load that a function brings, in units of a mean worker's: its share of this router's calls, times
     /// the workers. The share is the same at all routers, whatever their number, but for chance.
     fn load_of(&self, f: &Function) -> f64 {
-        (f.calls - 0.5).max(0.0) / (self.calls + SHARE_PRIOR) * self.workers.len() as f64
+        (f.calls - 1.0).max(0.0) / (self.calls + SHARE_PRIOR) * self.workers.len() as f64
     }
 
     /// The part of the attempts that is served, lately.
@@ -406,9 +417,12 @@
         self.summed = self.now;
     }
 
-    /// How many of the first workers clockwise serve a function.
+    /// How many of the first workers clockwise serve a function: as many as its load asks for, while the calls
+    /// of all routers keep a copy alive at each.
     fn width(&self, f: &Function) -> usize {
-        (self.load_of(f) / PIECE).ceil().clamp(1.0, self.workers.len().max(1) as f64) as usize
+        let fleet = f.calls / SHARE_OVER * self.s.routers.max(1) as f64;
+        let alive = fleet * secs(self.s.loading.keep) / ALIVE;
+        (self.load_of(f) / PIECE * self.spread).min(alive).ceil().clamp(1.0, self.workers.len().max(1) as f64) as usize
     }
 
     /// The workers in the order in which this router tries them: of those that serve the function, the one in
@@ -554,9 +568,16 @@
     fn excess(&self, w: &Worker, total: usize, weight: f64) -> f64 {
         let fair = (total + 1) as f64 * self.weight(w) * self.warmth(w) / weight.max(1e-9);
         let limit = (fair * MARGIN.0 + MARGIN.1).max(1.0) / w.slow.max(1.0);
-        let queue = w.queue.filter(|q| since(self.now, q.0).0 < 1_000_000).map_or(0.0, |q| q.1);
+        (w.own + 1) as f64 - limit.max(1.0)
+    }
+
+    /// Parts of the aim that a call waits at a worker by what it told: where calls wait, all its slots are taken, and
+    /// one that does not answer a probe at once is no better.
+    fn crowd(&self, w: &Worker) -> f64 {
         let silent = w.asked.is_some_and(|t| since(self.now, t) >= ASK_WAIT);
-        (w.own + 1) as f64 - limit.max(1.0) + (queue - 1.0).max(0.0) * 0.5 + if silent { 3.0 } else { 0.0 }
+        let queue = w.queue.filter(|q| since(self.now, q.0) < FRESH).map_or(0.0, |q| q.1);
+        let queue = if silent { queue.max(SILENT) } else { queue };
+        if queue >= 1.0 { CROWD.0 + queue * CROWD.1 } else { 0.0 }
     }
 
     /// Chooses the worker for a request. Ordinary path: the first along the ring that is not busy and
@@ -576,6 +597,8 @@
             order = self.walk(o.req.function, usize::MAX);
         }
         let spill = order.len();
+        // One miss shows that others do not keep this function alive: from there on only what was seen counts.
+        let missed = o.attempts.iter().any(|a| a.outcome == Some(Outcome::Miss));
         for (step, id) in order.into_iter().enumerate() {
             let Some(w) = self.workers.get(&id) else { continue };
             if !self.may_send(o, id, if step < width && o.attempts.is_empty() { 1 } else { spill }) {
@@ -584,8 +607,9 @@
             let tried = o.attempts.iter().any(|a| a.worker == id && a.outcome != Some(Outcome::Miss));
             let p = f.places.get(&id).cloned().unwrap_or_default();
             let suspect = !shared && self.suspect(w);
-            let over = self.excess(w, total, weight);
-            let stands = if step < width { self.believed(&p) } else { self.stands(&p) };
+            let (own, crowd) = (self.excess(w, total, weight).max(0.0), self.crowd(w));
+            let over = own + crowd;
+            let stands = if step < width && !missed { self.believed(&p) } else { self.stands(&p) };
             let load = match (stands, p.due) {
                 (true, _) => 0.0,
                 (_, Some(due)) => secs(since(due, self.now)).max(0.05),
@@ -606,7 +630,7 @@
             let doubt = if suspect { 3.0 * w.doubts as f64 } else { 0.0 }
                 + if tried { 1.0 } else { 0.0 }
                 + if full { w.fulls as f64 } else { 0.0 };
-            let wait = over.max(0.0) * f.svc * w.slow.max(0.5);
+            let wait = own * f.svc * w.slow.max(0.5) + crowd * secs(self.class(o).aim);
             let cost = wait + load + doubt + step as f64 * 1e-3;
             if best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, id));
@@ -695,6 +719,7 @@
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
         let f = o.req.function;
+        let missed = o.attempts.iter().any(|a| a.outcome == Some(Outcome::Miss));
         let Some((worker, wanted)) = self.pick(o) else {
             // Nowhere to go for now: the next ticks try again. An answer must not wait for a tick too many.
             let last = o.out() == 0 && since(o.until, self.now).0 <= 2 * TICK.0;
@@ -718,7 +743,7 @@
         }
         let mut ordered = place.ordered;
         let lanes = self.functions.get(&f).map_or(1, |f| f.lanes);
-        let believed = self.believed(&place);
+        let believed = if missed { self.stands(&place) } else { self.believed(&place) };
         if !believed && place.due.is_none() {
             if !self.s.loading.on_request && self.order(f, worker, 1, out) {
                 ordered = Some(self.now);
@@ -845,6 +870,7 @@
                 Outcome::Ok => {
                     (p.stood, p.copies, p.due) = (Some(self.now), p.copies.max(1), None);
                     // Where calls load by themselves only the time tells.
+                    self.spread = (self.spread * SPREAD.0).min(1.0);
                     if blind {
                         let found = !self.s.loading.on_request || taken < f.svc + 0.5 * f.load;
                         blend(&mut self.blind, f64::from(u8::from(found)), 0.05);
@@ -853,12 +879,15 @@
                         blend(&mut f.load, (taken - f.svc).clamp(0.05, 5.0), 0.1);
                     } else {
                         ratio = Some((taken / f.svc.max(1e-3)).clamp(0.1, 10.0));
-                        blend(&mut f.svc, taken, 0.05);
+                        // The time of a call that meets no queue: shorter times count more.
+                        let part = if taken < f.svc { 0.2 } else { 0.02 };
+                        blend(&mut f.svc, taken, part);
                     }
                 }
                 // What was believed to stand is gone: unloaded, released anew or restarted.
                 Outcome::Miss => {
                     (p.stood, p.missed, p.copies) = (None, Some(self.now), 0);
+                    self.spread = (self.spread * SPREAD.1).max(SPREAD.2);
                     if blind {
                         blend(&mut self.blind, 0.0, 0.05);
                     }
@@ -878,6 +907,7 @@
             if a.outcome == Outcome::Full && !loading && sent >= w.full_until {
                 w.fulls = (w.fulls + 1).min(4);
                 w.full_until = after(self.now, Micros(FULL.0 << (w.fulls - 1)));
+                w.heard = self.now;
             }
         }
         if let (Outcome::Ok, Some(mean)) = (a.outcome, self.class_work.get_mut(class.0)) {
