--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
 /// A load away from home costs others too, by what it pushes out and by its place in the store's queue:
 /// so many times its own time, and more by the loads begun for each request lately, so that a storm of
 /// loads that push each other out dies down.
-const COLD_COST: (f64, f64) = (1.5, 3.0);
+const COLD_COST: (f64, f64) = (8.0, 20.0);
 /// Loads for each request beyond which nothing is ordered ahead, as copies are pushing each other out:
 /// where calls bring their loads themselves, and where only orders do.
 const STORM: (f64, f64) = (0.05, 0.2);
@@ -32,6 +32,10 @@
 const TICK: Micros = Micros(20_000);
 /// The part of the aim that the expected time may take, for work of the least and of the most worth.
 const REFUSE: (f64, f64) = (0.35, 0.8);
+/// By how much the part of the calls that is shed grows with each one served late and shrinks with each served
+/// in time, and its most. Work of the most worth is shed least.
+const LATE: (f64, f64, f64) = (0.04, 0.01, 0.8);
+const LATE_CLASS: f64 = 1.25;
 /// Ticks before the pace of answers is trusted.
 const START_TICKS: u32 = 50;
 /// Beyond this a router has not heard from a worker lately and asks it before it sends a call there.
@@ -59,7 +63,7 @@
 const PIECE: f64 = 0.15;
 /// How the spread of functions changes with each call that found its copy and with each that did not, and its
 /// least: where copies push each other out, fewer workers serve each function.
-const SPREAD: (f64, f64, f64) = (1.01, 0.9, 0.05);
+const SPREAD: (f64, f64, f64) = (1.03, 0.93, 0.2);
 /// Calls that a copy should see in the time it is kept.
 const ALIVE: f64 = 3.0;
 /// Workers looked at beyond those that serve the function, while one of them may be sent to.
@@ -227,6 +231,8 @@
     blind: f64,
     /// How far functions are spread, beside the most: less while copies are found gone.
     spread: f64,
+    /// The part of the calls to be shed, as too many come late.
+    late: f64,
     retries: f64,
     probes: f64,
     /// All calls lately, fading like those of each function.
@@ -699,13 +705,18 @@
             self.s.classes.iter().zip(&self.class_work).map(|(c, w)| density(c, *w)).fold(1e-9, f64::max);
         let part = (density(class, self.work(o)) / most).clamp(0.0, 1.0);
         let mut patience = REFUSE.0 + (REFUSE.1 - REFUSE.0) * part;
+        let mut shed = self.late * (LATE_CLASS - part).max(0.0);
         if let Some((left, t)) = o.req.tenant.and_then(|t| Some((self.tenants.get_mut(t.0)?, t))) {
             *left -= 1.0;
             if *left < 0.0 && self.s.tenants[t.0].quota_per_s > 0.0 {
                 *left = 0.0;
                 patience *= REFUSE.0;
+                shed *= 2.0;
             }
         }
+        if self::part(mix(self.salt ^ mix(!o.req.id.0))) < shed {
+            return true;
+        }
         // Calls stuck at workers in doubt are no queue for the others; were they counted, a silent zone would
         // stop the sound ones too.
         let sound = || self.workers.values().filter(|w| w.doubts < 2);
@@ -917,6 +928,11 @@
             self.served += *mean;
             self.answers += 1.0;
             self.ok += 1.0;
+            if !loading {
+                let aim = self.s.classes.get(class.0).map_or(1.0, |c| secs(c.aim));
+                let step = if taken > aim { LATE.0 } else { -LATE.1 };
+                self.late = (self.late + step).clamp(0.0, LATE.2);
+            }
         }
         if let Some(r) = a.report {
             self.report(worker, r);
