--- a/src/brain.rs
+++ b/src/brain.rs
@@ -398,7 +398,10 @@
     /// The load that a function brings, in units of a mean worker's: its share of this router's calls, times
     /// the workers. The share is the same at all routers, whatever their number, but for chance.
     fn load_of(&self, f: &Function) -> f64 {
-        (f.calls - 1.0).max(0.0) / (self.calls + SHARE_PRIOR) * self.workers.len() as f64
+        // Of all calls a few functions make up most. The first one that a new router sees is likely to be one of
+        // these; one seen once among many is not.
+        let chance = (self.calls / SHARE_PRIOR).min(1.0);
+        (f.calls - chance).max(0.0) / (self.calls + SHARE_PRIOR) * self.workers.len() as f64
     }
 
     /// The part of the attempts that is served, lately.
