--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,6 +46,8 @@
 /// that are taken to wait where a probe is not answered at once.
 const CROWD: (f64, f64) = (0.4, 0.15);
 const SILENT: f64 = 4.0;
+/// From which part of busy cores on calls are taken to wait, and how many at all of them.
+const BUSY_CORES: (f64, f64) = (0.85, 20.0);
 /// Workers asked for one call at most; probes for each request taken, and how many may be saved up.
 const ASKS: usize = 4;
 const PROBES: (f64, f64) = (1.5, 5.0);
@@ -996,7 +998,9 @@
 
     fn report(&mut self, worker: WorkerId, r: Report) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
-        w.queue = r.queue.map(|q| (self.now, q.max(0.0))).or(w.queue);
+        // Busy cores stand for a queue where none is told.
+        let queue = r.queue.or(r.util.map(|u| (u - BUSY_CORES.0) * BUSY_CORES.1));
+        w.queue = queue.map(|q| (self.now, q.max(0.0))).or(w.queue);
     }
 
     fn probed(&mut self, id: WorkerId, outcome: Outcome, report: Option<Report>, out: &mut Vec<Action>) {
