--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,6 +21,8 @@
 /// so many times its own time, and more by the loads begun for each request lately, so that a storm of
 /// loads that push each other out dies down.
 const COLD_COST: (f64, f64) = (8.0, 20.0);
+/// Loads' times that a place without room for the function costs beyond a load elsewhere.
+const NO_ROOM: f64 = 4.0;
 /// Loads for each request beyond which nothing is ordered ahead, as copies are pushing each other out:
 /// where calls bring their loads themselves, and where only orders do.
 const STORM: (f64, f64) = (0.05, 0.2);
@@ -153,8 +155,9 @@
     ordered: Option<Micros>,
     /// When a load that is under way should be done.
     due: Option<Micros>,
-    /// No further order before this.
+    /// No further order before this; it grows with each one that found no room in a row.
     rest: Micros,
+    no_room: u32,
 }
 
 #[derive(Default)]
@@ -565,6 +568,12 @@
         self.stands(p) || (self.blind >= BLIND && !p.missed.is_some_and(lately))
     }
 
+    /// Misses that show that others do not keep the function alive: one where its home serves it alone, two
+    /// where several do. From there on only copies that were seen count for the call.
+    fn missed(&self, o: &Open, width: usize) -> bool {
+        o.attempts.iter().filter(|a| a.outcome == Some(Outcome::Miss)).count() >= width.min(2)
+    }
+
     fn suspect(&self, w: &Worker) -> bool {
         w.doubts > 0 && (self.now < w.busy_until || w.own > 0)
     }
@@ -608,8 +617,7 @@
             order = self.walk(o.req.function, usize::MAX);
         }
         let spill = order.len();
-        // One miss shows that others do not keep this function alive: from there on only what was seen counts.
-        let missed = o.attempts.iter().any(|a| a.outcome == Some(Outcome::Miss));
+        let missed = self.missed(o, width);
         for (step, id) in order.into_iter().enumerate() {
             let Some(w) = self.workers.get(&id) else { continue };
             if !self.may_send(o, id, if step < width && o.attempts.is_empty() { 1 } else { spill }) {
@@ -624,7 +632,7 @@
             let load = match (stands, p.due) {
                 (true, _) => 0.0,
                 (_, Some(due)) => secs(since(due, self.now)).max(0.05),
-                _ if self.now < p.rest => f.load * 3.0,
+                _ if self.now < p.rest => f.load * (NO_ROOM + COLD_COST.0 + COLD_COST.1 * self.cold_rate),
                 _ if first => f.load,
                 _ => f.load * (COLD_COST.0 + COLD_COST.1 * self.cold_rate),
             };
@@ -735,7 +743,7 @@
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
         let f = o.req.function;
-        let missed = o.attempts.iter().any(|a| a.outcome == Some(Outcome::Miss));
+        let missed = self.functions.get(&f).is_none_or(|f| self.missed(o, self.width(f)));
         let Some((worker, wanted)) = self.pick(o) else {
             // Nowhere to go for now: the next ticks try again. An answer must not wait for a tick too many.
             let last = o.out() == 0 && since(o.until, self.now).0 <= 2 * TICK.0;
@@ -1033,12 +1041,12 @@
                 if p.stood.is_none() {
                     blend(&mut f.load, secs(latency).clamp(0.05, 5.0), 0.2);
                 }
-                p.stood = Some(self.now);
-                p.copies = copies.max(1);
+                (p.stood, p.copies, p.no_room) = (Some(self.now), copies.max(1), 0);
             }
             Outcome::Full => {
                 p.copies = copies;
-                p.rest = after(self.now, Micros(1_000_000));
+                p.rest = after(self.now, Micros(1_000_000 << p.no_room));
+                p.no_room = (p.no_room + 1).min(3);
             }
             Outcome::Error | Outcome::TimedOut => p.rest = after(self.now, Micros(300_000)),
             _ => self.doubt(id),
