--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
 /// A load away from home costs others too, by what it pushes out and by its place in the store's queue:
 /// so many times its own time, and more by the loads begun for each request lately, so that a storm of
 /// loads that push each other out dies down.
-const COLD_COST: (f64, f64) = (8.0, 20.0);
+const COLD_COST: (f64, f64) = (3.0, 10.0);
 /// Loads' times that a place without room for the function costs beyond a load elsewhere.
 const NO_ROOM: f64 = 4.0;
 /// Loads for each request beyond which nothing is ordered ahead, as copies are pushing each other out:
