--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,8 +1,9 @@
 //! Every decision of slatevalve. Its types, events and actions stand in `src/api.rs`.
 //!
-//! Ordinary path: a function hashes onto a ring of virtual points; the first worker clockwise is its home
-//! and, while that one is busy, the next distinct workers along the ring take the spill. Everything else in
-//! this file either keeps one of the five rules or is an exception listed in `docs/design.md`.
+//! Ordinary path: a function hashes onto a ring of virtual points. The first workers clockwise serve it, as
+//! many as its load needs: one, its home, unless it is hot. While the one tried is busy, the next distinct
+//! workers take the spill. Everything else here keeps one of the five rules or is an exception listed in
+//! `docs/design.md`.
 
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -11,65 +12,60 @@
 const POINTS: f64 = 96.0;
 /// Own requests above the weighted average, as a factor and in requests, before a worker counts as busy.
 const MARGIN: (f64, f64) = (1.5, 2.0);
-/// How long one piece of bad evidence keeps a worker busy; it doubles with each further piece.
+/// How long a first piece of bad evidence, and a first full answer, rests a worker; doubled in a row.
 const SUSPECT: Micros = Micros(1_500_000);
-/// How long a full refusal keeps a worker busy; it doubles with each one after that.
 const FULL: Micros = Micros(400_000);
-/// Beyond this share of suspects the cause is shared, and all stay on the ring.
+/// Beyond this share of workers in doubt the cause is shared, and all stay on the ring.
 const SUSPECT_SHARE: f64 = 0.4;
-/// A load away from home costs others too, by what it pushes out and by its place in the store's queue:
-/// so many times its own time, and more by the loads begun for each request lately, so that a storm of
-/// loads that push each other out dies down.
+/// Loads' times that a load away from home costs, as it pushes others out and queues at the store; more by
+/// the loads begun for each request, so that storms die down; and more where there was no room lately.
 const COLD_COST: (f64, f64) = (3.0, 10.0);
-/// Loads' times that a place without room for the function costs beyond a load elsewhere.
 const NO_ROOM: f64 = 4.0;
-/// Loads for each request beyond which nothing is ordered ahead, as copies are pushing each other out:
-/// where calls bring their loads themselves, and where only orders do.
-const STORM: (f64, f64) = (0.05, 0.2);
 /// A call follows its order to load after this, so as not to overtake it.
 const BEHIND_ORDER: Micros = Micros(4_000);
 /// Calls sent on the belief that others keep a copy alive must have found it at least this often lately.
 const BLIND: f64 = 0.5;
-/// The pace of housekeeping.
+/// The pace of housekeeping, and how late it must come for the router to have stood still itself.
 const TICK: Micros = Micros(20_000);
+const STALL: Micros = Micros(150_000);
 /// The part of the aim that the expected time may take, for work of the least and of the most worth.
 const REFUSE: (f64, f64) = (0.35, 0.8);
 /// By how much the part of the calls that is shed grows with each one served late and shrinks with each served
 /// in time, and its most. Work of the most worth is shed least.
 const LATE: (f64, f64, f64) = (0.04, 0.01, 0.8);
 const LATE_CLASS: f64 = 1.25;
-/// Ticks before the pace of answers is trusted.
-const START_TICKS: u32 = 50;
+/// A router does not judge the pace of answers before this.
+const START: f64 = 1.0;
+/// Usual times of a call, and aims, after which a silent attempt is taken for lost.
+const PATIENCE: (f64, f64) = (12.0, 1.0);
 /// Beyond this a router has not heard from a worker lately and asks it before it sends a call there.
 const FRESH: Micros = Micros(1_000_000);
 /// How long a call waits for a worker that was asked; one that is silent for longer counts as busy.
 const ASK_WAIT: Micros = Micros(10_000);
-/// Parts of the aim that a call takes longer where others wait: at all, and for each that waits; and those
-/// that are taken to wait where a probe is not answered at once.
-const CROWD: (f64, f64) = (0.4, 0.15);
-const SILENT: f64 = 4.0;
-/// From which part of busy cores on calls are taken to wait, and how many at all of them.
-const BUSY_CORES: (f64, f64) = (0.85, 20.0);
 /// Workers asked for one call at most; probes for each request taken, and how many may be saved up.
 const ASKS: usize = 4;
 const PROBES: (f64, f64) = (1.5, 5.0);
+/// Parts of the aim that a call takes longer where others wait: at all, and for each that waits; those taken
+/// to wait where a probe is not answered at once; from which use of cores on, and how many at full use.
+const CROWD: (f64, f64) = (0.4, 0.15);
+const SILENT: f64 = 4.0;
+const BUSY_CORES: (f64, f64) = (0.85, 20.0);
 /// Further attempts allowed for each request taken, and how many may be saved up.
 const RETRIES: (f64, f64) = (0.15, 12.0);
-/// The part of the cold budget that is used: room for chance and for other routers' larger shares.
+/// The part of the cold budget that is used by own counts, and in chances, in a mean worker's load.
 const COLD_USE: f64 = 0.7;
-/// The part of that budget, in a mean worker's load, that the chance of a call to a cold worker aims at.
 const COLD_CHANCE: f64 = 0.4;
-/// How far back the share of a function in this router's work is counted, in seconds, and the calls that are
-/// taken to stand behind the first one seen.
+/// How far back shares, work and answers are counted, in seconds, and the calls taken to stand behind the first.
 const SHARE_OVER: f64 = 20.0;
+const WORK_OVER: f64 = 4.0;
+const PACE_OVER: f64 = 1.0;
 const SHARE_PRIOR: f64 = 30.0;
-/// The part of a mean worker's load that one function may bring before it is served by one more.
+/// The part of a mean worker's load that one function may bring before one more serves it, and the calls that
+/// a copy should see in the time it is kept.
 const PIECE: f64 = 0.15;
-/// How the spread of functions changes with each call that found its copy and with each that did not, and its
-/// least: where copies push each other out, fewer workers serve each function.
-const SPREAD: (f64, f64, f64) = (1.03, 0.93, 0.2);
-/// Calls that a copy should see in the time it is kept.
 const ALIVE: f64 = 3.0;
+/// How the spread of functions changes with each call that found its copy and each that did not, and its least.
+const SPREAD: (f64, f64, f64) = (1.03, 0.93, 0.2);
 /// Workers looked at beyond those that serve the function, while one of them may be sent to.
 const BEYOND: usize = 4;
 /// Functions remembered at most; the one unused longest goes first.
@@ -109,26 +105,62 @@
     *mean += (value - *mean) * part;
 }
 
+/// A count that fades with time, so that it tells of the last so many seconds.
+#[derive(Clone, Copy, Default)]
+struct Fading(f64, Micros);
+
+impl Fading {
+    fn at(&self, now: Micros, over: f64) -> f64 {
+        self.0 * (-secs(since(now, self.1)).max(0.0) / over).exp()
+    }
+
+    fn add(&mut self, now: Micros, over: f64, x: f64) {
+        *self = Fading(self.at(now, over) + x, now);
+    }
+}
+
+/// Bad evidence in a row about one worker's calls of one class, and until when it rests; then one trial call
+/// decides. What was sent before the rest began proves nothing new.
+#[derive(Clone, Copy, Default)]
+struct Record {
+    times: u32,
+    until: Micros,
+    full: bool,
+}
+
+impl Record {
+    fn bad(&mut self, now: Micros, sent: Micros, first: Micros, full: bool) {
+        if now >= self.until && sent >= since(self.until, first) {
+            self.times = (self.times + 1).min(4);
+            self.until = after(now, Micros(first.0 << (self.times - 1)));
+            self.full = full;
+        }
+    }
+
+    fn good(&mut self, now: Micros, sent: Micros) {
+        if since(self.until, sent) < if self.full { FULL } else { SUSPECT } {
+            *self = Record { until: self.until.min(now), ..Record::default() };
+        }
+    }
+}
+
 #[derive(Default)]
 struct Worker {
     entry: WorkerEntry,
     /// When it last started cold, as far as told or seen.
     started: Option<Micros>,
+    /// Own calls there that do not wait for a load.
     own: usize,
-    /// What the ring gives it of the functions known, in a mean worker's load; kept up while it is cold.
-    offered: f64,
-    /// Pieces of bad evidence in a row, and until when they keep the worker busy.
-    doubts: u32,
-    busy_until: Micros,
+    /// Evidence on its connections, and on each class.
+    link: Record,
+    classes: Vec<Record>,
     last_good: Micros,
-    /// Refusals in a row, and until when they keep the worker busy: a full worker answers fast and would
-    /// look idle by its own requests.
-    fulls: u32,
-    full_until: Micros,
     /// Latency beside what its functions take elsewhere.
     slow: f64,
+    /// What the ring gives it of the functions known, in a mean worker's load; kept up while it is cold.
+    offered: f64,
     /// When anything was heard from it, and the requests that waited there by its last report.
-    heard: Micros,
+    heard: Option<Micros>,
     queue: Option<(Micros, f64)>,
     /// When the probe went out that has no answer yet, and the calls that wait for it.
     asked: Option<Micros>,
@@ -138,22 +170,36 @@
 }
 
 impl Worker {
-    fn new(entry: WorkerEntry) -> Self {
-        Worker { entry, slow: 1.0, heard: Micros(i64::MIN), ..Worker::default() }
+    fn new(entry: WorkerEntry, classes: usize) -> Self {
+        Worker { entry, slow: 1.0, classes: vec![Record::default(); classes], ..Worker::default() }
+    }
+
+    fn ready(&self) -> bool {
+        self.entry.state == WorkerState::Ready
+    }
+
+    /// The evidence that keeps a call of the class away. Two classes in trouble are the worker's trouble; one
+    /// alone is not, as a worker may fail or refuse one class and serve the rest.
+    fn record(&self, class: usize, now: Micros) -> Record {
+        let own = self.classes.get(class).copied().unwrap_or_default();
+        let rests = |r: &&Record| r.times > 0 && (now < r.until || self.own > 0);
+        let mut all: Vec<Record> = self.classes.iter().filter(rests).copied().collect();
+        all.sort_by_key(|r| std::cmp::Reverse(r.times));
+        let shared = all.get(1).copied().unwrap_or_default();
+        let worst = [self.link, own, shared].into_iter().filter(|r| rests(&r)).max_by_key(|r| r.times);
+        worst.unwrap_or_default()
     }
 }
 
 #[derive(Clone, Default)]
 struct Place {
     own: usize,
-    /// Last moment at which a copy is known to have stood.
+    /// Last moments at which a copy is known to have stood, and to have been missing.
     stood: Option<Micros>,
-    /// Last moment at which none was there.
     missed: Option<Micros>,
     copies: u32,
-    /// When the outstanding order went out.
+    /// When the outstanding order went out, and when the load under way should be done.
     ordered: Option<Micros>,
-    /// When a load that is under way should be done.
     due: Option<Micros>,
     /// No further order before this; it grows with each one that found no room in a row.
     rest: Micros,
@@ -165,10 +211,7 @@
     lanes: usize,
     load: f64,
     svc: f64,
-    seen: Micros,
-    gap: f64,
-    /// Calls lately, fading with [`SHARE_OVER`].
-    calls: f64,
+    calls: Fading,
     places: BTreeMap<WorkerId, Place>,
 }
 
@@ -208,6 +251,10 @@
     fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.outcome.is_none()).count()
     }
+
+    fn undecided(&self) -> bool {
+        !self.done && !self.streaming
+    }
 }
 
 /// One router's decisions.
@@ -217,19 +264,20 @@
     now: Micros,
     /// This router's own seed.
     salt: u64,
+    born: Option<Micros>,
     workers: BTreeMap<WorkerId, Worker>,
     ring: Vec<(u64, WorkerId, f64)>,
     zones: usize,
     open: BTreeMap<RequestId, Open>,
     functions: BTreeMap<FunctionId, Function>,
-    /// Mean work of each class, in seconds, and the smoothed rate of work served to this router.
+    /// Mean work of each class, in seconds; work served to this router, and answers.
     class_work: Vec<f64>,
-    served: f64,
-    served_rate: f64,
-    /// Answers since the last tick, and their smoothed rate.
-    answers: f64,
-    answer_rate: f64,
-    ticks: u32,
+    served: Fading,
+    answers: Fading,
+    /// All calls, attempts and those served, counted like the calls of each function.
+    calls: Fading,
+    attempts: Fading,
+    ok: Fading,
     /// Loads begun for each request, smoothed.
     cold_rate: f64,
     /// How often calls lately found a copy that only others could have kept alive.
@@ -240,23 +288,19 @@
     late: f64,
     retries: f64,
     probes: f64,
-    /// All calls lately, fading like those of each function.
-    calls: f64,
-    called: Micros,
-    /// Attempts and those served, fading alike.
-    attempts: f64,
-    ok: f64,
     /// When the load offered to cold workers was last added up.
     summed: Micros,
     orders: VecDeque<Micros>,
     /// Orders not yet answered; they outlive what is believed of the worker.
     orders_out: BTreeSet<(WorkerId, FunctionId)>,
     taken: VecDeque<Micros>,
-    ticking: bool,
+    /// When the next housekeeping is due, and since when the router has not stood still itself.
+    tick_at: Option<Micros>,
+    awake: Micros,
     asked: Option<Micros>,
     subscribed: bool,
-    /// Requests that each tenant may still send within its share.
-    tenants: Vec<f64>,
+    /// Requests that each tenant may still send within its share, and when that was counted.
+    tenants: Vec<(f64, Micros)>,
     /// Stands in for a class that the settings lack: the most careful one.
     unknown: Class,
 }
@@ -265,27 +309,37 @@
     /// A router that knows its settings and nothing else yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let class_work = settings.classes.iter().map(|c| secs(c.aim) / 6.0).collect();
-        let tenants = vec![0.0; settings.tenants.len()];
-        Brain { salt: seed, class_work, blind: BLIND, spread: 1.0, retries: RETRIES.1, probes: PROBES.1, tenants, s: settings, ..Brain::default() }
+        let tenants = vec![(0.0, Micros(0)); settings.tenants.len()];
+        let (retries, probes) = (RETRIES.1, PROBES.1);
+        let start = Brain { salt: seed, blind: BLIND, spread: 1.0, retries, probes, ..Brain::default() };
+        Brain { class_work, tenants, s: settings, ..start }
     }
 
     /// Takes one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.born.get_or_insert(self.now);
+        if self.tick_at.is_some_and(|t| since(self.now, t) > STALL) {
+            self.resume();
+        }
         match event {
             Event::Request(r) => self.request(r, out),
             Event::Answer(a) => self.answer(a, out),
             Event::Streaming { id, .. } => {
                 self.open.get_mut(&id).into_iter().for_each(|o| o.streaming = true)
             }
-            Event::Left { id } => self.left(id, out),
+            Event::Left { id } => {
+                // Nothing is owed, and what still runs for it is work for nobody.
+                self.call_off(id, out);
+                self.close(id);
+            }
             Event::Listed(l) => self.listed(l),
             Event::Probed { worker, outcome, report, .. } => self.probed(worker, outcome, report, out),
             Event::Loaded { worker, function, outcome, copies, latency } => {
                 self.loaded(worker, function, outcome, copies, latency)
             }
             Event::Wake { token: 0 } => {
-                self.ticking = false;
+                self.tick_at = None;
                 self.tick(out);
             }
             Event::Wake { token } => {
@@ -295,14 +349,16 @@
                 }
             }
         }
+        let ask = self.s.must_ask && !self.subscribed;
         let due = self.asked.is_none_or(|t| since(self.now, t).0 > self.s.rules.ask_within.0 / 5);
-        if self.s.must_ask && !self.subscribed && due {
+        if ask && due {
             self.asked = Some(self.now);
             out.push(Action::Subscribe);
         }
-        if !self.ticking {
-            self.ticking = true;
-            out.push(Action::Wake { at: after(self.now, TICK), token: 0 });
+        if self.tick_at.is_none() && (ask || !self.open.is_empty()) {
+            let at = after(self.now, TICK);
+            self.tick_at = Some(at);
+            out.push(Action::Wake { at, token: 0 });
         }
     }
 
@@ -311,6 +367,16 @@
         self.open.len()
     }
 
+    /// The router itself stood still: what came late says nothing of the workers, whose silence and latency
+    /// are judged anew from here.
+    fn resume(&mut self) {
+        self.awake = self.now;
+        self.tick_at = Some(self.now);
+        for w in self.workers.values_mut() {
+            w.asked = w.asked.map(|_| self.now);
+        }
+    }
+
     // ---- the list of workers and the ring ----
 
     fn listed(&mut self, l: Listing) {
@@ -320,33 +386,30 @@
             return;
         }
         if l.scope != Scope::Changes {
-            let named: Vec<WorkerId> = l.entries.iter().map(|e| e.id).collect();
+            let named: BTreeSet<WorkerId> = l.entries.iter().map(|e| e.id).collect();
             self.workers.retain(|id, _| named.contains(id));
         }
+        let classes = self.s.classes.len();
         for e in l.entries {
             if e.state == WorkerState::Gone {
                 self.workers.remove(&e.id);
                 continue;
             }
-            let w = self.workers.entry(e.id).or_insert_with(|| Worker::new(e.clone()));
+            let w = self.workers.entry(e.id).or_insert_with(|| Worker::new(e.clone(), classes));
             // A restart under the same id comes back empty and cold, and owes nothing for what it was.
             if e.up_since > w.entry.up_since {
                 let sent = std::mem::take(&mut w.sent);
-                *w = Worker { sent, started: w.started, ..Worker::new(e.clone()) };
-                for f in self.functions.values_mut() {
-                    f.places.remove(&e.id);
-                }
+                *w = Worker { sent, started: w.started, asked: w.asked, ..Worker::new(e.clone(), classes) };
+                self.functions.values_mut().for_each(|f| drop(f.places.remove(&e.id)));
             }
             w.started = w.started.max(e.up_since);
             w.entry = e;
         }
         let workers = &self.workers;
-        for f in self.functions.values_mut() {
-            f.places.retain(|id, _| workers.contains_key(id));
-        }
-        for (id, w) in self.workers.iter_mut() {
-            let out = |a: &Attempt| a.outcome.is_none() && a.worker == *id && !a.loading;
-            w.own = self.open.values().flat_map(|o| &o.attempts).filter(|a| out(a)).count();
+        self.functions.values_mut().for_each(|f| f.places.retain(|id, _| workers.contains_key(id)));
+        self.workers.values_mut().for_each(|w| w.own = 0);
+        for a in self.open.values().flat_map(|o| &o.attempts).filter(|a| a.outcome.is_none() && !a.loading) {
+            self.workers.get_mut(&a.worker).into_iter().for_each(|w| w.own += 1);
         }
         self.zones = self.workers.values().map(|w| w.entry.zone.0).collect::<BTreeSet<_>>().len();
         self.build_ring();
@@ -361,7 +424,7 @@
         let middle = weights.get(weights.len() / 2).copied().unwrap_or(1.0);
         let unit = 2f64.powi(middle.log2().round() as i32);
         let mut ring = Vec::new();
-        for (id, w) in self.workers.iter().filter(|(_, w)| w.entry.state == WorkerState::Ready) {
+        for (id, w) in self.workers.iter().filter(|(_, w)| w.ready()) {
             let points = (POINTS * self.weight(w) / unit).round().clamp(8.0, 4.0 * POINTS) as u64;
             ring.extend((0..points).map(|i| (mix(mix(id.0) ^ i), *id, i as f64 / points as f64)));
         }
@@ -388,12 +451,12 @@
     /// worker come up one by one as it warms; until then the arc goes on to the next.
     fn walk(&self, f: FunctionId, most: usize) -> Vec<WorkerId> {
         let at = self.ring.partition_point(|p| p.0 < mix(f.0 ^ 0x51a7_e7a1));
-        let mut order: Vec<WorkerId> = Vec::new();
+        let (mut order, mut seen) = (Vec::new(), BTreeSet::new());
         for p in self.ring[at..].iter().chain(&self.ring[..at]) {
             if order.len() >= most.min(self.workers.len()) {
                 break;
             }
-            if !order.contains(&p.1) && self.workers.get(&p.1).is_some_and(|w| p.2 < self.warmth(w)) {
+            if self.workers.get(&p.1).is_some_and(|w| p.2 < self.warmth(w)) && seen.insert(p.1) {
                 order.push(p.1);
             }
         }
@@ -405,42 +468,23 @@
     fn load_of(&self, f: &Function) -> f64 {
         // Of all calls a few functions make up most. The first one that a new router sees is likely to be one of
         // these; one seen once among many is not.
-        let chance = (self.calls / SHARE_PRIOR).min(1.0);
-        (f.calls - chance).max(0.0) / (self.calls + SHARE_PRIOR) * self.workers.len() as f64
-    }
-
-    /// The part of the attempts that is served, lately.
-    fn served_part(&self) -> f64 {
-        ((self.ok + 2.0) / (self.attempts + 2.0)).min(1.0)
-    }
-
-    /// Adds up what the ring gives each worker of the functions this router knows.
-    fn offer(&mut self) {
-        let mut offered: BTreeMap<WorkerId, f64> = BTreeMap::new();
-        if self.workers.values().any(|w| self.warmth(w) < 1.0) {
-            for (id, f) in self.functions.iter().filter(|f| self.load_of(f.1) > 0.0) {
-                let width = self.width(f);
-                for w in self.walk(*id, width) {
-                    *offered.entry(w).or_default() += self.load_of(f) / width as f64;
-                }
-            }
-        }
-        for (id, w) in self.workers.iter_mut() {
-            w.offered = offered.get(id).copied().unwrap_or_default();
-        }
-        self.summed = self.now;
+        let calls = self.calls.at(self.now, SHARE_OVER);
+        let chance = (calls / SHARE_PRIOR).min(1.0);
+        let own = (f.calls.at(self.now, SHARE_OVER) - chance).max(0.0);
+        own / (calls + SHARE_PRIOR) * self.workers.len() as f64
     }
 
     /// How many of the first workers clockwise serve a function: as many as its load asks for, while the calls
     /// of all routers keep a copy alive at each.
     fn width(&self, f: &Function) -> usize {
-        let fleet = f.calls / SHARE_OVER * self.s.routers.max(1) as f64;
+        let fleet = f.calls.at(self.now, SHARE_OVER) / SHARE_OVER * self.s.routers.max(1) as f64;
         let alive = fleet * secs(self.s.loading.keep) / ALIVE;
-        (self.load_of(f) / PIECE * self.spread).min(alive).ceil().clamp(1.0, self.workers.len().max(1) as f64) as usize
+        let most = self.workers.len().max(1) as f64;
+        (self.load_of(f) / PIECE * self.spread).min(alive).ceil().clamp(1.0, most) as usize
     }
 
-    /// The workers in the order in which this router tries them: of those that serve the function, the one in
-    /// its own zone or else by a hash of its own, so that routers share them out; then on along the ring.
+    /// The workers in the order in which this router tries them: of those that serve the function, one in its
+    /// own zone or else one by a hash of its own, so that routers share them out; then on along the ring.
     fn order_of(&self, o: &Open, width: usize) -> Vec<WorkerId> {
         let f = o.req.function;
         let most = if o.attempts.iter().any(Attempt::may_have_run) { usize::MAX } else { width + BEYOND };
@@ -455,15 +499,32 @@
         order
     }
 
+    /// Adds up what the ring gives each worker of the functions this router knows.
+    fn offer(&mut self) {
+        let mut offered: BTreeMap<WorkerId, f64> = BTreeMap::new();
+        if self.workers.values().any(|w| self.warmth(w) < 1.0) {
+            for (id, f) in self.functions.iter().filter(|f| self.load_of(f.1) > 0.0) {
+                let width = self.width(f);
+                for w in self.walk(*id, width) {
+                    *offered.entry(w).or_default() += self.load_of(f) / width as f64;
+                }
+            }
+        }
+        for (id, w) in self.workers.iter_mut() {
+            w.offered = offered.get(id).copied().unwrap_or_default();
+        }
+        self.summed = self.now;
+    }
+
     // ---- the gate: every rule in one place ----
 
     /// Whether the request may be sent to the worker now, by effects, drains and the cold budget.
     fn may_send(&self, o: &Open, id: WorkerId, reach: usize) -> bool {
         let Some(w) = self.workers.get(&id) else { return false };
-        let ready = w.entry.state == WorkerState::Ready && !o.done && !o.streaming && self.now < o.until;
-        let copies =
-            o.attempts.len() < self.s.limits.max_attempts && (self.s.limits.second_copies || o.out() == 0);
-        ready && copies && self.effect_allows(o, w) && self.cold_allows(o, w, reach)
+        let (l, out) = (&self.s.limits, o.out());
+        let copies = o.attempts.len() < l.max_attempts && (l.second_copies || out == 0);
+        let open = o.undecided() && self.now < o.until && copies;
+        open && w.ready() && self.effect_allows(o, w) && self.cold_allows(o, w, reach)
     }
 
     fn effect_allows(&self, o: &Open, w: &Worker) -> bool {
@@ -494,7 +555,8 @@
         // unit, and what the other routers see served is their share of the budget. By all weight, warm or
         // not: after a mass restart the served rate lags behind what stands warm.
         let total: f64 = self.workers.values().map(|w| self.weight(w)).sum();
-        let capacity = self.served_rate * self.weight(w) / total.max(1e-9) * warmth;
+        let rate = self.served.at(self.now, WORK_OVER) / WORK_OVER;
+        let capacity = rate * self.weight(w) / total.max(1e-9) * warmth;
         let budget = COLD_USE * r.fall_multiple * capacity * secs(r.fall_window);
         let recent = |t: &&(Micros, f64)| since(self.now, t.0) <= r.fall_window;
         let sent: f64 = w.sent.iter().filter(recent).map(|t| t.1).sum();
@@ -504,23 +566,24 @@
         // busy ones pass on.
         let warm: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
         let offered = w.offered.max(warmth * total / warm.max(1e-9)) * reach.max(1) as f64;
-        let chance = COLD_CHANCE * r.fall_multiple * warmth * self.served_part() / offered.max(1e-9);
+        let lately = |f: &Fading| f.at(self.now, SHARE_OVER) + 2.0;
+        let served = (lately(&self.ok) / lately(&self.attempts)).min(1.0);
+        let chance = COLD_CHANCE * r.fall_multiple * warmth * served / offered.max(1e-9);
         let draw = part(mix(self.salt ^ mix(o.req.id.0) ^ w.entry.id.0));
         (sent == 0.0 || sent + self.work(o) <= budget) && draw < chance
     }
 
     fn may_refuse(&self, o: &Open) -> bool {
-        let mut ran = o.attempts.iter().filter(|a| a.may_have_run());
         match self.class(o).effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-            _ => ran.next().is_none(),
+            _ => !o.attempts.iter().any(Attempt::may_have_run),
         }
     }
 
     /// Orders copies held, if the drain rule and the ration allow it and no order is out for the pair.
     fn order(&mut self, f: FunctionId, id: WorkerId, copies: u32, out: &mut Vec<Action>) -> bool {
         let l = &self.s.loading;
-        let ready = self.workers.get(&id).is_some_and(|w| w.entry.state == WorkerState::Ready);
+        let ready = self.workers.get(&id).is_some_and(Worker::ready);
         let Some(fun) = self.functions.get_mut(&f) else { return false };
         let place = fun.places.entry(id).or_default();
         if !l.orders || !ready || self.orders_out.contains(&(id, f)) || self.now < place.rest {
@@ -552,7 +615,7 @@
         self.s.classes.get(o.req.class.0).unwrap_or(&self.unknown)
     }
 
-    /// Mean work of the request's class in the unit of `served_rate`.
+    /// Mean work of the request's class in the unit of `served`.
     fn work(&self, o: &Open) -> f64 {
         self.class_work.get(o.req.class.0).copied().unwrap_or(0.1)
     }
@@ -574,50 +637,47 @@
         o.attempts.iter().filter(|a| a.outcome == Some(Outcome::Miss)).count() >= width.min(2)
     }
 
-    fn suspect(&self, w: &Worker) -> bool {
-        w.doubts > 0 && (self.now < w.busy_until || w.own > 0)
-    }
-
     /// Whether so many are in doubt that the cause must be shared.
-    fn shared_doubt(&self) -> bool {
-        let bad = self.workers.values().filter(|w| self.suspect(w)).count();
-        bad as f64 > SUSPECT_SHARE * self.workers.len() as f64
+    fn shared_doubt(&self, class: usize) -> bool {
+        let doubted = |w: &&Worker| Some(w.record(class, self.now)).is_some_and(|r| r.times > 0 && !r.full);
+        self.workers.values().filter(doubted).count() as f64 > SUSPECT_SHARE * self.workers.len() as f64
     }
 
     /// How far a worker is over its share of this router's requests; above 0 it is busy.
     fn excess(&self, w: &Worker, total: usize, weight: f64) -> f64 {
         let fair = (total + 1) as f64 * self.weight(w) * self.warmth(w) / weight.max(1e-9);
         let limit = (fair * MARGIN.0 + MARGIN.1).max(1.0) / w.slow.max(1.0);
-        (w.own + 1) as f64 - limit.max(1.0)
+        ((w.own + 1) as f64 - limit.max(1.0)).max(0.0)
     }
 
-    /// Parts of the aim that a call waits at a worker by what it told: where calls wait, all its slots are taken, and
-    /// one that does not answer a probe at once is no better.
+    /// Parts of the aim that a call waits at a worker by what it told: where calls wait, all its slots are
+    /// taken, and one that does not answer a probe at once is no better.
     fn crowd(&self, w: &Worker) -> f64 {
         let silent = w.asked.is_some_and(|t| since(self.now, t) >= ASK_WAIT);
         let queue = w.queue.filter(|q| since(self.now, q.0) < FRESH).map_or(0.0, |q| q.1);
         let queue = if silent { queue.max(SILENT) } else { queue };
-        if queue >= 1.0 { CROWD.0 + queue * CROWD.1 } else { 0.0 }
+        if queue >= 1.0 {
+            CROWD.0 + queue * CROWD.1
+        } else {
+            0.0
+        }
     }
 
-    /// Chooses the worker for a request. Ordinary path: the first along the ring that is not busy and
-    /// where the function stands. Where there is none, the least expected wait, loads included.
-    fn pick(&self, o: &Open) -> Option<(WorkerId, Vec<WorkerId>)> {
+    /// Chooses the worker for a request. Ordinary path: the first along the ring that is not busy and where
+    /// the function stands. Where there is none, the least expected wait, loads included.
+    fn pick(&self, o: &Open) -> Option<WorkerId> {
         let f = self.functions.get(&o.req.function)?;
-        let shared = self.shared_doubt();
+        let (class, aim) = (o.req.class.0, secs(self.class(o).aim));
+        let shared = self.shared_doubt(class);
         let total: usize = self.workers.values().map(|w| w.own).sum();
         let weight: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
-        let mut best: Option<(f64, WorkerId)> = None;
-        let mut wanted = Vec::new();
-        let mut ordinary = None;
-        let mut first = true;
         let width = self.width(f);
         let mut order = self.order_of(o, width);
         if !order.iter().any(|id| self.may_send(o, *id, order.len())) {
             order = self.walk(o.req.function, usize::MAX);
         }
-        let spill = order.len();
-        let missed = self.missed(o, width);
+        let (spill, missed) = (order.len(), self.missed(o, width));
+        let (mut best, mut first): (Option<(f64, WorkerId)>, bool) = (None, true);
         for (step, id) in order.into_iter().enumerate() {
             let Some(w) = self.workers.get(&id) else { continue };
             if !self.may_send(o, id, if step < width && o.attempts.is_empty() { 1 } else { spill }) {
@@ -625,37 +685,36 @@
             }
             let tried = o.attempts.iter().any(|a| a.worker == id && a.outcome != Some(Outcome::Miss));
             let p = f.places.get(&id).cloned().unwrap_or_default();
-            let suspect = !shared && self.suspect(w);
-            let (own, crowd) = (self.excess(w, total, weight).max(0.0), self.crowd(w));
-            let over = own + crowd;
-            let stands = if step < width && !missed { self.believed(&p) } else { self.stands(&p) };
-            let load = match (stands, p.due) {
-                (true, _) => 0.0,
-                (_, Some(due)) => secs(since(due, self.now)).max(0.05),
-                _ if self.now < p.rest => f.load * (NO_ROOM + COLD_COST.0 + COLD_COST.1 * self.cold_rate),
-                _ if first => f.load,
-                _ => f.load * (COLD_COST.0 + COLD_COST.1 * self.cold_rate),
-            };
+            let load =
+                match (if step < width && !missed { self.believed(&p) } else { self.stands(&p) }, p.due) {
+                    (true, _) => 0.0,
+                    (_, Some(due)) => secs(since(due, self.now)).max(0.05),
+                    _ if self.now < p.rest => f.load * (NO_ROOM + COLD_COST.0 + COLD_COST.1 * self.cold_rate),
+                    _ if first => f.load,
+                    _ => f.load * (COLD_COST.0 + COLD_COST.1 * self.cold_rate),
+                };
             first = false;
-            let full = self.now < w.full_until;
-            let tried = tried || full;
-            if load == 0.0 && over <= 0.0 && !suspect && !tried {
-                ordinary = Some(id);
-                break;
-            }
-            if over <= 0.0 && load > 0.0 && !suspect && !tried {
-                wanted.push(id);
+            let record = w.record(class, self.now);
+            let doubt = match (record.times as f64, record.full) {
+                (times, true) => 1.0 + times,
+                (times, false) => {
+                    if shared {
+                        0.0
+                    } else {
+                        3.0 * times
+                    }
+                }
+            } + f64::from(u8::from(tried));
+            let (own, crowd) = (self.excess(w, total, weight), self.crowd(w));
+            if load + doubt + own + crowd == 0.0 {
+                return Some(id);
             }
-            let doubt = if suspect { 3.0 * w.doubts as f64 } else { 0.0 }
-                + if tried { 1.0 } else { 0.0 }
-                + if full { w.fulls as f64 } else { 0.0 };
-            let wait = own * f.svc * w.slow.max(0.5) + crowd * secs(self.class(o).aim);
-            let cost = wait + load + doubt + step as f64 * 1e-3;
+            let cost = own * f.svc * w.slow.max(0.5) + crowd * aim + load + doubt + step as f64 * 1e-3;
             if best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, id));
             }
         }
-        ordinary.or(best.map(|b| b.1)).map(|id| (id, wanted))
+        best.map(|b| b.1)
     }
 
     // ---- requests ----
@@ -667,37 +726,34 @@
         self.cold_rate *= 0.99;
         self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
         self.probes = (self.probes + PROBES.0).min(PROBES.1);
-        let fade = |t: Micros| (-secs(since(self.now, t)) / SHARE_OVER).exp();
-        self.calls = self.calls * fade(self.called) + 1.0;
-        (self.attempts, self.ok) = (self.attempts * fade(self.called), self.ok * fade(self.called));
-        self.called = self.now;
+        self.calls.add(self.now, SHARE_OVER, 1.0);
         if self.s.loading.ration_window.0 > 0 {
             self.taken.push_back(self.now);
         }
-        let new = Function { load: 0.7, svc: 0.15, gap: 60.0, seen: self.now, ..Function::default() };
-        self.functions.entry(r.function).or_insert(new);
-        if let Some(f) = self.functions.get_mut(&r.function) {
-            blend(&mut f.gap, secs(since(self.now, f.seen)).min(60.0), 0.3);
-            f.lanes = r.lanes.max(1);
-            f.calls = f.calls * (-secs(since(self.now, f.seen)) / SHARE_OVER).exp() + 1.0;
-            f.seen = self.now;
-            if let (Some(t), true) = (r.load_time, f.places.is_empty()) {
-                f.load = secs(t).clamp(0.01, 10.0);
-            }
+        let new = Function { load: 0.7, svc: 0.15, ..Function::default() };
+        let f = self.functions.entry(r.function).or_insert(new);
+        f.lanes = r.lanes.max(1);
+        f.calls.add(self.now, SHARE_OVER, 1.0);
+        if let (Some(t), true) = (r.load_time, f.places.is_empty()) {
+            f.load = secs(t).clamp(0.01, 10.0);
         }
         if self.functions.len() > FUNCTIONS {
             let idle = |f: &Function| f.places.values().all(|p| p.own == 0 && p.ordered.is_none());
             let oldest = self.functions.iter().filter(|f| idle(f.1) && *f.0 != r.function);
-            if let Some(id) = oldest.min_by_key(|f| (f.1.seen, *f.0)).map(|f| *f.0) {
+            if let Some(id) = oldest.min_by_key(|f| (f.1.calls.1, *f.0)).map(|f| *f.0) {
                 self.functions.remove(&id);
             }
         }
+        if since(self.now, self.summed).0 > 500_000 {
+            self.offer();
+        }
         let id = r.id;
         if let (Some(mean), Some(work)) = (self.class_work.get_mut(r.class.0), r.work) {
             blend(mean, secs(work).clamp(1e-4, 60.0), 0.02);
         }
         let until = after(self.now, r.budget);
-        let o = Open { req: r, until, attempts: Vec::new(), done: false, streaming: false, held: None, asks: 0 };
+        let (attempts, done, streaming, held, asks) = (Vec::new(), false, false, None, 0);
+        let o = Open { req: r, until, attempts, done, streaming, held, asks };
         let refuse = self.too_late(&o);
         self.open.insert(id, o);
         if refuse {
@@ -707,92 +763,96 @@
         }
     }
 
-    /// Whether the answer to a new request would come too late to be worth its work. By Little's law the
-    /// time in the system is what is out over the pace of answers. Work of low worth, and what a tenant
-    /// sends beyond its share, is turned away sooner.
-    fn too_late(&mut self, o: &Open) -> bool {
-        let class = self.class(o);
-        let aim = secs(class.aim);
+    /// How much the class's work is worth beside that of the most worth, from 0 to 1.
+    fn rank(&self, o: &Open) -> f64 {
         let density = |c: &Class, w: f64| if self.s.worth_by_work { c.worth } else { c.worth / w.max(1e-3) };
-        let most =
-            self.s.classes.iter().zip(&self.class_work).map(|(c, w)| density(c, *w)).fold(1e-9, f64::max);
-        let part = (density(class, self.work(o)) / most).clamp(0.0, 1.0);
-        let mut patience = REFUSE.0 + (REFUSE.1 - REFUSE.0) * part;
-        let mut shed = self.late * (LATE_CLASS - part).max(0.0);
-        if let Some((left, t)) = o.req.tenant.and_then(|t| Some((self.tenants.get_mut(t.0)?, t))) {
-            *left -= 1.0;
-            if *left < 0.0 && self.s.tenants[t.0].quota_per_s > 0.0 {
-                *left = 0.0;
-                patience *= REFUSE.0;
-                shed *= 2.0;
-            }
-        }
-        if self::part(mix(self.salt ^ mix(!o.req.id.0))) < shed {
+        let all = self.s.classes.iter().zip(&self.class_work).map(|(c, w)| density(c, *w));
+        (density(self.class(o), self.work(o)) / all.fold(1e-9, f64::max)).clamp(0.0, 1.0)
+    }
+
+    /// Counts the request against its tenant's share; true where it is beyond that.
+    fn over_share(&mut self, o: &Open) -> bool {
+        let Some(t) = o.req.tenant else { return false };
+        let (Some(left), Some(tenant)) = (self.tenants.get_mut(t.0), self.s.tenants.get(t.0)) else {
+            return false;
+        };
+        let share = tenant.quota_per_s / self.s.routers.max(1) as f64;
+        let more = share * secs(since(self.now, left.1)).clamp(0.0, 2.0);
+        *left = ((left.0 + more).min(2.0 * share).max(0.0) - 1.0, self.now);
+        left.0 < 0.0 && share > 0.0
+    }
+
+    /// Whether the answer to a new request would come too late to be worth its work. Where this router has many
+    /// calls out, by Little's law: the time in the system is what is out over the pace of answers. Where it has
+    /// few, by the part of its answers that came late. Work of low worth goes first, and what a tenant sends
+    /// beyond its share.
+    fn too_late(&mut self, o: &Open) -> bool {
+        let (over, rank, aim) = (self.over_share(o), self.rank(o), secs(self.class(o).aim));
+        let shed = self.late * (LATE_CLASS - rank).max(0.0) * if over { 2.0 } else { 1.0 };
+        if part(mix(self.salt ^ mix(!o.req.id.0))) < shed {
             return true;
         }
+        let patience = (REFUSE.0 + (REFUSE.1 - REFUSE.0) * rank) * if over { REFUSE.0 } else { 1.0 };
         // Calls stuck at workers in doubt are no queue for the others; were they counted, a silent zone would
         // stop the sound ones too.
-        let sound = || self.workers.values().filter(|w| w.doubts < 2);
+        let stuck = |w: &Worker| w.record(o.req.class.0, self.now);
+        let sound = || self.workers.values().filter(|w| stuck(w).times < 2 || stuck(w).full);
         let total: usize = sound().map(|w| w.own).sum();
-        let wait = (total + 1) as f64 / self.answer_rate.max(1.0);
-        // A router that has just started knows no pace yet.
-        self.ticks > START_TICKS && total > sound().count() && wait > patience * aim
+        let age = self.born.map_or(0.0, |t| secs(since(self.now, t)));
+        let pace =
+            self.answers.at(self.now, PACE_OVER) / PACE_OVER / (1.0 - (-age / PACE_OVER).exp()).max(0.1);
+        age > START && total > sound().count() && (total + 1) as f64 > patience * aim * pace
     }
 
     /// Sends an open request on, holds it for a moment, or leaves it for the next tick.
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(o) = self.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
+        let Some(o) = self.open.get(&id).filter(|o| o.undecided()) else { return };
         let f = o.req.function;
         let missed = self.functions.get(&f).is_none_or(|f| self.missed(o, self.width(f)));
-        let Some((worker, wanted)) = self.pick(o) else {
+        let Some(worker) = self.pick(o) else {
             // Nowhere to go for now: the next ticks try again. An answer must not wait for a tick too many.
             let last = o.out() == 0 && since(o.until, self.now).0 <= 2 * TICK.0;
-            if let Some(o) = self.open.get_mut(&id) {
-                o.held = None;
-            }
-            if last {
-                self.give_up(id, out);
-            }
-            return;
+            self.open.get_mut(&id).into_iter().for_each(|o| o.held = None);
+            return if last {
+                self.give_up(id, out)
+            };
         };
         if self.ask(id, worker, out) {
             return;
         }
-        // The home or the next free worker gets a copy when calls come often enough to find it standing.
-        let calm = self.cold_rate < if self.s.loading.on_request { STORM.0 } else { STORM.1 };
-        let often = self.functions.get(&f).is_some_and(|f| f.gap < secs(self.s.loading.keep) / 2.0);
-        let place = self.functions.get(&f).and_then(|f| f.places.get(&worker)).cloned().unwrap_or_default();
-        if let Some(next) = wanted.first().filter(|w| often && **w != worker && calm) {
-            self.order(f, *next, 1, out);
-        }
+        let Some(fun) = self.functions.get(&f) else { return };
+        let (place, lanes) = (fun.places.get(&worker).cloned().unwrap_or_default(), fun.lanes);
+        let stands = self.stands(&place);
+        let (believed, copies) = (if missed { stands } else { self.believed(&place) }, place.copies.max(1));
         let mut ordered = place.ordered;
-        let lanes = self.functions.get(&f).map_or(1, |f| f.lanes);
-        let believed = if missed { self.stands(&place) } else { self.believed(&place) };
         if !believed && place.due.is_none() {
             if !self.s.loading.on_request && self.order(f, worker, 1, out) {
                 ordered = Some(self.now);
             }
-        } else if self.stands(&place) && place.own > lanes * place.copies.max(1) as usize && often && calm {
-            self.order(f, worker, place.copies.max(1) + 1, out);
+        } else if stands && place.own > lanes * copies as usize {
+            self.order(f, worker, copies + 1, out);
         }
         let fresh = ordered.filter(|t| since(self.now, *t) < BEHIND_ORDER && !believed);
-        if let (Some(t), false) = (fresh, self.s.loading.on_request) {
-            let at = after(t, BEHIND_ORDER);
-            if let Some(o) = self.open.get_mut(&id) {
-                o.held = Some(at);
-            }
-            out.push(Action::Wake { at, token: id.0.wrapping_add(1) });
-            return;
+        match fresh.filter(|_| !self.s.loading.on_request) {
+            Some(t) => self.hold(id, after(t, BEHIND_ORDER), out),
+            None => self.send(id, worker, out),
         }
-        self.send(id, worker, out);
+    }
+
+    fn hold(&mut self, id: RequestId, at: Micros, out: &mut Vec<Action>) {
+        self.open.get_mut(&id).into_iter().for_each(|o| o.held = Some(at));
+        out.push(Action::Wake { at, token: id.0.wrapping_add(1) });
     }
 
     /// Asks a worker that was not heard from lately before a call goes there; the call waits for a moment.
     /// Many routers before many workers meet each one too seldom to know it by their own calls.
     fn ask(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) -> bool {
-        let (Some(o), Some(w)) = (self.open.get_mut(&id), self.workers.get_mut(&worker)) else { return false };
+        let (Some(o), Some(w)) = (self.open.get_mut(&id), self.workers.get_mut(&worker)) else {
+            return false;
+        };
         let soon = since(o.until, self.now).0 <= 2 * (TICK.0 + ASK_WAIT.0);
-        let known = since(self.now, w.heard) < FRESH || w.asked.is_some_and(|t| since(self.now, t) >= ASK_WAIT);
+        let known = w.heard.is_some_and(|t| since(self.now, t) < FRESH)
+            || w.asked.is_some_and(|t| since(self.now, t) >= ASK_WAIT);
         if !self.s.limits.probes || known || soon || o.asks >= ASKS || self.probes < 1.0 {
             return false;
         }
@@ -802,23 +862,17 @@
             w.asked = Some(self.now);
             out.push(Action::Probe { worker });
         }
-        let at = after(self.now, ASK_WAIT);
-        o.held = Some(at);
         w.asking.push(id);
-        out.push(Action::Wake { at, token: id.0.wrapping_add(1) });
+        self.hold(id, after(self.now, ASK_WAIT), out);
         true
     }
 
     fn send(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) {
-        let Some(o) = self.open.get(&id) else { return };
-        if !self.may_send(o, worker, 1) {
-            return;
-        }
-        let work = self.work(o);
-        let place = self.functions.get(&o.req.function).and_then(|f| f.places.get(&worker));
-        let seen = place.is_some_and(|p| self.stands(p));
-        let loading = !seen && !place.map_or(self.blind >= BLIND, |p| self.believed(p));
-        let blind = !seen && !loading && place.is_none_or(|p| p.due.is_none());
+        let Some(o) = self.open.get(&id).filter(|o| self.may_send(o, worker, 1)) else { return };
+        let (work, empty) = (self.work(o), Place::default());
+        let place = self.functions.get(&o.req.function).and_then(|f| f.places.get(&worker)).unwrap_or(&empty);
+        let (seen, loading) = (self.stands(place), !self.believed(place));
+        let blind = !seen && !loading && place.due.is_none();
         let (Some(o), Some(w)) = (self.open.get_mut(&id), self.workers.get_mut(&worker)) else { return };
         if let Some(f) = self.functions.get_mut(&o.req.function) {
             let p = f.places.entry(worker).or_default();
@@ -828,27 +882,18 @@
                 self.cold_rate += 0.01;
             }
         }
-        if !loading {
-            w.own += 1;
-        }
+        w.own += usize::from(!loading);
         w.sent.push_back((self.now, work));
         w.sent.retain(|t| since(self.now, t.0) <= self.s.rules.fall_window);
         o.held = None;
-        self.attempts += 1.0;
-        let anchor =
-            o.attempts.iter().filter(|a| a.may_have_run()).map(|a| a.anchor).min().unwrap_or(self.now);
-        let (zone, cell, sent) = (w.entry.zone, w.entry.cell, self.now);
-        let (outcome, cancelled) = (None, false);
+        self.attempts.add(self.now, SHARE_OVER, 1.0);
+        let anchor = o.attempts.iter().filter(|a| a.may_have_run()).map(|a| a.anchor).min();
+        let (anchor, zone, cell) = (anchor.unwrap_or(self.now), w.entry.zone, w.entry.cell);
+        let (sent, outcome, cancelled) = (self.now, None, false);
         o.attempts.push(Attempt { worker, zone, cell, sent, anchor, loading, blind, outcome, cancelled });
         out.push(Action::Send { id, worker, timeout: None });
     }
 
-    /// The client is gone: nothing is owed, and what still runs for it is work for nobody.
-    fn left(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        self.call_off(id, out);
-        self.close(id);
-    }
-
     fn call_off(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(o) = self.open.get_mut(&id).filter(|o| self.s.limits.cancel && !o.streaming) else { return };
         for (attempt, t) in o.attempts.iter_mut().enumerate().filter(|(_, t)| t.outcome.is_none()) {
@@ -860,8 +905,7 @@
 
     fn close(&mut self, id: RequestId) {
         let Some(o) = self.open.get_mut(&id) else { return };
-        o.done = true;
-        o.held = None;
+        (o.done, o.held) = (true, None);
         if o.out() == 0 {
             self.open.remove(&id);
         }
@@ -869,94 +913,51 @@
 
     /// Ends a request that is not going to be served.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(o) = self.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
-        if self.may_refuse(o) {
-            out.push(Action::Refuse { id, retry_after: None });
-        } else {
-            out.push(Action::Fail { id });
-        }
+        let Some(o) = self.open.get(&id).filter(|o| o.undecided()) else { return };
+        let refuse = self.may_refuse(o);
+        out.push(if refuse { Action::Refuse { id, retry_after: None } } else { Action::Fail { id } });
         self.close(id);
     }
 
     fn answer(&mut self, a: Answer, out: &mut Vec<Action>) {
         let Some(o) = self.open.get_mut(&a.id) else { return };
-        let (function, class, hinted) = (o.req.function, o.req.class, o.req.work.is_some());
+        let (function, class, hinted) = (o.req.function, o.req.class.0, o.req.work.is_some());
         let Some(t) = o.attempts.get_mut(a.attempt).filter(|t| t.outcome.is_none()) else { return };
         t.outcome = Some(a.outcome);
-        let (worker, loading, sent, cancelled) = (t.worker, t.loading, t.sent, t.cancelled);
-        let blind = t.blind;
+        let (worker, loading, blind, sent) = (t.worker, t.loading, t.blind, t.sent);
+        let (called_off, judged) = (t.cancelled, sent >= self.awake);
+        self.learn_place(function, &a, worker, loading, blind, judged);
+        self.workers
+            .get_mut(&worker)
+            .into_iter()
+            .for_each(|w| w.own = w.own.saturating_sub(usize::from(!loading)));
         let taken = secs(a.latency).max(1e-4);
-        let mut ratio = None;
-        if let Some(f) = self.functions.get_mut(&function) {
-            let p = f.places.entry(worker).or_default();
-            p.own = p.own.saturating_sub(1);
-            match a.outcome {
-                Outcome::Ok => {
-                    (p.stood, p.copies, p.due) = (Some(self.now), p.copies.max(1), None);
-                    // Where calls load by themselves only the time tells.
-                    self.spread = (self.spread * SPREAD.0).min(1.0);
-                    if blind {
-                        let found = !self.s.loading.on_request || taken < f.svc + 0.5 * f.load;
-                        blend(&mut self.blind, f64::from(u8::from(found)), 0.05);
-                    }
-                    if loading {
-                        blend(&mut f.load, (taken - f.svc).clamp(0.05, 5.0), 0.1);
-                    } else {
-                        ratio = Some((taken / f.svc.max(1e-3)).clamp(0.1, 10.0));
-                        // The time of a call that meets no queue: shorter times count more.
-                        let part = if taken < f.svc { 0.2 } else { 0.02 };
-                        blend(&mut f.svc, taken, part);
-                    }
-                }
-                // What was believed to stand is gone: unloaded, released anew or restarted.
-                Outcome::Miss => {
-                    (p.stood, p.missed, p.copies) = (None, Some(self.now), 0);
-                    self.spread = (self.spread * SPREAD.1).max(SPREAD.2);
-                    if blind {
-                        blend(&mut self.blind, 0.0, 0.05);
-                    }
-                    p.due = p.due.filter(|_| p.ordered.is_some());
-                }
-                // No room for a copy: that speaks of the function, not of the worker.
-                Outcome::Full if loading => p.rest = after(self.now, Micros(FULL.0 * 2)),
-                Outcome::ConnectFailed | Outcome::Reset => *p = Place { own: p.own, ..Place::default() },
-                _ => {}
-            }
-        }
-        if let Some(w) = self.workers.get_mut(&worker) {
-            w.own = w.own.saturating_sub(usize::from(!loading));
-            if let Some(ratio) = ratio {
-                blend(&mut w.slow, ratio, 0.1);
-            }
-            if a.outcome == Outcome::Full && !loading && sent >= w.full_until {
-                w.fulls = (w.fulls + 1).min(4);
-                w.full_until = after(self.now, Micros(FULL.0 << (w.fulls - 1)));
-                w.heard = self.now;
-            }
-        }
-        if let (Outcome::Ok, Some(mean)) = (a.outcome, self.class_work.get_mut(class.0)) {
+        if let (Outcome::Ok, Some(mean)) = (a.outcome, self.class_work.get_mut(class)) {
             if !hinted && !loading {
                 blend(mean, taken, 0.02);
             }
-            self.served += *mean;
-            self.answers += 1.0;
-            self.ok += 1.0;
-            if !loading {
-                let aim = self.s.classes.get(class.0).map_or(1.0, |c| secs(c.aim));
-                let step = if taken > aim { LATE.0 } else { -LATE.1 };
-                self.late = (self.late + step).clamp(0.0, LATE.2);
+            self.served.add(self.now, WORK_OVER, *mean);
+            self.answers.add(self.now, PACE_OVER, 1.0);
+            self.ok.add(self.now, SHARE_OVER, 1.0);
+            if !loading && judged {
+                let late = self.s.classes.get(class).is_some_and(|c| taken > secs(c.aim));
+                self.late = (self.late + if late { LATE.0 } else { -LATE.1 }).clamp(0.0, LATE.2);
             }
         }
         if let Some(r) = a.report {
             self.report(worker, r);
         }
         match a.outcome {
-            Outcome::Ok => self.good(worker, sent),
-            Outcome::TimedOut if !loading && !cancelled => self.doubt(worker),
-            Outcome::ConnectFailed | Outcome::Reset => self.doubt(worker),
+            Outcome::Ok => self.good(worker, class, sent),
+            Outcome::Full if !loading => self.bad(worker, Some(class), sent, true),
+            Outcome::Error if !a.load_failed => self.bad(worker, Some(class), sent, false),
+            Outcome::TimedOut if !loading && !called_off && judged => {
+                self.bad(worker, Some(class), sent, false)
+            }
+            Outcome::ConnectFailed | Outcome::Reset => self.bad(worker, None, sent, false),
             _ => {}
         }
-        let Some(o) = self.open.get_mut(&a.id) else { return };
+        let Some(o) = self.open.get(&a.id) else { return };
         if a.closed || o.done {
             self.call_off(a.id, out);
             self.close(a.id);
@@ -965,6 +966,55 @@
         }
     }
 
+    /// What an answer tells of the copies at a worker and of the function's time.
+    fn learn_place(
+        &mut self,
+        f: FunctionId,
+        a: &Answer,
+        id: WorkerId,
+        loading: bool,
+        blind: bool,
+        judged: bool,
+    ) {
+        let Some(f) = self.functions.get_mut(&f) else { return };
+        let p = f.places.entry(id).or_default();
+        let taken = secs(a.latency).max(1e-4);
+        p.own = p.own.saturating_sub(1);
+        match a.outcome {
+            Outcome::Ok => {
+                (p.stood, p.copies, p.due) = (Some(self.now), p.copies.max(1), None);
+                self.spread = (self.spread * SPREAD.0).min(1.0);
+                if blind {
+                    // Where calls load by themselves only the time tells.
+                    let found = !self.s.loading.on_request || taken < f.svc + 0.5 * f.load;
+                    blend(&mut self.blind, f64::from(u8::from(found)), 0.05);
+                }
+                if loading {
+                    blend(&mut f.load, (taken - f.svc).clamp(0.05, 5.0), 0.1);
+                } else if judged {
+                    let ratio = (taken / f.svc.max(1e-3)).clamp(0.1, 10.0);
+                    self.workers.get_mut(&id).into_iter().for_each(|w| blend(&mut w.slow, ratio, 0.1));
+                    // The time of a call that meets no queue: shorter times count more.
+                    let part = if taken < f.svc { 0.2 } else { 0.02 };
+                    blend(&mut f.svc, taken, part);
+                }
+            }
+            // What was believed to stand is gone: unloaded, released anew or restarted.
+            Outcome::Miss => {
+                (p.stood, p.missed, p.copies) = (None, Some(self.now), 0);
+                p.due = p.due.filter(|_| p.ordered.is_some());
+                self.spread = (self.spread * SPREAD.1).max(SPREAD.2);
+                if blind {
+                    blend(&mut self.blind, 0.0, 0.05);
+                }
+            }
+            // No room for a copy: that speaks of the function, not of the worker.
+            Outcome::Full if loading => p.rest = after(self.now, Micros(FULL.0 * 2)),
+            Outcome::ConnectFailed | Outcome::Reset => *p = Place { own: p.own, ..Place::default() },
+            _ => {}
+        }
+    }
+
     /// A further attempt where one is allowed, else the final answer.
     fn again(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id).filter(|o| !o.done) else { return };
@@ -974,34 +1024,31 @@
         if spent || !possible || self.now >= o.until || (!cheap && self.retries < 1.0) {
             return self.give_up(id, out);
         }
-        if !cheap {
-            self.retries -= 1.0;
-        }
+        self.retries -= f64::from(u8::from(!cheap));
         self.dispatch(id, out);
     }
 
     // ---- health ----
 
-    fn good(&mut self, worker: WorkerId, sent: Micros) {
+    fn good(&mut self, worker: WorkerId, class: usize, sent: Micros) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
-        (w.last_good, w.heard) = (self.now, self.now);
-        if self.now >= w.full_until {
-            w.fulls = 0;
-        }
-        if sent >= w.busy_until || since(w.busy_until, sent) < SUSPECT {
-            w.doubts = 0;
-            w.busy_until = self.now;
-        }
+        (w.last_good, w.heard) = (self.now, Some(self.now));
+        w.link.good(self.now, sent);
+        w.classes.get_mut(class).into_iter().for_each(|r| r.good(self.now, sent));
     }
 
-    fn doubt(&mut self, worker: WorkerId) {
+    /// Bad evidence on a class, or on the connection where none is named.
+    fn bad(&mut self, worker: WorkerId, class: Option<usize>, sent: Micros, full: bool) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
-        if self.now < w.busy_until {
-            return;
+        if full {
+            w.heard = Some(self.now);
         }
-        w.doubts = (w.doubts + 1).min(4);
-        let long = SUSPECT.0 << (w.doubts - 1);
-        w.busy_until = w.busy_until.max(after(self.now, Micros(long)));
+        let record = match class {
+            Some(c) => w.classes.get_mut(c),
+            None => Some(&mut w.link),
+        };
+        let first = if full { FULL } else { SUSPECT };
+        record.into_iter().for_each(|r| r.bad(self.now, sent, first, full));
     }
 
     fn report(&mut self, worker: WorkerId, r: Report) {
@@ -1012,16 +1059,15 @@
     }
 
     fn probed(&mut self, id: WorkerId, outcome: Outcome, report: Option<Report>, out: &mut Vec<Action>) {
-        let Some(w) = self.workers.get_mut(&id) else { return };
-        w.asked = None;
-        let asking = std::mem::take(&mut w.asking);
         if let Some(r) = report {
             self.report(id, r);
         }
+        let Some(w) = self.workers.get_mut(&id) else { return };
+        let (asked, asking) = (w.asked.take(), std::mem::take(&mut w.asking));
         if matches!(outcome, Outcome::Ok | Outcome::Full) {
-            self.workers.get_mut(&id).into_iter().for_each(|w| w.heard = self.now);
+            w.heard = Some(self.now);
         } else {
-            self.doubt(id);
+            self.bad(id, None, asked.unwrap_or(self.now), false);
         }
         for id in asking {
             if self.open.get(&id).is_some_and(|o| !o.done && o.held.is_some()) {
@@ -1034,8 +1080,7 @@
         self.orders_out.remove(&(id, f));
         let Some(f) = self.functions.get_mut(&f) else { return };
         let Some(p) = f.places.get_mut(&id) else { return };
-        p.ordered = None;
-        p.due = None;
+        (p.ordered, p.due) = (None, None);
         match outcome {
             Outcome::Ok => {
                 if p.stood.is_none() {
@@ -1049,56 +1094,35 @@
                 p.no_room = (p.no_room + 1).min(3);
             }
             Outcome::Error | Outcome::TimedOut => p.rest = after(self.now, Micros(300_000)),
-            _ => self.doubt(id),
+            _ => self.bad(id, None, since(self.now, latency), false),
         }
     }
 
     // ---- housekeeping ----
 
     fn tick(&mut self, out: &mut Vec<Action>) {
-        if since(self.now, self.summed).0 > 500_000 {
-            self.offer();
-        }
-        let rate = self.served / secs(TICK);
-        self.served = 0.0;
-        self.ticks = self.ticks.saturating_add(1);
-        blend(&mut self.answer_rate, self.answers / secs(TICK), 0.02f64.max(1.0 / self.ticks as f64));
-        self.answers = 0.0;
-        blend(&mut self.served_rate, rate, 0.005);
-        for (left, t) in self.tenants.iter_mut().zip(&self.s.tenants) {
-            let share = t.quota_per_s / self.s.routers.max(1) as f64;
-            *left = (*left + share * secs(TICK)).min(2.0 * share);
-        }
-        let ids: Vec<RequestId> = self.open.iter().filter(|o| !o.1.done).map(|o| *o.0).collect();
         let (mut silent, mut again, mut over) = (Vec::new(), Vec::new(), Vec::new());
-        for id in ids {
-            let Some(o) = self.open.get(&id).filter(|o| !o.streaming) else { continue };
-            let svc = self.functions.get(&o.req.function).map_or((0.15, 0.7), |f| (f.svc, f.load));
-            if o.out() == 0 {
+        for (id, o) in self.open.iter().filter(|(_, o)| o.undecided()) {
+            let Some(t) = o.attempts.iter().rfind(|t| t.outcome.is_none()) else {
                 if since(o.until, self.now).0 <= 2 * TICK.0 {
-                    over.push(id);
+                    over.push(*id);
                 } else if o.held.is_none_or(|t| t <= self.now) {
-                    again.push(id);
+                    again.push(*id);
                 }
                 continue;
-            }
-            let Some(t) = o.attempts.iter().rfind(|t| t.outcome.is_none()) else { continue };
-            let age = secs(since(self.now, t.sent));
-            let load = if t.loading { 2.5 * svc.1 } else { 0.0 };
-            let patience = (12.0 * svc.0).max(1.0 * secs(self.class(o).aim)) + load;
+            };
+            let f = self.functions.get(&o.req.function).map_or((0.15, 0.7), |f| (f.svc, f.load));
+            let load = if t.loading { 2.5 * f.1 } else { 0.0 };
+            let patience = (PATIENCE.0 * f.0).max(PATIENCE.1 * secs(self.class(o).aim)) + load;
             let quiet = self.workers.get(&t.worker).is_none_or(|w| w.last_good < t.sent);
-            if age > patience && quiet && !t.cancelled {
-                silent.push((id, t.worker));
+            if secs(since(self.now, t.sent.max(self.awake))) > patience && quiet && !t.cancelled {
+                silent.push((*id, t.worker, o.req.class.0, t.sent));
             }
         }
-        for id in over {
-            self.give_up(id, out);
-        }
-        for id in again {
-            self.dispatch(id, out);
-        }
-        for (id, worker) in silent {
-            self.doubt(worker);
+        over.into_iter().for_each(|id| self.give_up(id, out));
+        again.into_iter().for_each(|id| self.dispatch(id, out));
+        for (id, worker, class, sent) in silent {
+            self.bad(worker, Some(class), sent, false);
             self.rescue(id, worker, out);
         }
     }
@@ -1106,27 +1130,20 @@
     /// A request whose worker has said nothing for too long goes to another, where its class allows that.
     fn rescue(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
-        if self.shared_doubt() || self.retries < 1.0 || o.attempts.len() >= self.s.limits.max_attempts {
-            return;
-        }
-        let other = self.workers.iter().any(|(w, e)| {
-            *w != worker
-                && e.entry.state == WorkerState::Ready
-                && !self.suspect(e)
-                && self.effect_allows(o, e)
-        });
-        if !other || o.out() > 1 {
+        let class = o.req.class.0;
+        let other = |(w, e): (&WorkerId, &Worker)| {
+            *w != worker && e.ready() && e.record(class, self.now).times == 0 && self.effect_allows(o, e)
+        };
+        let spent = self.retries < 1.0 || o.attempts.len() >= self.s.limits.max_attempts;
+        if spent || o.out() > 1 || self.shared_doubt(class) || !self.workers.iter().any(other) {
             return;
         }
         if self.s.limits.second_copies {
             self.retries -= 1.0;
             self.dispatch(id, out);
-        } else if self.s.limits.cancel {
-            let last = o.attempts.len() - 1;
-            if let Some(t) = self.open.get_mut(&id).and_then(|o| o.attempts.last_mut()) {
-                t.cancelled = true;
-                out.push(Action::Cancel { id, attempt: last });
-            }
+        } else {
+            // Its end, once it was called off, leads to the next attempt.
+            self.call_off(id, out);
         }
     }
 }
