--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,8 @@
 //! `docs/design.md`.
 
 use crate::api::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::state::*;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Ring points of a worker of middling weight: arcs even to a few parts in a hundred, a walk stays cheap.
 const POINTS: f64 = 96.0;
@@ -15,8 +16,9 @@
 /// How long a first piece of bad evidence, and a first full answer, rests a worker; doubled in a row.
 const SUSPECT: Micros = Micros(1_500_000);
 const FULL: Micros = Micros(400_000);
-/// Beyond this share of workers in doubt the cause is shared, and all stay on the ring.
-const SUSPECT_SHARE: f64 = 0.4;
+/// Seconds that a call to a worker in doubt, and to a full one, is taken to lose for each piece of evidence.
+const DOUBT_COST: f64 = 3.0;
+const FULL_COST: f64 = 2.0;
 /// Loads' times that a load away from home costs, as it pushes others out and queues at the store; more by
 /// the loads begun for each request, so that storms die down; and more where there was no room lately.
 const COLD_COST: (f64, f64) = (3.0, 10.0);
@@ -71,63 +73,6 @@
 /// Functions remembered at most; the one unused longest goes first.
 const FUNCTIONS: usize = 4096;
 
-/// A stable 64-bit mix (the finaliser of splitmix64), the same on every router and in every build.
-fn mix(x: u64) -> u64 {
-    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-/// A hash as a number from 0 to 1.
-fn part(hash: u64) -> f64 {
-    hash as f64 / u64::MAX as f64
-}
-
-fn secs(t: Micros) -> f64 {
-    t.0 as f64 / 1e6
-}
-
-fn micros(s: f64) -> Micros {
-    Micros((s * 1e6) as i64)
-}
-
-fn since(a: Micros, b: Micros) -> Micros {
-    Micros(a.0.saturating_sub(b.0))
-}
-
-fn after(a: Micros, b: Micros) -> Micros {
-    Micros(a.0.saturating_add(b.0))
-}
-
-/// Moves a running mean towards a new value.
-fn blend(mean: &mut f64, value: f64, part: f64) {
-    *mean += (value - *mean) * part;
-}
-
-/// A count that fades with time, so that it tells of the last so many seconds.
-#[derive(Clone, Copy, Default)]
-struct Fading(f64, Micros);
-
-impl Fading {
-    fn at(&self, now: Micros, over: f64) -> f64 {
-        self.0 * (-secs(since(now, self.1)).max(0.0) / over).exp()
-    }
-
-    fn add(&mut self, now: Micros, over: f64, x: f64) {
-        *self = Fading(self.at(now, over) + x, now);
-    }
-}
-
-/// Bad evidence in a row about one worker's calls of one class, and until when it rests; then one trial call
-/// decides. What was sent before the rest began proves nothing new.
-#[derive(Clone, Copy, Default)]
-struct Record {
-    times: u32,
-    until: Micros,
-    full: bool,
-}
-
 impl Record {
     fn bad(&mut self, now: Micros, sent: Micros, first: Micros, full: bool) {
         if now >= self.until && sent >= since(self.until, first) {
@@ -144,40 +89,7 @@
     }
 }
 
-#[derive(Default)]
-struct Worker {
-    entry: WorkerEntry,
-    /// When it last started cold, as far as told or seen.
-    started: Option<Micros>,
-    /// Own calls there that do not wait for a load.
-    own: usize,
-    /// Evidence on its connections, and on each class.
-    link: Record,
-    classes: Vec<Record>,
-    last_good: Micros,
-    /// Latency beside what its functions take elsewhere.
-    slow: f64,
-    /// What the ring gives it of the functions known, in a mean worker's load; kept up while it is cold.
-    offered: f64,
-    /// When anything was heard from it, and the requests that waited there by its last report.
-    heard: Option<Micros>,
-    queue: Option<(Micros, f64)>,
-    /// When the probe went out that has no answer yet, and the calls that wait for it.
-    asked: Option<Micros>,
-    asking: Vec<RequestId>,
-    /// Work sent lately, for the cold budget.
-    sent: VecDeque<(Micros, f64)>,
-}
-
 impl Worker {
-    fn new(entry: WorkerEntry, classes: usize) -> Self {
-        Worker { entry, slow: 1.0, classes: vec![Record::default(); classes], ..Worker::default() }
-    }
-
-    fn ready(&self) -> bool {
-        self.entry.state == WorkerState::Ready
-    }
-
     /// The evidence that keeps a call of the class away. Two classes in trouble are the worker's trouble; one
     /// alone is not, as a worker may fail or refuse one class and serve the rest.
     fn record(&self, class: usize, now: Micros) -> Record {
@@ -191,120 +103,6 @@
     }
 }
 
-#[derive(Clone, Default)]
-struct Place {
-    own: usize,
-    /// Last moments at which a copy is known to have stood, and to have been missing.
-    stood: Option<Micros>,
-    missed: Option<Micros>,
-    copies: u32,
-    /// When the outstanding order went out, and when the load under way should be done.
-    ordered: Option<Micros>,
-    due: Option<Micros>,
-    /// No further order before this; it grows with each one that found no room in a row.
-    rest: Micros,
-    no_room: u32,
-}
-
-#[derive(Default)]
-struct Function {
-    lanes: usize,
-    load: f64,
-    svc: f64,
-    calls: Fading,
-    places: BTreeMap<WorkerId, Place>,
-}
-
-struct Attempt {
-    worker: WorkerId,
-    zone: ZoneId,
-    cell: CellId,
-    sent: Micros,
-    /// When the first try was sent that might have run when this one was: a key's time counts from there,
-    /// also when that try turns out later not to have run.
-    anchor: Micros,
-    loading: bool,
-    /// Sent on the belief that others keep a copy alive there.
-    blind: bool,
-    outcome: Option<Outcome>,
-    cancelled: bool,
-}
-
-impl Attempt {
-    fn may_have_run(&self) -> bool {
-        !self.outcome.is_some_and(Outcome::proves_never_ran)
-    }
-}
-
-struct Open {
-    req: Request,
-    until: Micros,
-    attempts: Vec<Attempt>,
-    done: bool,
-    streaming: bool,
-    /// Until when it waits for its order to be ahead of it, or for a worker that was asked.
-    held: Option<Micros>,
-    asks: usize,
-}
-
-impl Open {
-    fn out(&self) -> usize {
-        self.attempts.iter().filter(|a| a.outcome.is_none()).count()
-    }
-
-    fn undecided(&self) -> bool {
-        !self.done && !self.streaming
-    }
-}
-
-/// One router's decisions.
-#[derive(Default)]
-pub struct Brain {
-    s: Settings,
-    now: Micros,
-    /// This router's own seed.
-    salt: u64,
-    born: Option<Micros>,
-    workers: BTreeMap<WorkerId, Worker>,
-    ring: Vec<(u64, WorkerId, f64)>,
-    zones: usize,
-    open: BTreeMap<RequestId, Open>,
-    functions: BTreeMap<FunctionId, Function>,
-    /// Mean work of each class, in seconds; work served to this router, and answers.
-    class_work: Vec<f64>,
-    served: Fading,
-    answers: Fading,
-    /// All calls, attempts and those served, counted like the calls of each function.
-    calls: Fading,
-    attempts: Fading,
-    ok: Fading,
-    /// Loads begun for each request, smoothed.
-    cold_rate: f64,
-    /// How often calls lately found a copy that only others could have kept alive.
-    blind: f64,
-    /// How far functions are spread, beside the most: less while copies are found gone.
-    spread: f64,
-    /// The part of the calls to be shed, as too many come late.
-    late: f64,
-    retries: f64,
-    probes: f64,
-    /// When the load offered to cold workers was last added up.
-    summed: Micros,
-    orders: VecDeque<Micros>,
-    /// Orders not yet answered; they outlive what is believed of the worker.
-    orders_out: BTreeSet<(WorkerId, FunctionId)>,
-    taken: VecDeque<Micros>,
-    /// When the next housekeeping is due, and since when the router has not stood still itself.
-    tick_at: Option<Micros>,
-    awake: Micros,
-    asked: Option<Micros>,
-    subscribed: bool,
-    /// Requests that each tenant may still send within its share, and when that was counted.
-    tenants: Vec<(f64, Micros)>,
-    /// Stands in for a class that the settings lack: the most careful one.
-    unknown: Class,
-}
-
 impl Brain {
     /// A router that knows its settings and nothing else yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -350,8 +148,7 @@
             }
         }
         let ask = self.s.must_ask && !self.subscribed;
-        let due = self.asked.is_none_or(|t| since(self.now, t).0 > self.s.rules.ask_within.0 / 5);
-        if ask && due {
+        if ask && self.asked.is_none_or(|t| since(self.now, t).0 > self.s.rules.ask_within.0 / 5) {
             self.asked = Some(self.now);
             out.push(Action::Subscribe);
         }
@@ -637,12 +434,6 @@
         o.attempts.iter().filter(|a| a.outcome == Some(Outcome::Miss)).count() >= width.min(2)
     }
 
-    /// Whether so many are in doubt that the cause must be shared.
-    fn shared_doubt(&self, class: usize) -> bool {
-        let doubted = |w: &&Worker| Some(w.record(class, self.now)).is_some_and(|r| r.times > 0 && !r.full);
-        self.workers.values().filter(doubted).count() as f64 > SUSPECT_SHARE * self.workers.len() as f64
-    }
-
     /// How far a worker is over its share of this router's requests; above 0 it is busy.
     fn excess(&self, w: &Worker, total: usize, weight: f64) -> f64 {
         let fair = (total + 1) as f64 * self.weight(w) * self.warmth(w) / weight.max(1e-9);
@@ -668,7 +459,6 @@
     fn pick(&self, o: &Open) -> Option<WorkerId> {
         let f = self.functions.get(&o.req.function)?;
         let (class, aim) = (o.req.class.0, secs(self.class(o).aim));
-        let shared = self.shared_doubt(class);
         let total: usize = self.workers.values().map(|w| w.own).sum();
         let weight: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
         let width = self.width(f);
@@ -695,16 +485,8 @@
                 };
             first = false;
             let record = w.record(class, self.now);
-            let doubt = match (record.times as f64, record.full) {
-                (times, true) => 1.0 + times,
-                (times, false) => {
-                    if shared {
-                        0.0
-                    } else {
-                        3.0 * times
-                    }
-                }
-            } + f64::from(u8::from(tried));
+            let doubt = if record.full { FULL_COST } else { DOUBT_COST } * record.times as f64
+                + f64::from(u8::from(tried));
             let (own, crowd) = (self.excess(w, total, weight), self.crowd(w));
             if load + doubt + own + crowd == 0.0 {
                 return Some(id);
@@ -770,6 +552,11 @@
         (density(self.class(o), self.work(o)) / all.fold(1e-9, f64::max)).clamp(0.0, 1.0)
     }
 
+    /// The part of the aim that the expected time may take.
+    fn patience(&self, o: &Open) -> f64 {
+        REFUSE.0 + (REFUSE.1 - REFUSE.0) * self.rank(o)
+    }
+
     /// Counts the request against its tenant's share; true where it is beyond that.
     fn over_share(&mut self, o: &Open) -> bool {
         let Some(t) = o.req.tenant else { return false };
@@ -792,7 +579,7 @@
         if part(mix(self.salt ^ mix(!o.req.id.0))) < shed {
             return true;
         }
-        let patience = (REFUSE.0 + (REFUSE.1 - REFUSE.0) * rank) * if over { REFUSE.0 } else { 1.0 };
+        let patience = self.patience(o) * if over { REFUSE.0 } else { 1.0 };
         // Calls stuck at workers in doubt are no queue for the others; were they counted, a silent zone would
         // stop the sound ones too.
         let stuck = |w: &Worker| w.record(o.req.class.0, self.now);
@@ -820,6 +607,12 @@
         if self.ask(id, worker, out) {
             return;
         }
+        let Some(o) = self.open.get(&id) else { return };
+        // Where even the best of those asked is crowded, the answer would come too late.
+        let crowded = self.workers.get(&worker).is_some_and(|w| self.crowd(w) > self.patience(o));
+        if crowded && o.attempts.is_empty() {
+            return self.give_up(id, out);
+        }
         let Some(fun) = self.functions.get(&f) else { return };
         let (place, lanes) = (fun.places.get(&worker).cloned().unwrap_or_default(), fun.lanes);
         let stands = self.stands(&place);
@@ -1135,7 +928,7 @@
             *w != worker && e.ready() && e.record(class, self.now).times == 0 && self.effect_allows(o, e)
         };
         let spent = self.retries < 1.0 || o.attempts.len() >= self.s.limits.max_attempts;
-        if spent || o.out() > 1 || self.shared_doubt(class) || !self.workers.iter().any(other) {
+        if spent || o.out() > 1 || !self.workers.iter().any(other) {
             return;
         }
         if self.s.limits.second_copies {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,9 +26,10 @@
 
 mod api;
 mod brain;
+mod state;
 
 pub use api::*;
-pub use brain::Brain;
+pub use state::Brain;
 
 /// The README's examples are compiled and run with the tests.
 #[cfg(doctest)]
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,210 @@
+//! What a router keeps in mind, and the arithmetic of times and counts. No decision is made here.
+
+use crate::api::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A stable 64-bit mix (the finaliser of splitmix64), the same on every router and in every build.
+pub(crate) fn mix(x: u64) -> u64 {
+    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// A hash as a number from 0 to 1.
+pub(crate) fn part(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
+}
+
+pub(crate) fn secs(t: Micros) -> f64 {
+    t.0 as f64 / 1e6
+}
+
+pub(crate) fn micros(s: f64) -> Micros {
+    Micros((s * 1e6) as i64)
+}
+
+pub(crate) fn since(a: Micros, b: Micros) -> Micros {
+    Micros(a.0.saturating_sub(b.0))
+}
+
+pub(crate) fn after(a: Micros, b: Micros) -> Micros {
+    Micros(a.0.saturating_add(b.0))
+}
+
+/// Moves a running mean towards a new value.
+pub(crate) fn blend(mean: &mut f64, value: f64, part: f64) {
+    *mean += (value - *mean) * part;
+}
+
+/// A count that fades with time, so that it tells of the last so many seconds.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Fading(pub(crate) f64, pub(crate) Micros);
+
+impl Fading {
+    pub(crate) fn at(&self, now: Micros, over: f64) -> f64 {
+        self.0 * (-secs(since(now, self.1)).max(0.0) / over).exp()
+    }
+
+    pub(crate) fn add(&mut self, now: Micros, over: f64, x: f64) {
+        *self = Fading(self.at(now, over) + x, now);
+    }
+}
+
+/// Bad evidence in a row about one worker's calls of one class, and until when it rests; then one trial call
+/// decides. What was sent before the rest began proves nothing new.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Record {
+    pub(crate) times: u32,
+    pub(crate) until: Micros,
+    pub(crate) full: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Worker {
+    pub(crate) entry: WorkerEntry,
+    /// When it last started cold, as far as told or seen.
+    pub(crate) started: Option<Micros>,
+    /// Own calls there that do not wait for a load.
+    pub(crate) own: usize,
+    /// Evidence on its connections, and on each class.
+    pub(crate) link: Record,
+    pub(crate) classes: Vec<Record>,
+    pub(crate) last_good: Micros,
+    /// Latency beside what its functions take elsewhere.
+    pub(crate) slow: f64,
+    /// What the ring gives it of the functions known, in a mean worker's load; kept up while it is cold.
+    pub(crate) offered: f64,
+    /// When anything was heard from it, and the requests that waited there by its last report.
+    pub(crate) heard: Option<Micros>,
+    pub(crate) queue: Option<(Micros, f64)>,
+    /// When the probe went out that has no answer yet, and the calls that wait for it.
+    pub(crate) asked: Option<Micros>,
+    pub(crate) asking: Vec<RequestId>,
+    /// Work sent lately, for the cold budget.
+    pub(crate) sent: VecDeque<(Micros, f64)>,
+}
+
+impl Worker {
+    pub(crate) fn new(entry: WorkerEntry, classes: usize) -> Self {
+        Worker { entry, slow: 1.0, classes: vec![Record::default(); classes], ..Worker::default() }
+    }
+
+    pub(crate) fn ready(&self) -> bool {
+        self.entry.state == WorkerState::Ready
+    }
+}
+
+#[derive(Clone, Default)]
+pub(crate) struct Place {
+    pub(crate) own: usize,
+    /// Last moments at which a copy is known to have stood, and to have been missing.
+    pub(crate) stood: Option<Micros>,
+    pub(crate) missed: Option<Micros>,
+    pub(crate) copies: u32,
+    /// When the outstanding order went out, and when the load under way should be done.
+    pub(crate) ordered: Option<Micros>,
+    pub(crate) due: Option<Micros>,
+    /// No further order before this; it grows with each one that found no room in a row.
+    pub(crate) rest: Micros,
+    pub(crate) no_room: u32,
+}
+
+#[derive(Default)]
+pub(crate) struct Function {
+    pub(crate) lanes: usize,
+    pub(crate) load: f64,
+    pub(crate) svc: f64,
+    pub(crate) calls: Fading,
+    pub(crate) places: BTreeMap<WorkerId, Place>,
+}
+
+pub(crate) struct Attempt {
+    pub(crate) worker: WorkerId,
+    pub(crate) zone: ZoneId,
+    pub(crate) cell: CellId,
+    pub(crate) sent: Micros,
+    /// When the first try was sent that might have run when this one was: a key's time counts from there,
+    /// also when that try turns out later not to have run.
+    pub(crate) anchor: Micros,
+    pub(crate) loading: bool,
+    /// Sent on the belief that others keep a copy alive there.
+    pub(crate) blind: bool,
+    pub(crate) outcome: Option<Outcome>,
+    pub(crate) cancelled: bool,
+}
+
+pub(crate) struct Open {
+    pub(crate) req: Request,
+    pub(crate) until: Micros,
+    pub(crate) attempts: Vec<Attempt>,
+    pub(crate) done: bool,
+    pub(crate) streaming: bool,
+    /// Until when it waits for its order to be ahead of it, or for a worker that was asked.
+    pub(crate) held: Option<Micros>,
+    pub(crate) asks: usize,
+}
+
+impl Attempt {
+    pub(crate) fn may_have_run(&self) -> bool {
+        !self.outcome.is_some_and(Outcome::proves_never_ran)
+    }
+}
+
+impl Open {
+    pub(crate) fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.outcome.is_none()).count()
+    }
+
+    pub(crate) fn undecided(&self) -> bool {
+        !self.done && !self.streaming
+    }
+}
+
+/// One router's decisions; they are made in `src/brain.rs`.
+#[derive(Default)]
+pub struct Brain {
+    pub(crate) s: Settings,
+    pub(crate) now: Micros,
+    /// This router's own seed.
+    pub(crate) salt: u64,
+    pub(crate) born: Option<Micros>,
+    pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    pub(crate) ring: Vec<(u64, WorkerId, f64)>,
+    pub(crate) zones: usize,
+    pub(crate) open: BTreeMap<RequestId, Open>,
+    pub(crate) functions: BTreeMap<FunctionId, Function>,
+    /// Mean work of each class, in seconds; work served to this router, and answers.
+    pub(crate) class_work: Vec<f64>,
+    pub(crate) served: Fading,
+    pub(crate) answers: Fading,
+    /// All calls, attempts and those served, counted like the calls of each function.
+    pub(crate) calls: Fading,
+    pub(crate) attempts: Fading,
+    pub(crate) ok: Fading,
+    /// Loads begun for each request, smoothed.
+    pub(crate) cold_rate: f64,
+    /// How often calls lately found a copy that only others could have kept alive.
+    pub(crate) blind: f64,
+    /// How far functions are spread, beside the most: less while copies are found gone.
+    pub(crate) spread: f64,
+    /// The part of the calls to be shed, as too many come late.
+    pub(crate) late: f64,
+    pub(crate) retries: f64,
+    pub(crate) probes: f64,
+    /// When the load offered to cold workers was last added up.
+    pub(crate) summed: Micros,
+    pub(crate) orders: VecDeque<Micros>,
+    /// Orders not yet answered; they outlive what is believed of the worker.
+    pub(crate) orders_out: BTreeSet<(WorkerId, FunctionId)>,
+    pub(crate) taken: VecDeque<Micros>,
+    /// When the next housekeeping is due, and since when the router has not stood still itself.
+    pub(crate) tick_at: Option<Micros>,
+    pub(crate) awake: Micros,
+    pub(crate) asked: Option<Micros>,
+    pub(crate) subscribed: bool,
+    /// Requests that each tenant may still send within its share, and when that was counted.
+    pub(crate) tenants: Vec<(f64, Micros)>,
+    /// Stands in for a class that the settings lack: the most careful one.
+    pub(crate) unknown: Class,
+}
