--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,6 +32,8 @@
 const STALL: Micros = Micros(150_000);
 /// The part of the aim that the expected time may take, for work of the least and of the most worth.
 const REFUSE: (f64, f64) = (0.35, 0.8);
+/// Times that patience after which a new call does not even join the best crowd found.
+const HOPELESS: f64 = 1.6;
 /// By how much the part of the calls that is shed grows with each one served late and shrinks with each served
 /// in time, and its most. Work of the most worth is shed least.
 const LATE: (f64, f64, f64) = (0.04, 0.01, 0.8);
@@ -609,7 +611,8 @@
         }
         let Some(o) = self.open.get(&id) else { return };
         // Where even the best of those asked is crowded, the answer would come too late.
-        let crowded = self.workers.get(&worker).is_some_and(|w| self.crowd(w) > self.patience(o));
+        let told = |w: &Worker| self.crowd(w) > HOPELESS * self.patience(o);
+        let crowded = self.workers.get(&worker).is_some_and(told);
         if crowded && o.attempts.is_empty() {
             return self.give_up(id, out);
         }
