--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,9 +16,8 @@
 /// How long a first piece of bad evidence, and a first full answer, rests a worker; doubled in a row.
 const SUSPECT: Micros = Micros(1_500_000);
 const FULL: Micros = Micros(400_000);
-/// Seconds that a call to a worker in doubt, and to a full one, is taken to lose for each piece of evidence.
+/// Seconds that a call is taken to lose at a worker for each piece of bad evidence in a row.
 const DOUBT_COST: f64 = 3.0;
-const FULL_COST: f64 = 2.0;
 /// Loads' times that a load away from home costs, as it pushes others out and queues at the store; more by
 /// the loads begun for each request, so that storms die down; and more where there was no room lately.
 const COLD_COST: (f64, f64) = (3.0, 10.0);
@@ -27,6 +26,8 @@
 const BEHIND_ORDER: Micros = Micros(4_000);
 /// Calls sent on the belief that others keep a copy alive must have found it at least this often lately.
 const BLIND: f64 = 0.5;
+/// An order answered sooner than this, in seconds, found its copies standing.
+const QUICK: f64 = 0.06;
 /// The pace of housekeeping, and how late it must come for the router to have stood still itself.
 const TICK: Micros = Micros(20_000);
 const STALL: Micros = Micros(150_000);
@@ -34,8 +35,7 @@
 const REFUSE: (f64, f64) = (0.35, 0.8);
 /// Times that patience after which a new call does not even join the best crowd found.
 const HOPELESS: f64 = 1.6;
-/// By how much the part of the calls that is shed grows with each one served late and shrinks with each served
-/// in time, and its most. Work of the most worth is shed least.
+/// How the part of calls shed grows with each served late, shrinks with each in time, and its most.
 const LATE: (f64, f64, f64) = (0.04, 0.01, 0.8);
 const LATE_CLASS: f64 = 1.25;
 /// A router does not judge the pace of answers before this.
@@ -49,8 +49,8 @@
 /// Workers asked for one call at most; probes for each request taken, and how many may be saved up.
 const ASKS: usize = 4;
 const PROBES: (f64, f64) = (1.5, 5.0);
-/// Parts of the aim that a call takes longer where others wait: at all, and for each that waits; those taken
-/// to wait where a probe is not answered at once; from which use of cores on, and how many at full use.
+/// Parts of the aim that a call takes longer where others wait: at all, and for each. Those taken to wait where
+/// a probe is not answered at once; from which use of cores on, and how many for all of them.
 const CROWD: (f64, f64) = (0.4, 0.15);
 const SILENT: f64 = 4.0;
 const BUSY_CORES: (f64, f64) = (0.85, 20.0);
@@ -59,7 +59,7 @@
 /// The part of the cold budget that is used by own counts, and in chances, in a mean worker's load.
 const COLD_USE: f64 = 0.7;
 const COLD_CHANCE: f64 = 0.4;
-/// How far back shares, work and answers are counted, in seconds, and the calls taken to stand behind the first.
+/// How far back shares, work and answers are counted, in seconds, and calls taken to come before the first.
 const SHARE_OVER: f64 = 20.0;
 const WORK_OVER: f64 = 4.0;
 const PACE_OVER: f64 = 1.0;
@@ -68,7 +68,7 @@
 /// a copy should see in the time it is kept.
 const PIECE: f64 = 0.15;
 const ALIVE: f64 = 3.0;
-/// How the spread of functions changes with each call that found its copy and each that did not, and its least.
+/// How the spread of functions changes with each copy found and each found gone, and its least.
 const SPREAD: (f64, f64, f64) = (1.03, 0.93, 0.2);
 /// Workers looked at beyond those that serve the function, while one of them may be sent to.
 const BEYOND: usize = 4;
@@ -111,7 +111,9 @@
         let class_work = settings.classes.iter().map(|c| secs(c.aim) / 6.0).collect();
         let tenants = vec![(0.0, Micros(0)); settings.tenants.len()];
         let (retries, probes) = (RETRIES.1, PROBES.1);
-        let start = Brain { salt: seed, blind: BLIND, spread: 1.0, retries, probes, ..Brain::default() };
+        // A router alone has nobody else to keep copies alive.
+        let blind = BLIND * settings.routers.saturating_sub(1).min(1) as f64;
+        let start = Brain { salt: seed, blind, spread: 1.0, retries, probes, ..Brain::default() };
         Brain { class_work, tenants, s: settings, ..start }
     }
 
@@ -265,8 +267,7 @@
     /// The load that a function brings, in units of a mean worker's: its share of this router's calls, times
     /// the workers. The share is the same at all routers, whatever their number, but for chance.
     fn load_of(&self, f: &Function) -> f64 {
-        // Of all calls a few functions make up most. The first one that a new router sees is likely to be one of
-        // these; one seen once among many is not.
+        // The first function a new router sees is likely a popular one; one seen once among many is not.
         let calls = self.calls.at(self.now, SHARE_OVER);
         let chance = (calls / SHARE_PRIOR).min(1.0);
         let own = (f.calls.at(self.now, SHARE_OVER) - chance).max(0.0);
@@ -350,19 +351,17 @@
         if warmth >= 1.0 {
             return true;
         }
-        // Capacity is judged from the rate of work this router sees served by all: both sides are in the same
-        // unit, and what the other routers see served is their share of the budget. By all weight, warm or
-        // not: after a mass restart the served rate lags behind what stands warm.
+        // Capacity is judged from the work this router sees served: both sides are in one unit, and what others see
+        // served is their share. By all weight, warm or not: after a mass restart the rate lags behind.
         let total: f64 = self.workers.values().map(|w| self.weight(w)).sum();
         let rate = self.served.at(self.now, WORK_OVER) / WORK_OVER;
         let capacity = rate * self.weight(w) / total.max(1e-9) * warmth;
         let budget = COLD_USE * r.fall_multiple * capacity * secs(r.fall_window);
         let recent = |t: &&(Micros, f64)| since(self.now, t.0) <= r.fall_window;
         let sent: f64 = w.sent.iter().filter(recent).map(|t| t.1).sum();
-        // What all routers together would send it is thinned to what it can take. Where most are cold, each is
-        // offered more than its share; where many attempts fail, so much more is sent than is served; and a call
-        // that spills is offered to `reach` workers, where an idle one, as a cold one is, draws what all the
-        // busy ones pass on.
+        // What all routers together would send it is thinned to what it can take: more where most are cold or
+        // many attempts fail; and a call that spills is offered to `reach` workers, of which an idle one, as a
+        // cold one is, draws what all the busy ones pass on.
         let warm: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
         let offered = w.offered.max(warmth * total / warm.max(1e-9)) * reach.max(1) as f64;
         let lately = |f: &Fading| f.at(self.now, SHARE_OVER) + 2.0;
@@ -423,8 +422,8 @@
         p.stood.is_some_and(|t| since(self.now, t) < self.s.loading.keep)
     }
 
-    /// Whether a copy should be there: seen lately, or kept alive by the calls of other routers, which come to
-    /// the same workers. How often such calls found one is told by this router's own, at any number of routers.
+    /// Whether a copy should be there: seen lately, or kept alive by the calls of other routers to the same
+    /// workers. How often these found one is told by this router's own such calls, whatever the size.
     fn believed(&self, p: &Place) -> bool {
         let lately = |t: Micros| since(self.now, t) < self.s.loading.keep;
         self.stands(p) || (self.blind >= BLIND && !p.missed.is_some_and(lately))
@@ -449,11 +448,7 @@
         let silent = w.asked.is_some_and(|t| since(self.now, t) >= ASK_WAIT);
         let queue = w.queue.filter(|q| since(self.now, q.0) < FRESH).map_or(0.0, |q| q.1);
         let queue = if silent { queue.max(SILENT) } else { queue };
-        if queue >= 1.0 {
-            CROWD.0 + queue * CROWD.1
-        } else {
-            0.0
-        }
+        f64::from(u8::from(queue >= 1.0)) * (CROWD.0 + queue * CROWD.1)
     }
 
     /// Chooses the worker for a request. Ordinary path: the first along the ring that is not busy and where
@@ -487,8 +482,7 @@
                 };
             first = false;
             let record = w.record(class, self.now);
-            let doubt = if record.full { FULL_COST } else { DOUBT_COST } * record.times as f64
-                + f64::from(u8::from(tried));
+            let doubt = DOUBT_COST * record.times as f64 + f64::from(u8::from(tried));
             let (own, crowd) = (self.excess(w, total, weight), self.crowd(w));
             if load + doubt + own + crowd == 0.0 {
                 return Some(id);
@@ -554,27 +548,23 @@
         (density(self.class(o), self.work(o)) / all.fold(1e-9, f64::max)).clamp(0.0, 1.0)
     }
 
-    /// The part of the aim that the expected time may take.
     fn patience(&self, o: &Open) -> f64 {
         REFUSE.0 + (REFUSE.1 - REFUSE.0) * self.rank(o)
     }
 
     /// Counts the request against its tenant's share; true where it is beyond that.
     fn over_share(&mut self, o: &Open) -> bool {
-        let Some(t) = o.req.tenant else { return false };
-        let (Some(left), Some(tenant)) = (self.tenants.get_mut(t.0), self.s.tenants.get(t.0)) else {
-            return false;
-        };
+        let tenant = o.req.tenant.and_then(|t| Some((self.tenants.get_mut(t.0)?, self.s.tenants.get(t.0)?)));
+        let Some((left, tenant)) = tenant else { return false };
         let share = tenant.quota_per_s / self.s.routers.max(1) as f64;
         let more = share * secs(since(self.now, left.1)).clamp(0.0, 2.0);
         *left = ((left.0 + more).min(2.0 * share).max(0.0) - 1.0, self.now);
         left.0 < 0.0 && share > 0.0
     }
 
-    /// Whether the answer to a new request would come too late to be worth its work. Where this router has many
-    /// calls out, by Little's law: the time in the system is what is out over the pace of answers. Where it has
-    /// few, by the part of its answers that came late. Work of low worth goes first, and what a tenant sends
-    /// beyond its share.
+    /// Whether the answer to a new request would come too late. Where this router has many calls out, by Little's
+    /// law: what is out over the pace of answers. Where it has few, by the part of its answers that came late.
+    /// Work of low worth goes first, and what a tenant sends beyond its share.
     fn too_late(&mut self, o: &Open) -> bool {
         let (over, rank, aim) = (self.over_share(o), self.rank(o), secs(self.class(o).aim));
         let shed = self.late * (LATE_CLASS - rank).max(0.0) * if over { 2.0 } else { 1.0 };
@@ -582,8 +572,7 @@
             return true;
         }
         let patience = self.patience(o) * if over { REFUSE.0 } else { 1.0 };
-        // Calls stuck at workers in doubt are no queue for the others; were they counted, a silent zone would
-        // stop the sound ones too.
+        // Calls stuck at workers in doubt are no queue for the rest: a silent zone must not stop the sound ones.
         let stuck = |w: &Worker| w.record(o.req.class.0, self.now);
         let sound = || self.workers.values().filter(|w| stuck(w).times < 2 || stuck(w).full);
         let total: usize = sound().map(|w| w.own).sum();
@@ -600,11 +589,10 @@
         let missed = self.functions.get(&f).is_none_or(|f| self.missed(o, self.width(f)));
         let Some(worker) = self.pick(o) else {
             // Nowhere to go for now: the next ticks try again. An answer must not wait for a tick too many.
-            let last = o.out() == 0 && since(o.until, self.now).0 <= 2 * TICK.0;
-            self.open.get_mut(&id).into_iter().for_each(|o| o.held = None);
-            return if last {
-                self.give_up(id, out)
-            };
+            if o.out() == 0 && since(o.until, self.now).0 <= 2 * TICK.0 {
+                return self.give_up(id, out);
+            }
+            return self.open.get_mut(&id).into_iter().for_each(|o| o.held = None);
         };
         if self.ask(id, worker, out) {
             return;
@@ -640,12 +628,11 @@
         out.push(Action::Wake { at, token: id.0.wrapping_add(1) });
     }
 
-    /// Asks a worker that was not heard from lately before a call goes there; the call waits for a moment.
-    /// Many routers before many workers meet each one too seldom to know it by their own calls.
+    /// Asks a worker that was not heard from lately before a call goes there. Many routers before many workers
+    /// meet each one too seldom to know it by their own calls.
     fn ask(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) -> bool {
-        let (Some(o), Some(w)) = (self.open.get_mut(&id), self.workers.get_mut(&worker)) else {
-            return false;
-        };
+        let Some(o) = self.open.get_mut(&id) else { return false };
+        let Some(w) = self.workers.get_mut(&worker) else { return false };
         let soon = since(o.until, self.now).0 <= 2 * (TICK.0 + ASK_WAIT.0);
         let known = w.heard.is_some_and(|t| since(self.now, t) < FRESH)
             || w.asked.is_some_and(|t| since(self.now, t) >= ASK_WAIT);
@@ -720,13 +707,10 @@
         let (function, class, hinted) = (o.req.function, o.req.class.0, o.req.work.is_some());
         let Some(t) = o.attempts.get_mut(a.attempt).filter(|t| t.outcome.is_none()) else { return };
         t.outcome = Some(a.outcome);
-        let (worker, loading, blind, sent) = (t.worker, t.loading, t.blind, t.sent);
-        let (called_off, judged) = (t.cancelled, sent >= self.awake);
-        self.learn_place(function, &a, worker, loading, blind, judged);
-        self.workers
-            .get_mut(&worker)
-            .into_iter()
-            .for_each(|w| w.own = w.own.saturating_sub(usize::from(!loading)));
+        let t = t.clone();
+        let (worker, loading, sent, judged) = (t.worker, t.loading, t.sent, t.sent >= self.awake);
+        let silent = judged && !loading && !t.cancelled;
+        self.learn_place(function, &a, &t);
         let taken = secs(a.latency).max(1e-4);
         if let (Outcome::Ok, Some(mean)) = (a.outcome, self.class_work.get_mut(class)) {
             if !hinted && !loading {
@@ -747,9 +731,7 @@
             Outcome::Ok => self.good(worker, class, sent),
             Outcome::Full if !loading => self.bad(worker, Some(class), sent, true),
             Outcome::Error if !a.load_failed => self.bad(worker, Some(class), sent, false),
-            Outcome::TimedOut if !loading && !called_off && judged => {
-                self.bad(worker, Some(class), sent, false)
-            }
+            Outcome::TimedOut if silent => self.bad(worker, Some(class), sent, false),
             Outcome::ConnectFailed | Outcome::Reset => self.bad(worker, None, sent, false),
             _ => {}
         }
@@ -763,15 +745,10 @@
     }
 
     /// What an answer tells of the copies at a worker and of the function's time.
-    fn learn_place(
-        &mut self,
-        f: FunctionId,
-        a: &Answer,
-        id: WorkerId,
-        loading: bool,
-        blind: bool,
-        judged: bool,
-    ) {
+    fn learn_place(&mut self, f: FunctionId, a: &Answer, t: &Attempt) {
+        let (id, blind, loading, judged) = (t.worker, t.blind, t.loading, t.sent >= self.awake);
+        let mut w = self.workers.get_mut(&id);
+        w.iter_mut().for_each(|w| w.own = w.own.saturating_sub(usize::from(!loading)));
         let Some(f) = self.functions.get_mut(&f) else { return };
         let p = f.places.entry(id).or_default();
         let taken = secs(a.latency).max(1e-4);
@@ -789,7 +766,7 @@
                     blend(&mut f.load, (taken - f.svc).clamp(0.05, 5.0), 0.1);
                 } else if judged {
                     let ratio = (taken / f.svc.max(1e-3)).clamp(0.1, 10.0);
-                    self.workers.get_mut(&id).into_iter().for_each(|w| blend(&mut w.slow, ratio, 0.1));
+                    w.into_iter().for_each(|w| blend(&mut w.slow, ratio, 0.1));
                     // The time of a call that meets no queue: shorter times count more.
                     let part = if taken < f.svc { 0.2 } else { 0.02 };
                     blend(&mut f.svc, taken, part);
@@ -839,10 +816,7 @@
         if full {
             w.heard = Some(self.now);
         }
-        let record = match class {
-            Some(c) => w.classes.get_mut(c),
-            None => Some(&mut w.link),
-        };
+        let record = class.map_or(Some(&mut w.link), |c| w.classes.get_mut(c));
         let first = if full { FULL } else { SUSPECT };
         record.into_iter().for_each(|r| r.bad(self.now, sent, first, full));
     }
@@ -880,6 +854,7 @@
         match outcome {
             Outcome::Ok => {
                 if p.stood.is_none() {
+                    blend(&mut self.blind, f64::from(u8::from(secs(latency) < QUICK)), 0.05);
                     blend(&mut f.load, secs(latency).clamp(0.05, 5.0), 0.2);
                 }
                 (p.stood, p.copies, p.no_room) = (Some(self.now), copies.max(1), 0);
@@ -926,20 +901,16 @@
     /// A request whose worker has said nothing for too long goes to another, where its class allows that.
     fn rescue(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
-        let class = o.req.class.0;
-        let other = |(w, e): (&WorkerId, &Worker)| {
-            *w != worker && e.ready() && e.record(class, self.now).times == 0 && self.effect_allows(o, e)
-        };
-        let spent = self.retries < 1.0 || o.attempts.len() >= self.s.limits.max_attempts;
-        if spent || o.out() > 1 || !self.workers.iter().any(other) {
+        let other = |(w, e): (&WorkerId, &Worker)| *w != worker && e.ready() && self.effect_allows(o, e);
+        let spent = self.retries < 1.0 || o.attempts.len() >= self.s.limits.max_attempts || o.out() > 1;
+        if spent || !self.workers.iter().any(other) {
             return;
         }
-        if self.s.limits.second_copies {
-            self.retries -= 1.0;
-            self.dispatch(id, out);
-        } else {
-            // Its end, once it was called off, leads to the next attempt.
-            self.call_off(id, out);
+        // Where only one may be out, the end of the one called off leads to the next.
+        if !self.s.limits.second_copies {
+            return self.call_off(id, out);
         }
+        self.retries -= 1.0;
+        self.dispatch(id, out);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -119,6 +119,7 @@
     pub(crate) places: BTreeMap<WorkerId, Place>,
 }
 
+#[derive(Clone)]
 pub(crate) struct Attempt {
     pub(crate) worker: WorkerId,
     pub(crate) zone: ZoneId,
