--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,8 +20,7 @@
 const DOUBT_COST: f64 = 3.0;
 /// Loads' times that a load away from home costs, as it pushes others out and queues at the store; more by
 /// the loads begun for each request, so that storms die down; and more where there was no room lately.
-const COLD_COST: (f64, f64) = (3.0, 10.0);
-const NO_ROOM: f64 = 4.0;
+const COLD_COST: (f64, f64, f64) = (3.0, 10.0, 4.0);
 /// A call follows its order to load after this, so as not to overtake it.
 const BEHIND_ORDER: Micros = Micros(4_000);
 /// Calls sent on the belief that others keep a copy alive must have found it at least this often lately.
@@ -31,15 +30,11 @@
 /// The pace of housekeeping, and how late it must come for the router to have stood still itself.
 const TICK: Micros = Micros(20_000);
 const STALL: Micros = Micros(150_000);
-/// The part of the aim that the expected time may take, for work of the least and of the most worth.
-const REFUSE: (f64, f64) = (0.35, 0.8);
-/// Times that patience after which a new call does not even join the best crowd found.
-const HOPELESS: f64 = 1.6;
+/// The part of the aim that the expected time may take, for work of the least and of the most worth; and how
+/// many times that behind the best crowd found.
+const REFUSE: (f64, f64, f64) = (0.35, 0.8, 1.6);
 /// How the part of calls shed grows with each served late, shrinks with each in time, and its most.
-const LATE: (f64, f64, f64) = (0.04, 0.01, 0.8);
-const LATE_CLASS: f64 = 1.25;
-/// A router does not judge the pace of answers before this.
-const START: f64 = 1.0;
+const LATE: (f64, f64, f64, f64) = (0.04, 0.01, 0.8, 1.25);
 /// Usual times of a call, and aims, after which a silent attempt is taken for lost.
 const PATIENCE: (f64, f64) = (12.0, 1.0);
 /// Beyond this a router has not heard from a worker lately and asks it before it sends a call there.
@@ -49,8 +44,8 @@
 /// Workers asked for one call at most; probes for each request taken, and how many may be saved up.
 const ASKS: usize = 4;
 const PROBES: (f64, f64) = (1.5, 5.0);
-/// Parts of the aim that a call takes longer where others wait: at all, and for each. Those taken to wait where
-/// a probe is not answered at once; from which use of cores on, and how many for all of them.
+/// Parts of the aim that a call takes longer where others wait: at all, and for each; those taken to wait at
+/// a worker silent when asked; from which use of cores on, and how many for all of them.
 const CROWD: (f64, f64) = (0.4, 0.15);
 const SILENT: f64 = 4.0;
 const BUSY_CORES: (f64, f64) = (0.85, 20.0);
@@ -76,8 +71,9 @@
 const FUNCTIONS: usize = 4096;
 
 impl Record {
-    fn bad(&mut self, now: Micros, sent: Micros, first: Micros, full: bool) {
-        if now >= self.until && sent >= since(self.until, first) {
+    fn bad(&mut self, now: Micros, full: bool) {
+        if now >= self.until {
+            let first = if full { FULL } else { SUSPECT };
             self.times = (self.times + 1).min(4);
             self.until = after(now, Micros(first.0 << (self.times - 1)));
             self.full = full;
@@ -201,7 +197,7 @@
             if e.up_since > w.entry.up_since {
                 let sent = std::mem::take(&mut w.sent);
                 *w = Worker { sent, started: w.started, asked: w.asked, ..Worker::new(e.clone(), classes) };
-                self.functions.values_mut().for_each(|f| drop(f.places.remove(&e.id)));
+                self.functions.values_mut().for_each(|f| f.places.retain(|id, _| *id != e.id));
             }
             w.started = w.started.max(e.up_since);
             w.entry = e;
@@ -274,8 +270,7 @@
         own / (calls + SHARE_PRIOR) * self.workers.len() as f64
     }
 
-    /// How many of the first workers clockwise serve a function: as many as its load asks for, while the calls
-    /// of all routers keep a copy alive at each.
+    /// How many workers clockwise serve a function: as its load asks, while all routers keep copies alive.
     fn width(&self, f: &Function) -> usize {
         let fleet = f.calls.at(self.now, SHARE_OVER) / SHARE_OVER * self.s.routers.max(1) as f64;
         let alive = fleet * secs(self.s.loading.keep) / ALIVE;
@@ -351,8 +346,8 @@
         if warmth >= 1.0 {
             return true;
         }
-        // Capacity is judged from the work this router sees served: both sides are in one unit, and what others see
-        // served is their share. By all weight, warm or not: after a mass restart the rate lags behind.
+        // Capacity is judged from the work this router sees served: both sides are in one unit, and each sees
+        // its share. By all weight, warm or not: after a mass restart the rate lags behind.
         let total: f64 = self.workers.values().map(|w| self.weight(w)).sum();
         let rate = self.served.at(self.now, WORK_OVER) / WORK_OVER;
         let capacity = rate * self.weight(w) / total.max(1e-9) * warmth;
@@ -360,8 +355,7 @@
         let recent = |t: &&(Micros, f64)| since(self.now, t.0) <= r.fall_window;
         let sent: f64 = w.sent.iter().filter(recent).map(|t| t.1).sum();
         // What all routers together would send it is thinned to what it can take: more where most are cold or
-        // many attempts fail; and a call that spills is offered to `reach` workers, of which an idle one, as a
-        // cold one is, draws what all the busy ones pass on.
+        // attempts fail, and for calls that spill to `reach` workers, as an idle one draws them all.
         let warm: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
         let offered = w.offered.max(warmth * total / warm.max(1e-9)) * reach.max(1) as f64;
         let lately = |f: &Fading| f.at(self.now, SHARE_OVER) + 2.0;
@@ -476,7 +470,9 @@
                 match (if step < width && !missed { self.believed(&p) } else { self.stands(&p) }, p.due) {
                     (true, _) => 0.0,
                     (_, Some(due)) => secs(since(due, self.now)).max(0.05),
-                    _ if self.now < p.rest => f.load * (NO_ROOM + COLD_COST.0 + COLD_COST.1 * self.cold_rate),
+                    _ if self.now < p.rest => {
+                        f.load * (COLD_COST.2 + COLD_COST.0 + COLD_COST.1 * self.cold_rate)
+                    }
                     _ if first => f.load,
                     _ => f.load * (COLD_COST.0 + COLD_COST.1 * self.cold_rate),
                 };
@@ -562,24 +558,24 @@
         left.0 < 0.0 && share > 0.0
     }
 
-    /// Whether the answer to a new request would come too late. Where this router has many calls out, by Little's
-    /// law: what is out over the pace of answers. Where it has few, by the part of its answers that came late.
-    /// Work of low worth goes first, and what a tenant sends beyond its share.
+    /// Whether the answer to a new request would come too late. Where this router has many calls out, by
+    /// Little's law; where it has few, by the part of its answers that came late. Work of low worth goes
+    /// first, and what a tenant sends beyond its share.
     fn too_late(&mut self, o: &Open) -> bool {
         let (over, rank, aim) = (self.over_share(o), self.rank(o), secs(self.class(o).aim));
-        let shed = self.late * (LATE_CLASS - rank).max(0.0) * if over { 2.0 } else { 1.0 };
+        let shed = self.late * (LATE.3 - rank).max(0.0) * if over { 2.0 } else { 1.0 };
         if part(mix(self.salt ^ mix(!o.req.id.0))) < shed {
             return true;
         }
         let patience = self.patience(o) * if over { REFUSE.0 } else { 1.0 };
-        // Calls stuck at workers in doubt are no queue for the rest: a silent zone must not stop the sound ones.
+        // Calls stuck at workers in doubt are no queue for the rest: a silent zone must not stop them.
         let stuck = |w: &Worker| w.record(o.req.class.0, self.now);
         let sound = || self.workers.values().filter(|w| stuck(w).times < 2 || stuck(w).full);
         let total: usize = sound().map(|w| w.own).sum();
         let age = self.born.map_or(0.0, |t| secs(since(self.now, t)));
         let pace =
             self.answers.at(self.now, PACE_OVER) / PACE_OVER / (1.0 - (-age / PACE_OVER).exp()).max(0.1);
-        age > START && total > sound().count() && (total + 1) as f64 > patience * aim * pace
+        age > PACE_OVER && total > sound().count() && (total + 1) as f64 > patience * aim * pace
     }
 
     /// Sends an open request on, holds it for a moment, or leaves it for the next tick.
@@ -598,10 +594,9 @@
             return;
         }
         let Some(o) = self.open.get(&id) else { return };
-        // Where even the best of those asked is crowded, the answer would come too late.
-        let told = |w: &Worker| self.crowd(w) > HOPELESS * self.patience(o);
-        let crowded = self.workers.get(&worker).is_some_and(told);
-        if crowded && o.attempts.is_empty() {
+        // Where even the best of those asked is crowded, the answer comes too late.
+        let most = REFUSE.2 * self.patience(o);
+        if o.attempts.is_empty() && self.workers.get(&worker).is_some_and(|w| self.crowd(w) > most) {
             return self.give_up(id, out);
         }
         let Some(fun) = self.functions.get(&f) else { return };
@@ -628,8 +623,8 @@
         out.push(Action::Wake { at, token: id.0.wrapping_add(1) });
     }
 
-    /// Asks a worker that was not heard from lately before a call goes there. Many routers before many workers
-    /// meet each one too seldom to know it by their own calls.
+    /// Asks a worker that was not heard from lately before a call goes there: among many routers each meets
+    /// it too seldom to know it by its own calls.
     fn ask(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) -> bool {
         let Some(o) = self.open.get_mut(&id) else { return false };
         let Some(w) = self.workers.get_mut(&worker) else { return false };
@@ -729,10 +724,10 @@
         }
         match a.outcome {
             Outcome::Ok => self.good(worker, class, sent),
-            Outcome::Full if !loading => self.bad(worker, Some(class), sent, true),
-            Outcome::Error if !a.load_failed => self.bad(worker, Some(class), sent, false),
-            Outcome::TimedOut if silent => self.bad(worker, Some(class), sent, false),
-            Outcome::ConnectFailed | Outcome::Reset => self.bad(worker, None, sent, false),
+            Outcome::Full if !loading => self.bad(worker, Some(class), true),
+            Outcome::Error if !a.load_failed => self.bad(worker, Some(class), false),
+            Outcome::TimedOut if silent => self.bad(worker, Some(class), false),
+            Outcome::ConnectFailed | Outcome::Reset => self.bad(worker, None, false),
             _ => {}
         }
         let Some(o) = self.open.get(&a.id) else { return };
@@ -782,7 +777,7 @@
                 }
             }
             // No room for a copy: that speaks of the function, not of the worker.
-            Outcome::Full if loading => p.rest = after(self.now, Micros(FULL.0 * 2)),
+            Outcome::Full if loading => (p.due, p.rest) = (None, after(self.now, Micros(FULL.0 * 2))),
             Outcome::ConnectFailed | Outcome::Reset => *p = Place { own: p.own, ..Place::default() },
             _ => {}
         }
@@ -811,14 +806,11 @@
     }
 
     /// Bad evidence on a class, or on the connection where none is named.
-    fn bad(&mut self, worker: WorkerId, class: Option<usize>, sent: Micros, full: bool) {
+    fn bad(&mut self, worker: WorkerId, class: Option<usize>, full: bool) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
-        if full {
-            w.heard = Some(self.now);
-        }
+        w.heard = if full { Some(self.now) } else { w.heard };
         let record = class.map_or(Some(&mut w.link), |c| w.classes.get_mut(c));
-        let first = if full { FULL } else { SUSPECT };
-        record.into_iter().for_each(|r| r.bad(self.now, sent, first, full));
+        record.into_iter().for_each(|r| r.bad(self.now, full));
     }
 
     fn report(&mut self, worker: WorkerId, r: Report) {
@@ -833,11 +825,10 @@
             self.report(id, r);
         }
         let Some(w) = self.workers.get_mut(&id) else { return };
-        let (asked, asking) = (w.asked.take(), std::mem::take(&mut w.asking));
-        if matches!(outcome, Outcome::Ok | Outcome::Full) {
-            w.heard = Some(self.now);
-        } else {
-            self.bad(id, None, asked.unwrap_or(self.now), false);
+        let (asking, well) = (std::mem::take(&mut w.asking), matches!(outcome, Outcome::Ok | Outcome::Full));
+        (w.asked, w.heard) = (None, if well { Some(self.now) } else { w.heard });
+        if !well {
+            self.bad(id, None, false);
         }
         for id in asking {
             if self.open.get(&id).is_some_and(|o| !o.done && o.held.is_some()) {
@@ -865,7 +856,7 @@
                 p.no_room = (p.no_room + 1).min(3);
             }
             Outcome::Error | Outcome::TimedOut => p.rest = after(self.now, Micros(300_000)),
-            _ => self.bad(id, None, since(self.now, latency), false),
+            _ => self.bad(id, None, false),
         }
     }
 
@@ -887,13 +878,13 @@
             let patience = (PATIENCE.0 * f.0).max(PATIENCE.1 * secs(self.class(o).aim)) + load;
             let quiet = self.workers.get(&t.worker).is_none_or(|w| w.last_good < t.sent);
             if secs(since(self.now, t.sent.max(self.awake))) > patience && quiet && !t.cancelled {
-                silent.push((*id, t.worker, o.req.class.0, t.sent));
+                silent.push((*id, t.worker, o.req.class.0));
             }
         }
         over.into_iter().for_each(|id| self.give_up(id, out));
         again.into_iter().for_each(|id| self.dispatch(id, out));
-        for (id, worker, class, sent) in silent {
-            self.bad(worker, Some(class), sent, false);
+        for (id, worker, class) in silent {
+            self.bad(worker, Some(class), false);
             self.rescue(id, worker, out);
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,8 +17,22 @@
 //! brain.handle(Micros(0), Event::Listed(Listing { scope: Scope::Full, entries: vec![worker] }), &mut actions);
 //! let request = Request { id: RequestId(1), function: FunctionId(9), ..Request::default() };
 //! brain.handle(Micros(1_000), Event::Request(request), &mut actions);
-//! // A function not yet loaded is ordered first and the call follows it a moment later.
-//! brain.handle(Micros(20_000), Event::Wake { token: 0 }, &mut actions);
+//! // The worker was not heard from yet and is asked first; then the function, not yet loaded, is ordered, and
+//! // the call follows it a moment later. Each step comes with the wake that was asked for.
+//! for ms in 1..15 {
+//!     let now = Micros(1_000 + ms * 4_000);
+//!     let due: Vec<u64> = actions
+//!         .iter()
+//!         .filter_map(|a| match a {
+//!             Action::Wake { at, token } if at.0 <= now.0 => Some(*token),
+//!             _ => None,
+//!         })
+//!         .collect();
+//!     actions.retain(|a| !matches!(a, Action::Wake { at, .. } if at.0 <= now.0));
+//!     for token in due {
+//!         brain.handle(now, Event::Wake { token }, &mut actions);
+//!     }
+//! }
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { worker: WorkerId(1), .. })));
 //! ```
 #![forbid(unsafe_code)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,7 +52,7 @@
 }
 
 /// Bad evidence in a row about one worker's calls of one class, and until when it rests; then one trial call
-/// decides. What was sent before the rest began proves nothing new.
+/// decides.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Record {
     pub(crate) times: u32,
