--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,7 +50,7 @@
 const SILENT: f64 = 4.0;
 const BUSY_CORES: (f64, f64) = (0.85, 20.0);
 /// Further attempts allowed for each request taken, and how many may be saved up.
-const RETRIES: (f64, f64) = (0.15, 12.0);
+const RETRIES: (f64, f64) = (0.1, 4.0);
 /// The part of the cold budget that is used by own counts, and in chances, in a mean worker's load.
 const COLD_USE: f64 = 0.7;
 const COLD_CHANCE: f64 = 0.2;
@@ -362,7 +362,7 @@
         let served = (lately(&self.ok) / lately(&self.attempts)).min(1.0);
         let chance = COLD_CHANCE * r.fall_multiple * warmth * served / offered.max(1e-9);
         let draw = part(mix(self.salt ^ mix(o.req.id.0) ^ w.entry.id.0));
-        (sent == 0.0 || sent + self.work(o) <= budget) && draw < chance
+        (sent == 0.0 || sent + self.work(o) <= budget) && draw < chance.max(budget / self.work(o).max(1e-9))
     }
 
     fn may_refuse(&self, o: &Open) -> bool {
