--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,7 +50,7 @@
 const SILENT: f64 = 4.0;
 const BUSY_CORES: (f64, f64) = (0.85, 20.0);
 /// Further attempts allowed for each request taken, and how many may be saved up.
-const RETRIES: (f64, f64) = (0.1, 4.0);
+const RETRIES: (f64, f64) = (0.05, 3.0);
 /// The part of the cold budget that is used by own counts, and in chances, in a mean worker's load.
 const COLD_USE: f64 = 0.7;
 const COLD_CHANCE: f64 = 0.2;
