--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,7 +61,7 @@
 const SHARE_PRIOR: f64 = 30.0;
 /// The part of a mean worker's load that one function may bring before one more serves it, and the calls that
 /// a copy should see in the time it is kept.
-const PIECE: f64 = 0.15;
+const PIECE: f64 = 0.25;
 const ALIVE: f64 = 3.0;
 /// How the spread of functions changes with each copy found and each found gone, and its least.
 const SPREAD: (f64, f64, f64) = (1.03, 0.93, 0.2);
