--- /dev/null
+++ b/crates/engine/src/call.rs
@@ -0,0 +1,63 @@
+//! A call as a front hands it in.
+
+use slatevalve::{ClassId, Micros, TenantId};
+use std::sync::Arc;
+
+/// The front's own number for one thing that it owes an answer to; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// A client as the front knows it, over all its connections. A repeat by the same client replaces its earlier
+/// ticket, one by another client joins it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ClientRef(pub u64);
+
+/// Whether a call may have been handed in before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// Nothing marks it as a repeat.
+    Unmarked,
+    /// It is marked as a repeat (MQTT's DUP flag, a client's own mark). Where `covered_since` is known, the first
+    /// sending reached this gateway at that time or later, or never: if all that was taken since then is still
+    /// remembered, a key that is not known was never taken.
+    Marked {
+        /// See above; in the gateway's own time.
+        covered_since: Option<Micros>,
+    },
+}
+
+/// What goes to a worker, shared by all attempts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunBody {
+    /// The function's name.
+    pub function: Arc<str>,
+    /// The payload.
+    pub payload: Arc<[u8]>,
+    /// The key, where the class has one.
+    pub key: Option<Arc<[u8]>>,
+    /// Its class.
+    pub class: ClassId,
+}
+
+/// A call that a client brought.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// What the front will know the answer by.
+    pub ticket: Ticket,
+    /// Who asks.
+    pub client: ClientRef,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, where the site has any.
+    pub tenant: Option<TenantId>,
+    /// The function's name.
+    pub function: Arc<str>,
+    /// The key by which repeats are known.
+    pub key: Option<Arc<[u8]>>,
+    /// The payload.
+    pub payload: Arc<[u8]>,
+    /// The client gives up after this; cut to the class's deadline.
+    pub budget: Micros,
+    /// Whether it may have been handed in before.
+    pub repeat: Repeat,
+}
--- /dev/null
+++ b/crates/reactor/src/lib.rs
@@ -0,0 +1,432 @@
+//! The one loop: readiness, sockets, bounded write buffers and signals.
+//!
+//! It guards against everything a socket may do to a single-threaded program: a peer that reads slowly (writes
+//! are buffered up to a limit, then the connection is closed), one that never finishes connecting (the caller
+//! closes it by its own timer), one that floods (each turn reads a bounded amount). The gateway and the stand-ins
+//! call it; it knows no protocol and decides nothing. Connection numbers are never used twice, so news of a
+//! closed connection can never be taken for that of a later one.
+#![warn(missing_docs)]
+
+use polling::{Event, Events, PollMode, Poller};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::time::Duration;
+
+/// Bytes read from one connection in one turn, so that a flood from one peer leaves turns to the others.
+const READ_AT_ONCE: usize = 64 * 1024;
+/// Connections accepted from one listener in one turn.
+const ACCEPT_AT_ONCE: usize = 64;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// A listener, connection or signal source; never used twice within one loop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Id(usize);
+
+/// What happened on the loop.
+#[derive(Debug)]
+pub enum Happening {
+    /// A peer connected to a listener.
+    Accepted {
+        /// The listener.
+        listener: Id,
+        /// The new connection.
+        connection: Id,
+        /// Its peer.
+        peer: SocketAddr,
+    },
+    /// An outgoing connection stands; bytes may be written.
+    Connected(Id),
+    /// Bytes came.
+    Received(Id, Vec<u8>),
+    /// All that was buffered has been written.
+    Drained(Id),
+    /// The connection ended; its id is void. For an outgoing one that never stood, `connected` is false.
+    Closed {
+        /// Which connection.
+        id: Id,
+        /// Whether it ever stood.
+        connected: bool,
+        /// Bytes handed to the kernel over its life.
+        written: u64,
+    },
+    /// A signal asked for with [`Reactor::signal`] came.
+    Signal(i32),
+    /// Accepting failed, most likely for want of descriptors; the listener rests until [`Reactor::resume`].
+    AcceptFailed {
+        /// The listener.
+        listener: Id,
+        /// Why.
+        error: io::Error,
+    },
+}
+
+struct Connection {
+    stream: TcpStream,
+    connected: bool,
+    /// Bytes not yet taken by the kernel, from `start` on.
+    buffer: Vec<u8>,
+    start: usize,
+    written: u64,
+    /// Whether the poller watches for writability.
+    watching_writes: bool,
+    paused: bool,
+    /// To be closed as soon as all is written; nothing more is read from it.
+    finishing: bool,
+}
+
+enum Source {
+    Listener(TcpListener),
+    Connection(Connection),
+    Signal(UnixStream, i32),
+}
+
+/// The loop's sockets and signals; [`Reactor::turn`] waits for the next happenings.
+pub struct Reactor {
+    poller: Poller,
+    events: Events,
+    sources: HashMap<usize, Source>,
+    next: usize,
+    scratch: Vec<u8>,
+    max_buffered: usize,
+    /// Ends noticed while writing, told at the next turn.
+    ended: Vec<Happening>,
+}
+
+impl Reactor {
+    /// A loop whose connections buffer at most `max_buffered` bytes each; one that would go beyond is closed.
+    ///
+    /// # Errors
+    /// When the kernel gives no poller.
+    pub fn new(max_buffered: usize) -> io::Result<Self> {
+        Ok(Reactor {
+            poller: Poller::new()?,
+            events: Events::new(),
+            sources: HashMap::new(),
+            next: 0,
+            scratch: vec![0; READ_AT_ONCE],
+            max_buffered,
+            ended: Vec::new(),
+        })
+    }
+
+    fn watch(&mut self, source: Source, interest: fn(usize) -> Event) -> io::Result<Id> {
+        let id = self.next;
+        self.next += 1;
+        // SAFETY: every source is taken out of the poller in `remove` before it is dropped, and all of them
+        // before the poller in `drop`.
+        unsafe {
+            match &source {
+                Source::Listener(l) => self.poller.add_with_mode(l, interest(id), PollMode::Level)?,
+                Source::Connection(c) => {
+                    self.poller.add_with_mode(&c.stream, interest(id), PollMode::Level)?
+                }
+                Source::Signal(s, _) => self.poller.add_with_mode(s, interest(id), PollMode::Level)?,
+            }
+        }
+        self.sources.insert(id, source);
+        Ok(Id(id))
+    }
+
+    /// Listens on an address; port 0 lets the kernel choose. Returns the address that was bound.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub fn listen(&mut self, address: SocketAddr) -> io::Result<(Id, SocketAddr)> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        let listener: TcpListener = socket.into();
+        let bound = listener.local_addr()?;
+        Ok((self.watch(Source::Listener(listener), Event::readable)?, bound))
+    }
+
+    /// Begins a connection; [`Happening::Connected`] or [`Happening::Closed`] tells how that ended.
+    ///
+    /// # Errors
+    /// When no socket is to be had or the address cannot be reached at all.
+    pub fn connect(&mut self, address: SocketAddr) -> io::Result<Id> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        match socket.connect(&address.into()) {
+            Ok(()) => {}
+            Err(e) if e.raw_os_error() == Some(libc::EINPROGRESS) => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        self.watch(Source::Connection(Connection::new(socket.into(), false)), Event::all)
+    }
+
+    /// Turns a signal (SIGTERM, SIGHUP ...) into a [`Happening::Signal`].
+    ///
+    /// # Errors
+    /// When the signal cannot be caught.
+    pub fn signal(&mut self, signal: i32) -> io::Result<()> {
+        let (read, write) = UnixStream::pair()?;
+        read.set_nonblocking(true)?;
+        write.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(signal, write)?;
+        self.watch(Source::Signal(read, signal), Event::readable)?;
+        Ok(())
+    }
+
+    /// Writes bytes, or buffers what the kernel does not take yet. A connection whose buffer is full or that
+    /// breaks is closed, which the next turn tells. Unknown connections take nothing.
+    pub fn write(&mut self, id: Id, bytes: &[u8]) {
+        let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+        let mut rest = bytes;
+        if c.connected && c.pending() == 0 {
+            match write_some(&mut c.stream, rest) {
+                Ok(n) => {
+                    c.written += n as u64;
+                    rest = &rest[n..];
+                }
+                Err(_) => return self.end(id),
+            }
+        }
+        if rest.is_empty() {
+            return;
+        }
+        if c.pending() + rest.len() > self.max_buffered {
+            return self.end(id);
+        }
+        c.buffer.extend_from_slice(rest);
+        self.interest(id);
+    }
+
+    /// Bytes that wait to be written to a connection.
+    pub fn pending(&self, id: Id) -> usize {
+        match self.sources.get(&id.0) {
+            Some(Source::Connection(c)) => c.pending(),
+            _ => 0,
+        }
+    }
+
+    /// Bytes of a connection that the kernel has taken so far; 0 for one that is gone.
+    pub fn written(&self, id: Id) -> u64 {
+        match self.sources.get(&id.0) {
+            Some(Source::Connection(c)) => c.written,
+            _ => 0,
+        }
+    }
+
+    /// Stops or resumes reading from a connection, for back-pressure.
+    pub fn pause(&mut self, id: Id, paused: bool) {
+        if let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) {
+            if c.paused != paused {
+                c.paused = paused;
+                self.set_interest(id);
+            }
+        }
+    }
+
+    /// Closes a connection once all that was buffered is written; what it still sends is not read. The end is
+    /// told as [`Happening::Closed`] at the next turn.
+    pub fn finish(&mut self, id: Id) {
+        let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+        if c.pending() == 0 {
+            return self.end(id);
+        }
+        c.finishing = true;
+        self.pause(id, true);
+    }
+
+    /// Closes a connection or listener at once; nothing more is told of it.
+    pub fn close(&mut self, id: Id) {
+        self.remove(id);
+    }
+
+    /// Lets a listener that could not accept try again.
+    pub fn resume(&mut self, listener: Id) {
+        if let Some(Source::Listener(l)) = self.sources.get(&listener.0) {
+            let _ = self.poller.modify_with_mode(l, Event::readable(listener.0), PollMode::Level);
+        }
+    }
+
+    /// Waits at most `timeout` (`None`: for ever) and appends what happened.
+    ///
+    /// # Errors
+    /// When the poller fails.
+    pub fn turn(&mut self, timeout: Option<Duration>, out: &mut Vec<Happening>) -> io::Result<()> {
+        let timeout = if self.ended.is_empty() { timeout } else { Some(Duration::ZERO) };
+        self.events.clear();
+        match self.poller.wait(&mut self.events, timeout) {
+            Ok(_) => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+        out.append(&mut self.ended);
+        let ready: Vec<Event> = self.events.iter().collect();
+        for event in ready {
+            self.ready(event, out);
+        }
+        out.append(&mut self.ended);
+        Ok(())
+    }
+
+    fn ready(&mut self, event: Event, out: &mut Vec<Happening>) {
+        let id = Id(event.key);
+        match self.sources.get_mut(&event.key) {
+            Some(Source::Listener(_)) => self.accept(id, out),
+            Some(Source::Signal(stream, signal)) => {
+                let mut bytes = [0; 64];
+                while matches!(stream.read(&mut bytes), Ok(n) if n > 0) {}
+                out.push(Happening::Signal(*signal));
+            }
+            Some(Source::Connection(_)) => {
+                if event.writable || event.is_err() == Some(true) {
+                    self.writable(id, out);
+                }
+                if event.readable {
+                    self.readable(id, out);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn accept(&mut self, listener: Id, out: &mut Vec<Happening>) {
+        for _ in 0..ACCEPT_AT_ONCE {
+            let Some(Source::Listener(l)) = self.sources.get(&listener.0) else { return };
+            match l.accept() {
+                Ok((stream, peer)) => {
+                    let _ = stream.set_nodelay(true);
+                    if stream.set_nonblocking(true).is_err() {
+                        continue;
+                    }
+                    let source = Source::Connection(Connection::new(stream, true));
+                    if let Ok(connection) = self.watch(source, Event::readable) {
+                        out.push(Happening::Accepted { listener, connection, peer });
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    // Level-triggered, it would be told again at once and for ever: it rests.
+                    let _ = self.poller.modify_with_mode(l, Event::none(listener.0), PollMode::Level);
+                    out.push(Happening::AcceptFailed { listener, error });
+                    return;
+                }
+            }
+        }
+    }
+
+    fn writable(&mut self, id: Id, out: &mut Vec<Happening>) {
+        let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+        if !c.connected {
+            match c.stream.take_error() {
+                Ok(None) if c.stream.peer_addr().is_ok() => {}
+                Ok(None) => return,
+                _ => return self.end(id),
+            }
+            c.connected = true;
+            out.push(Happening::Connected(id));
+        }
+        if c.pending() > 0 {
+            match write_some(&mut c.stream, &c.buffer[c.start..]) {
+                Ok(n) => {
+                    c.written += n as u64;
+                    c.start += n;
+                }
+                Err(_) => return self.end(id),
+            }
+            if c.pending() == 0 {
+                c.buffer.clear();
+                c.start = 0;
+                if c.finishing {
+                    return self.end(id);
+                }
+                out.push(Happening::Drained(id));
+            } else if c.start > READ_AT_ONCE {
+                c.buffer.drain(..c.start);
+                c.start = 0;
+            }
+        }
+        self.interest(id);
+    }
+
+    fn readable(&mut self, id: Id, out: &mut Vec<Happening>) {
+        let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+        if !c.connected || c.paused {
+            return;
+        }
+        match c.stream.read(&mut self.scratch) {
+            Ok(0) => self.end(id),
+            Ok(n) => out.push(Happening::Received(id, self.scratch[..n].to_vec())),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+            Err(_) => self.end(id),
+        }
+    }
+
+    /// Watches for writability just while something waits to be written.
+    fn interest(&mut self, id: Id) {
+        let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+        if c.watching_writes != (!c.connected || c.pending() > 0) {
+            self.set_interest(id);
+        }
+    }
+
+    fn set_interest(&mut self, id: Id) {
+        let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+        c.watching_writes = !c.connected || c.pending() > 0;
+        let event = Event::new(id.0, !c.paused, c.watching_writes);
+        let _ = self.poller.modify_with_mode(&c.stream, event, PollMode::Level);
+    }
+
+    fn end(&mut self, id: Id) {
+        if let Some(Source::Connection(c)) = self.remove(id) {
+            self.ended.push(Happening::Closed { id, connected: c.connected, written: c.written });
+        }
+    }
+
+    fn remove(&mut self, id: Id) -> Option<Source> {
+        let source = self.sources.remove(&id.0)?;
+        let _ = match &source {
+            Source::Listener(l) => self.poller.delete(l),
+            Source::Connection(c) => self.poller.delete(&c.stream),
+            Source::Signal(s, _) => self.poller.delete(s),
+        };
+        Some(source)
+    }
+}
+
+impl Drop for Reactor {
+    fn drop(&mut self) {
+        let ids: Vec<usize> = self.sources.keys().copied().collect();
+        ids.into_iter().for_each(|id| drop(self.remove(Id(id))));
+    }
+}
+
+impl Connection {
+    fn new(stream: TcpStream, connected: bool) -> Self {
+        Connection {
+            stream,
+            connected,
+            buffer: Vec::new(),
+            start: 0,
+            written: 0,
+            watching_writes: !connected,
+            paused: false,
+            finishing: false,
+        }
+    }
+
+    fn pending(&self) -> usize {
+        self.buffer.len() - self.start
+    }
+}
+
+/// Writes what the kernel takes now; 0 where it takes nothing.
+fn write_some(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    match stream.write(bytes) {
+        Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => Ok(0),
+        other => other,
+    }
+}
