--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -24,7 +24,8 @@
         /// Version or digest of the function that ran, where the worker told.
         ran: Option<Arc<str>>,
     },
-    /// It was not run and will not be; trying again does no harm.
+    /// This asking started no run, and trying again does no harm. ([`Reason::UnknownRepeat`] says nothing of what an
+    /// earlier asking with the same key may have started.)
     Refused(Reason),
     /// It ended without a result, and that promises nothing: it may have run.
     Failed(Reason),
@@ -70,6 +71,8 @@
     FunctionName,
     /// No such tenant.
     UnknownTenant,
+    /// No route takes the topic, or the topic gives no usable name.
+    NoRoute,
     /// The gateway is stopping.
     Stopping,
     /// No attempt gave a result in time; the call may have run.
@@ -93,6 +96,7 @@
             Reason::NoTime => "too little time is left to answer",
             Reason::FunctionName => "the function's name cannot be taken",
             Reason::UnknownTenant => "unknown tenant",
+            Reason::NoRoute => "no route takes this topic",
             Reason::Stopping => "the gateway is stopping",
             Reason::NoResult => "no result in time; it may have run",
             Reason::ResultForgotten => "it ran; its result is no longer held",
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -24,3 +24,4 @@
     AttemptEnd, AttemptRef, ClassPolicy, Engine, EngineSettings, FunctionTraits, Output, Statistics,
 };
 pub use names::{function_id, worker_id, NameError, Names};
+pub use timers::Timers;
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -1,5 +1,5 @@
 //! Timers as a heap. Nothing is ever taken out early: who set a timer sees when it is stale, and a stale one costs
-//! one pop. Called by the engine alone.
+//! one pop. Called by the engine and the fronts.
 
 use slatevalve::Micros;
 use std::cmp::Reverse;
@@ -7,7 +7,7 @@
 
 /// What is due at a time; of equal times the one set first.
 #[derive(Debug)]
-pub(crate) struct Timers<T> {
+pub struct Timers<T> {
     heap: BinaryHeap<Reverse<Due<T>>>,
     next: u64,
 }
@@ -46,25 +46,32 @@
 }
 
 impl<T> Timers<T> {
-    pub(crate) fn set(&mut self, at: Micros, what: T) {
+    /// Sets a timer.
+    pub fn set(&mut self, at: Micros, what: T) {
         self.heap.push(Reverse(Due { at, order: self.next, what }));
         self.next += 1;
     }
 
     /// When the next one is due.
-    pub(crate) fn next(&self) -> Option<Micros> {
+    pub fn next(&self) -> Option<Micros> {
         self.heap.peek().map(|d| d.0.at)
     }
 
     /// The next one that is due by `now`.
-    pub(crate) fn pop(&mut self, now: Micros) -> Option<T> {
+    pub fn pop(&mut self, now: Micros) -> Option<T> {
         if self.next()? > now {
             return None;
         }
         self.heap.pop().map(|d| d.0.what)
     }
 
-    pub(crate) fn len(&self) -> usize {
+    /// How many are set, stale ones too.
+    pub fn len(&self) -> usize {
         self.heap.len()
     }
+
+    /// Whether none is set.
+    pub fn is_empty(&self) -> bool {
+        self.heap.is_empty()
+    }
 }
--- /dev/null
+++ b/crates/mqtt/src/session.rs
@@ -0,0 +1,123 @@
+//! What is kept of a client between its connections. Called by the front.
+
+use crate::packets::{Outbound, Version};
+use crate::LinkId;
+use mqtt_protocol_core::mqtt::packet::{Qos, StorePacket};
+use slatevalve::Micros;
+use slatevalve_engine::{ClientRef, Ticket};
+use std::collections::{BTreeMap, HashSet, VecDeque};
+
+/// Numbers for tickets and clients, apart from those of every other front of the same engine.
+#[derive(Clone, Debug)]
+pub struct TicketSource {
+    front: u8,
+    next: u64,
+}
+
+impl TicketSource {
+    /// Numbers of the front with this number, which no other front may have.
+    pub fn new(front: u8) -> Self {
+        TicketSource { front, next: 0 }
+    }
+
+    /// The front that a ticket is of.
+    pub fn front_of(ticket: Ticket) -> u8 {
+        (ticket.0 >> 56) as u8
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        (u64::from(self.front) << 56) | self.next
+    }
+
+    pub(crate) fn ticket(&mut self) -> Ticket {
+        Ticket(self.number())
+    }
+
+    pub(crate) fn client(&mut self) -> ClientRef {
+        ClientRef(self.number())
+    }
+}
+
+/// Where an answer goes.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    /// `None` for a client of version 3.1.1, whose topic is made from the outcome.
+    pub(crate) response_topic: Option<String>,
+    pub(crate) correlation: Option<Vec<u8>>,
+    pub(crate) qos: Qos,
+    /// What a reply topic of version 3.1.1 names the call by.
+    pub(crate) call: String,
+}
+
+/// A client's session (section 4.1).
+#[derive(Debug)]
+pub(crate) struct Session {
+    pub(crate) client: ClientRef,
+    pub(crate) client_id: String,
+    pub(crate) version: Version,
+    /// The connection that stands.
+    pub(crate) link: Option<LinkId>,
+    /// How long it lives without one.
+    pub(crate) expiry: Micros,
+    pub(crate) expires_at: Option<Micros>,
+    /// When the connection that stands, or stood last, was opened.
+    pub(crate) opened: Micros,
+    /// Since when every publish of this session that was taken was taken by this gateway's knowledge; see
+    /// [`slatevalve_engine::Repeat::Marked`].
+    pub(crate) covered_since: Option<Micros>,
+    /// What the library had in flight when the connection ended.
+    pub(crate) stored: Vec<StorePacket>,
+    pub(crate) received_qos2: Vec<u16>,
+    /// Answers owed.
+    pub(crate) waiting: BTreeMap<Ticket, Waiting>,
+    /// Answers that wait for the connection or for the client's receive maximum.
+    pub(crate) outbox: VecDeque<Outbound>,
+    /// Answers that were sent and not yet acknowledged.
+    pub(crate) unacknowledged: HashSet<u16>,
+}
+
+impl Session {
+    pub(crate) fn new(client: ClientRef, client_id: String, version: Version, now: Micros) -> Self {
+        Session {
+            client,
+            client_id,
+            version,
+            link: None,
+            expiry: Micros(0),
+            expires_at: None,
+            opened: now,
+            covered_since: None,
+            stored: Vec::new(),
+            received_qos2: Vec::new(),
+            waiting: BTreeMap::new(),
+            outbox: VecDeque::new(),
+            unacknowledged: HashSet::new(),
+        }
+    }
+
+    /// Calls and answers that count against the session's quota.
+    pub(crate) fn load(&self) -> usize {
+        self.waiting.len() + self.outbox.len()
+    }
+
+    /// The topic of an answer.
+    pub(crate) fn reply_topic(&self, waiting: &Waiting, outcome: &str) -> String {
+        match &waiting.response_topic {
+            Some(topic) => topic.clone(),
+            None => format!("slatevalve/reply/{}/{outcome}/{}", escape(&self.client_id), waiting.call),
+        }
+    }
+}
+
+/// A client id as one level of a topic: what may not stand there is percent-encoded.
+fn escape(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for c in text.chars() {
+        match c {
+            '+' | '#' | '/' | '%' => out.push_str(&format!("%{:02X}", u32::from(c))),
+            c => out.push(c),
+        }
+    }
+    out
+}
