--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -58,6 +58,9 @@
     pub payload: Arc<[u8]>,
     /// The client gives up after this; cut to the class's deadline.
     pub budget: Micros,
+    /// How long it may have waited unread before it was handed in: a gateway that stood still itself, or was busy,
+    /// takes this off the time that it has.
+    pub age: Micros,
     /// Whether it may have been handed in before.
     pub repeat: Repeat,
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -286,7 +286,8 @@
         if self.stopping {
             return Err(Reason::Stopping);
         }
-        let budget = Micros(call.budget.0.min(deadline.0).saturating_sub(self.settings.margin.0));
+        let kept_back = self.settings.margin.0.saturating_add(call.age.0.max(0));
+        let budget = Micros(call.budget.0.min(deadline.0).saturating_sub(kept_back));
         if budget.0 <= 0 {
             return Err(Reason::NoTime);
         }
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -81,6 +81,7 @@
             key: key.map(|k| k.as_bytes().into()),
             payload: Arc::from(&b"p"[..]),
             budget: Micros(1_000_000),
+            age: Micros(0),
             repeat,
         };
         self.engine.call(self.now, call, &mut self.out);
@@ -239,6 +240,7 @@
         key: Some(b"k".as_slice().into()),
         payload: Arc::from(&b"another amount"[..]),
         budget: Micros(1_000_000),
+        age: Micros(0),
         repeat: Repeat::Unmarked,
     };
     b.engine.call(b.now, call, &mut b.out);
--- /dev/null
+++ b/crates/gateway/src/badday/mod.rs
@@ -0,0 +1,99 @@
+//! The scripted bad day: real gateways and workers on loopback, trouble by the clock, the rules checked from what
+//! passed on the sockets. Called by the command line and by tests.
+
+mod calls;
+mod day;
+mod report;
+pub mod script;
+
+pub use report::Report;
+
+use crate::settings::form::SettingsError;
+use day::Day;
+use script::Script;
+use slatevalve_rules::trace::{self, TraceError};
+use std::fmt;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// Why a day could not be lived through.
+#[derive(Debug)]
+pub enum BadDayError {
+    /// The script or the settings in it.
+    Settings(SettingsError),
+    /// The script asks for what cannot be.
+    Script(String),
+    /// A process or a file.
+    Io(io::Error),
+    /// A record is no trace.
+    Trace(String, TraceError),
+}
+
+impl fmt::Display for BadDayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BadDayError::Settings(e) => e.fmt(f),
+            BadDayError::Script(words) => f.write_str(words),
+            BadDayError::Io(e) => e.fmt(f),
+            BadDayError::Trace(file, e) => write!(f, "{file}: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for BadDayError {}
+
+impl From<SettingsError> for BadDayError {
+    fn from(e: SettingsError) -> Self {
+        BadDayError::Settings(e)
+    }
+}
+
+impl From<io::Error> for BadDayError {
+    fn from(e: io::Error) -> Self {
+        BadDayError::Io(e)
+    }
+}
+
+/// How a day is to be run.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Seed of calls, workers and gateways.
+    pub seed: u64,
+    /// Where settings, logs and traces are kept; elsewhere they go with the run.
+    pub keep: Option<PathBuf>,
+    /// The gateways' log level.
+    pub log_level: String,
+}
+
+/// Lives through a script and checks the rules. `progress` is told the seconds so far and the calls open.
+///
+/// # Errors
+/// When a process, a file or the script fails; a broken rule is no error but part of the report.
+pub fn run(
+    script: &Script,
+    options: &Options,
+    progress: impl FnMut(f64, usize),
+) -> Result<Report, BadDayError> {
+    let temporary = tempfile::tempdir()?;
+    let directory: &Path = match &options.keep {
+        Some(directory) => {
+            fs::create_dir_all(directory)?;
+            // A record of an earlier day there would be read as part of this one.
+            if fs::read_dir(directory)?.next().is_some() {
+                return Err(BadDayError::Script(format!("{} is not empty", directory.display())));
+            }
+            directory
+        }
+        None => temporary.path(),
+    };
+    let (day, start_us) = Day::start(script, directory, options.seed, &options.log_level)?;
+    let record = day.run(start_us, progress)?;
+    if options.keep.is_some() {
+        let text: String = record.lines.iter().map(|l| trace::write(l) + "\n").collect();
+        fs::write(directory.join("all.jsonl"), text)?;
+        let terms = serde_json::to_string_pretty(&record.terms).map_err(io::Error::other)?;
+        fs::write(directory.join("terms.json"), terms)?;
+    }
+    Ok(Report::new(&script.name, options.seed, &record))
+}
--- /dev/null
+++ b/crates/gateway/src/commands/mod.rs
@@ -0,0 +1,267 @@
+//! The command line: one sub-command each for running, checking, rehearsing and the stand-ins.
+
+mod demo;
+
+use crate::badday::{self, script::Script};
+use crate::clock::Clock;
+use crate::settings::{Named, Site};
+use crate::shell::Shell;
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use serde_json::json;
+use slatevalve_rules::{check, trace, Terms};
+use slatevalve_standins::{run_worker, ServicePlan, WorkerPlan};
+use std::error::Error;
+use std::fs;
+use std::io::{self, IsTerminal, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+/// A gateway that runs calls on workers which keep only some of many functions loaded.
+///
+/// Calls come as MQTT publishes; the answer goes to their response topic. `slatevalve demo` shows it at work on this
+/// machine, `slatevalve check FILE` says what is wrong with a settings file, `slatevalve run FILE` runs it.
+#[derive(Parser)]
+#[command(name = "slatevalve", version)]
+struct Cli {
+    /// How much is logged, to standard error: error, warn, info, debug, or a filter like "slatevalve_mqtt=debug"
+    #[arg(long, global = true, default_value = "info")]
+    log_level: String,
+    /// How it is logged
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    log_format: LogFormat,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    /// Lines for people
+    Text,
+    /// One JSON object a line
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a gateway by a settings file until SIGTERM or SIGINT; SIGHUP reads its worker list again
+    ///
+    /// Prints "ready ADDRESS" on standard output once clients can connect. On SIGTERM it takes no new calls, ends
+    /// those that are open within the stated time, and exits with 0.
+    Run {
+        /// The settings file
+        settings: PathBuf,
+    },
+    /// Check a settings file and say what it means, without starting anything
+    Check {
+        /// The settings file
+        settings: PathBuf,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
+    /// Run a stand-in worker, for trying things out and for rehearsals
+    ///
+    /// Prints "ready ADDRESS" on standard output. Its calls do nothing but take time: a payload like
+    /// "call=NAME work-us=5000" says how much.
+    Worker(WorkerArguments),
+    /// Start a gateway and three stand-in workers on this machine, make a few calls, and stay for yours
+    Demo {
+        /// Stop by itself after so many seconds; else on Ctrl-C
+        #[arg(long)]
+        seconds: Option<f64>,
+        /// Where MQTT clients connect; port 0 takes a free one
+        #[arg(long, default_value = "127.0.0.1:1883")]
+        listen: SocketAddr,
+        /// Print one JSON object at the end
+        #[arg(long)]
+        json: bool,
+    },
+    /// Live through a scripted bad day on this machine and check the rules from what passed on the sockets
+    ///
+    /// Exits with 1 where a rule was broken or a call had no answer, with 2 where the day could not be run.
+    Badday {
+        /// The script
+        script: PathBuf,
+        /// Seed of calls, workers and gateways
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Keep settings, logs and the trace in this directory, which must be empty or new
+        #[arg(long)]
+        keep: Option<PathBuf>,
+        /// Print one JSON object at the end
+        #[arg(long)]
+        json: bool,
+    },
+    /// Check the rules in a trace that `badday --keep` left (all.jsonl beside terms.json)
+    Rules {
+        /// The directory that was kept
+        directory: PathBuf,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+#[derive(Args)]
+struct WorkerArguments {
+    /// Its name
+    #[arg(long, default_value = "worker")]
+    name: String,
+    /// Where it listens; port 0 takes a free one
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Calls that it runs at a time
+    #[arg(long, default_value_t = 4)]
+    lanes: usize,
+    /// Calls that may wait
+    #[arg(long, default_value_t = 32)]
+    queue: usize,
+    /// Copies that fit into its memory
+    #[arg(long, default_value_t = 16)]
+    copies: usize,
+    /// Milliseconds that a load takes
+    #[arg(long, default_value_t = 100)]
+    load_ms: u32,
+    /// Load a function when a call for it comes; else such a call is answered as a miss
+    #[arg(long)]
+    load_on_call: bool,
+    /// Record what passes its socket in this file
+    #[arg(long)]
+    trace: Option<PathBuf>,
+    /// Everything as JSON, with faults; the other options are passed by
+    #[arg(long, hide = true)]
+    plan: Option<String>,
+}
+
+/// Runs the command line of this process.
+pub fn run() -> ExitCode {
+    let cli = Cli::parse();
+    if let Err(words) = start_log(&cli.log_level, cli.log_format) {
+        eprintln!("slatevalve: {words}");
+        return ExitCode::from(2);
+    }
+    match execute(cli) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("slatevalve: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn start_log(level: &str, format: LogFormat) -> Result<(), String> {
+    let filter = EnvFilter::try_new(level).map_err(|e| format!("--log-level: {e}"))?;
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr);
+    match format {
+        LogFormat::Text => builder.with_ansi(io::stderr().is_terminal()).init(),
+        LogFormat::Json => builder.json().init(),
+    }
+    Ok(())
+}
+
+type Outcome = Result<ExitCode, Box<dyn Error>>;
+
+fn execute(cli: Cli) -> Outcome {
+    match cli.command {
+        Command::Run { settings } => {
+            let clock = Clock::start();
+            let site = Site::load(&settings, &clock, Named::default())?;
+            let mut shell = Shell::new(site, Some(settings), clock)?;
+            say_ready(shell.address())?;
+            shell.run()?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Check { settings, json } => {
+            let site = Site::load(&settings, &Clock::start(), Named::default())?;
+            let (classes, routes) = (site.classes.len(), site.front.routes.routes.len());
+            let (tenants, workers) = (site.front.routes.tenants.len(), site.workers.len());
+            if json {
+                let found = json!({"name": site.name, "classes": classes, "routes": routes, "tenants": tenants,
+                    "workers": workers});
+                println!("{found}");
+            } else {
+                println!(
+                    "{}: {classes} classes, {routes} routes, {tenants} tenants, {workers} workers",
+                    site.name
+                );
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Worker(arguments) => worker(arguments),
+        Command::Demo { seconds, listen, json } => demo::demo(seconds, listen, json),
+        Command::Badday { script, seed, keep, json } => bad_day(script, seed, keep, json, cli.log_level),
+        Command::Rules { directory, json } => rules(directory, json),
+    }
+}
+
+fn say_ready(address: SocketAddr) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "ready {address}")?;
+    out.flush()
+}
+
+fn worker(arguments: WorkerArguments) -> Outcome {
+    let plan = match arguments.plan {
+        Some(plan) => serde_json::from_str(&plan)?,
+        None => WorkerPlan {
+            name: arguments.name,
+            listen: arguments.listen,
+            service: ServicePlan {
+                lanes: arguments.lanes,
+                queue: arguments.queue,
+                copies: arguments.copies,
+                load_us: i64::from(arguments.load_ms) * 1_000,
+                load_on_call: arguments.load_on_call,
+                ..ServicePlan::default()
+            },
+            trace: arguments.trace,
+            ..WorkerPlan::default()
+        },
+    };
+    run_worker(plan, |address| {
+        // Whoever started it may not listen any more; it works all the same.
+        let _ = say_ready(address);
+    })?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn bad_day(script: PathBuf, seed: u64, keep: Option<PathBuf>, json: bool, log_level: String) -> Outcome {
+    let text = fs::read_to_string(&script).map_err(|e| format!("{}: {e}", script.display()))?;
+    let script = Script::parse(&script.display().to_string(), &text)?;
+    let mut told = 0;
+    let progress = |seconds: f64, open: usize| {
+        // One line for each tenth of the day.
+        let tenth = (seconds / script.seconds * 10.0).floor() as i64;
+        if tenth > told && io::stderr().is_terminal() {
+            told = tenth;
+            eprintln!("  {seconds:.1} of {:.1} s, {open} calls open", script.seconds);
+        }
+    };
+    let report = badday::run(&script, &badday::Options { seed, keep, log_level }, progress)?;
+    match json {
+        true => println!("{}", serde_json::to_string(&report)?),
+        false => print!("{report}"),
+    }
+    Ok(if report.is_good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn rules(directory: PathBuf, json: bool) -> Outcome {
+    let read = |name: &str| {
+        let path = directory.join(name);
+        fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))
+    };
+    let terms: Terms = serde_json::from_str(&read("terms.json")?)?;
+    let lines = trace::read(&read("all.jsonl")?).map_err(|e| format!("all.jsonl: {e}"))?;
+    let violations = check(&terms, &lines);
+    if json {
+        println!("{}", json!({"lines": lines.len(), "violations": violations}));
+    } else {
+        println!("{} lines, {} violations", lines.len(), violations.len());
+        for violation in &violations {
+            println!("  {:?} at {}: {}", violation.rule, violation.at_us, violation.what);
+        }
+    }
+    Ok(if violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,13 @@
+//! The gateway's shell: settings, the loop, and the command line's sub-commands.
+//!
+//! The binary `slatevalve` is a few lines over [`commands::run`]. Sockets, files, signals and the clock are here
+//! and nowhere below.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod badday;
+pub mod clock;
+pub mod commands;
+mod fleet;
+pub mod settings;
+pub mod shell;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! The binary: the command line, and nothing else.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    slatevalve_gateway::commands::run()
+}
--- /dev/null
+++ b/crates/gateway/src/settings/mod.rs
@@ -0,0 +1,307 @@
+//! The settings file: what an operator may say, checked as a whole before anything starts.
+//!
+//! Forms and their meaning are listed in `docs/operators/router.md`. Read at the start and, for its worker list,
+//! again on SIGHUP.
+
+mod classes;
+pub mod form;
+mod workers;
+
+pub use workers::WorkerLine;
+
+use crate::clock::Clock;
+use form::{Fields, Form, SettingsError};
+use slatevalve::{Limits, Loading, Micros, Reports, Rules, Settings, Weights, ZoneId};
+use slatevalve_engine::{ClassPolicy, DuplicateLimits, EngineSettings, FunctionTraits};
+use slatevalve_mqtt::{FrontSettings, Routes};
+use std::collections::HashMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+type Res<T> = Result<T, SettingsError>;
+
+/// Connections to workers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolSettings {
+    /// A connection that does not stand by then is a failed one.
+    pub connect_timeout: Micros,
+    /// An idle connection is closed after this.
+    pub idle: Micros,
+    /// Connections to one worker at a time.
+    pub most: usize,
+    /// A probe without an answer by then has timed out.
+    pub probe_timeout: Micros,
+    /// Largest response body, in bytes.
+    pub max_response: usize,
+}
+
+/// Everything that one gateway is told.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// The gateway's name, as workers see it.
+    pub name: String,
+    /// Where MQTT clients connect; port 0 lets the kernel choose.
+    pub listen: SocketAddr,
+    /// For the engine and the module in it.
+    pub engine: EngineSettings,
+    /// For the MQTT front.
+    pub front: FrontSettings,
+    /// Names of the classes, in the order of their ids.
+    pub classes: Vec<String>,
+    /// The worker list.
+    pub workers: Vec<WorkerLine>,
+    /// Connections to workers.
+    pub pool: PoolSettings,
+    /// How long an orderly stop may take.
+    pub stop_within: Micros,
+    /// The zones and kinds that the file names.
+    pub named: Named,
+}
+
+/// Names that become places in lists, in the order in which they appear.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Places(Vec<String>);
+
+/// The zones and kinds of a site. A file that is read again goes on from those of the first reading, so that a
+/// place keeps its number while calls that remember it are open.
+#[derive(Clone, Debug, Default)]
+pub struct Named {
+    zones: Places,
+    kinds: Places,
+}
+
+impl Places {
+    pub(crate) fn of(&mut self, name: &str) -> usize {
+        match self.0.iter().position(|n| n == name) {
+            Some(at) => at,
+            None => {
+                self.0.push(name.into());
+                self.0.len() - 1
+            }
+        }
+    }
+}
+
+impl Site {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// With file, line and form of the first thing that is wrong.
+    pub fn load(path: &Path, clock: &Clock, named: Named) -> Res<Self> {
+        let name = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|e| SettingsError {
+            file: name.clone(),
+            line: 0,
+            form: String::new(),
+            words: e.to_string(),
+        })?;
+        Site::parse(&name, &text, clock, named)
+    }
+
+    /// Reads and checks the text of a settings file.
+    ///
+    /// # Errors
+    /// With file, line and form of the first thing that is wrong.
+    pub fn parse(file: &str, text: &str, clock: &Clock, named: Named) -> Res<Self> {
+        let file = form::File::parse(file, text)?;
+        let mut top = file.forms()?;
+        let Named { mut zones, mut kinds } = named;
+        let mut gateway = top.need("gateway")?.fields()?;
+        let name = gateway.or("name", "gateway".to_string(), header_text)?;
+        let zone = gateway.or("zone", "default".to_string(), Form::text)?;
+        let zone = ZoneId(zones.of(&zone));
+        let classes = classes::classes(&mut top)?;
+        let tenants = classes::tenants(&mut top)?;
+        let (loading, rules) = (loading(&mut top, &mut kinds)?, rules(&mut top)?);
+        let limits = limits(&mut top)?;
+        let workers = workers::workers(&mut top, &mut zones, &mut kinds, clock)?;
+        let uneven = workers.iter().any(|w| w.entry.weight != 1.0);
+        let module = Settings {
+            routers: gateway.or("routers", 1, |f| f.whole(1_000_000))? as usize,
+            zone,
+            step: Micros(1_000),
+            classes: classes.iter().map(|c| c.class.clone()).collect(),
+            tenants: tenants.iter().map(|t| t.1.clone()).collect(),
+            weights: if uneven { Weights::Size } else { Weights::None },
+            reports: Reports::Answers,
+            loading,
+            limits,
+            rules,
+            ..Settings::default()
+        };
+        let routes = Routes {
+            routes: classes::routes(&mut top, &classes, !tenants.is_empty())?,
+            tenants: tenants.into_iter().map(|(name, _, id)| (name, id)).collect(),
+        };
+        let (functions, other_functions) = functions(&mut top)?;
+        let engine = EngineSettings {
+            module,
+            seed: gateway.or("seed", 1, |f| f.whole(u64::from(u32::MAX)))?,
+            classes: classes.iter().map(|c| ClassPolicy { remember: c.remember }).collect(),
+            functions,
+            other_functions,
+            duplicates: duplicates(&mut top)?,
+            margin: gateway.or("answer-margin-ms", Micros(20_000), Form::millis)?,
+            max_open: gateway.or("max-open", 20_000, |f| f.whole(10_000_000))? as usize,
+            max_functions: gateway.or("max-functions", 65_536, |f| f.whole(10_000_000))? as usize,
+        };
+        let stop_within = gateway.or("stop-within-ms", Micros(5_000_000), Form::millis)?;
+        gateway.finish()?;
+        let (listen, front) = mqtt(&mut top, routes)?;
+        let pool = pool(&mut top)?;
+        top.finish()?;
+        let classes = classes.into_iter().map(|c| c.name).collect();
+        let named = Named { zones, kinds };
+        Ok(Site { name, listen, engine, front, classes, workers, pool, stop_within, named })
+    }
+}
+
+/// A text that can stand in a header of HTTP.
+fn header_text(form: &Form<'_>) -> Res<String> {
+    let text = form.text()?;
+    match text.chars().all(|c| c.is_ascii_graphic()) && !text.is_empty() {
+        true => Ok(text),
+        false => Err(form.error("expected visible ASCII characters without spaces")),
+    }
+}
+
+pub(crate) fn address(form: &Form<'_>) -> Res<SocketAddr> {
+    form.text()?.parse().map_err(|_| form.error("expected an address like \"127.0.0.1:1883\""))
+}
+
+fn sub<'a>(top: &mut Fields<'a>, name: &str) -> Res<Option<Fields<'a>>> {
+    top.take(name)?.map(|f| f.fields()).transpose()
+}
+
+fn mqtt(top: &mut Fields<'_>, routes: Routes) -> Res<(SocketAddr, FrontSettings)> {
+    let mut mqtt = top.need("mqtt")?.fields()?;
+    let listen = address(&mqtt.need("listen")?)?;
+    let base = FrontSettings::default();
+    let front = FrontSettings {
+        number: 1,
+        routes,
+        max_packet: mqtt.or("max-packet", u64::from(base.max_packet), |f| f.whole(256 * 1024 * 1024))? as u32,
+        receive_maximum: mqtt.or("receive-maximum", u64::from(base.receive_maximum), |f| f.whole(65_535))?
+            as u16,
+        topic_alias_maximum: mqtt
+            .or("topic-aliases", u64::from(base.topic_alias_maximum), |f| f.whole(65_535))?
+            as u16,
+        max_session_expiry: mqtt.or("session-expiry-ms", base.max_session_expiry, Form::millis)?,
+        max_sessions: mqtt.or("max-sessions", base.max_sessions as u64, |f| f.whole(10_000_000))? as usize,
+        session_quota: mqtt.or("session-quota", base.session_quota as u64, |f| f.whole(10_000_000))? as usize,
+        connect_timeout: mqtt.or("connect-timeout-ms", base.connect_timeout, Form::millis)?,
+        max_keep_alive: mqtt.or("keep-alive-s", u64::from(base.max_keep_alive), |f| f.whole(65_535))? as u16,
+    };
+    mqtt.finish()?;
+    Ok((listen, front))
+}
+
+fn pool(top: &mut Fields<'_>) -> Res<PoolSettings> {
+    let mut settings = PoolSettings {
+        connect_timeout: Micros(250_000),
+        idle: Micros(15_000_000),
+        most: 1_024,
+        probe_timeout: Micros(1_000_000),
+        max_response: 8 * 1024 * 1024,
+    };
+    if let Some(mut pool) = sub(top, "pool")? {
+        settings.connect_timeout = pool.or("connect-timeout-ms", settings.connect_timeout, Form::millis)?;
+        settings.idle = pool.or("idle-ms", settings.idle, Form::millis)?;
+        settings.most = pool.or("most", settings.most as u64, |f| f.whole(65_536))? as usize;
+        settings.probe_timeout = pool.or("probe-timeout-ms", settings.probe_timeout, Form::millis)?;
+        settings.max_response =
+            pool.or("max-response", settings.max_response as u64, |f| f.whole(1 << 30))? as usize;
+        pool.finish()?;
+    }
+    Ok(settings)
+}
+
+fn duplicates(top: &mut Fields<'_>) -> Res<DuplicateLimits> {
+    let mut limits = DuplicateLimits::default();
+    if let Some(mut keys) = sub(top, "keys")? {
+        limits.keys = keys.or("most", limits.keys as u64, |f| f.whole(100_000_000))? as usize;
+        limits.result_bytes =
+            keys.or("result-bytes", limits.result_bytes as u64, |f| f.whole(1 << 40))? as usize;
+        limits.forgotten_for =
+            keys.or("forgotten-for", u64::from(limits.forgotten_for), |f| f.whole(1_000_000))? as u32;
+        keys.finish()?;
+    }
+    Ok(limits)
+}
+
+fn limits(top: &mut Fields<'_>) -> Res<Limits> {
+    let mut limits = Limits { second_copies: true, ..Limits::default() };
+    if let Some(mut form) = sub(top, "limits")? {
+        limits.cancel = form.or("cancel", limits.cancel, Form::flag)?;
+        limits.probes = form.or("probes", limits.probes, Form::flag)?;
+        limits.second_copies = form.or("second-copies", limits.second_copies, Form::flag)?;
+        limits.max_attempts = form.or("max-attempts", limits.max_attempts as u64, |f| f.whole(100))? as usize;
+        form.finish()?;
+    }
+    Ok(limits)
+}
+
+fn rules(top: &mut Fields<'_>) -> Res<Rules> {
+    let mut rules = Rules { drain_grace: Micros(250_000), ..Rules::default() };
+    if let Some(mut form) = sub(top, "rules")? {
+        rules.answer_slack = form.or("answer-slack-ms", rules.answer_slack, Form::millis)?;
+        rules.drain_grace = form.or("drain-grace-ms", rules.drain_grace, Form::millis)?;
+        rules.start_capacity = form.or("start-capacity", rules.start_capacity, Form::number)?;
+        rules.warm_within = form.or("warm-within-ms", rules.warm_within, Form::millis)?;
+        rules.fall_multiple = form.or("fall-multiple", rules.fall_multiple, Form::number)?;
+        rules.fall_window = form.or("fall-window-ms", rules.fall_window, Form::millis)?;
+        form.finish()?;
+    }
+    Ok(rules)
+}
+
+fn loading(top: &mut Fields<'_>, kinds: &mut Places) -> Res<Loading> {
+    let mut loading = Settings::default().loading;
+    loading.order_timeout = Micros(10_000_000);
+    if let Some(mut form) = sub(top, "loading")? {
+        loading.on_request = form.or("on-request", loading.on_request, Form::flag)?;
+        loading.orders = form.or("orders", loading.orders, Form::flag)?;
+        loading.keep = form.or("keep-ms", loading.keep, Form::millis)?;
+        loading.order_timeout = form.or("order-timeout-ms", loading.order_timeout, Form::millis)?;
+        if let Some(mut ration) = sub(&mut form, "ration")? {
+            loading.ration_window = ration.need("window-ms")?.millis()?;
+            loading.ration_free = ration.or("free", 0.0, Form::number)?;
+            loading.ration_share = ration.or("share", 0.0, Form::number)?;
+            ration.finish()?;
+        }
+        for kind in form.take_all("kind") {
+            let (name, mut fields) = kind.named_fields()?;
+            let memory = fields.need("memory-mb")?.number()?;
+            fields.finish()?;
+            let at = kinds.of(&name);
+            loading.kind_memory_mb.resize(loading.kind_memory_mb.len().max(at + 1), 0.0);
+            loading.kind_memory_mb[at] = memory;
+        }
+        form.finish()?;
+    }
+    Ok(loading)
+}
+
+fn functions(top: &mut Fields<'_>) -> Res<(HashMap<String, FunctionTraits>, FunctionTraits)> {
+    let (mut named, mut other) = (HashMap::new(), FunctionTraits::default());
+    for form in top.take_all("function") {
+        let (name, mut fields) = form.named_fields()?;
+        let optional = |fields: &mut Fields<'_>, name: &str| -> Res<Option<Micros>> {
+            fields.take(name)?.map(|f| f.millis()).transpose()
+        };
+        let traits = FunctionTraits {
+            lanes: fields.or("lanes", 1, |f| f.whole(10_000))?.max(1) as usize,
+            work: optional(&mut fields, "work-ms")?,
+            load_time: optional(&mut fields, "load-ms")?,
+            memory_mb: fields.or("memory-mb", 0.0, Form::number)?,
+        };
+        fields.finish()?;
+        if name == "*" {
+            other = traits;
+        } else if named.insert(name.clone(), traits).is_some() {
+            return Err(form.error(format!("function \"{name}\" stands twice")));
+        }
+    }
+    Ok((named, other))
+}
--- /dev/null
+++ b/crates/gateway/src/shell/mod.rs
@@ -0,0 +1,384 @@
+//! The one loop: sockets, timers and signals around the front, the engine and the pool of workers.
+//!
+//! It carries and times; it decides nothing. In each turn what came in on sockets is handed on before timers fire:
+//! a gateway that stood still finds the answers that were there in time before it finds that time is up.
+
+mod pool;
+
+use crate::clock::Clock;
+use crate::settings::form::SettingsError;
+use crate::settings::{Site, WorkerLine};
+use pool::{Pool, Purpose, TaskEnd};
+use slatevalve::{Listing, Micros, Outcome, Scope, WorkerId, WorkerState};
+use slatevalve_engine::{AttemptEnd, AttemptRef, Engine, Output, RunBody};
+use slatevalve_mqtt::{Front, FrontOutput, LinkId};
+use slatevalve_reactor::{Happening, Id, Reactor};
+use slatevalve_worker_wire::{Call, Order};
+use std::collections::{BTreeSet, HashMap};
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use tracing::{error, info, warn};
+
+/// Bytes buffered for one connection at most; one that reads more slowly is closed.
+const MAX_BUFFERED: usize = 8 * 1024 * 1024;
+/// The loop wakes at least so often, so that a standstill of its own is noticed also when nothing is due.
+const LONGEST_WAIT: Duration = Duration::from_millis(100);
+/// A listener that could not accept rests for this.
+const ACCEPT_REST: Micros = Micros(100_000);
+
+/// Why a gateway could not start or go on.
+#[derive(Debug)]
+pub enum ShellError {
+    /// A socket could not be had.
+    Listen(SocketAddr, io::Error),
+    /// The poller or a signal failed.
+    Loop(io::Error),
+}
+
+impl fmt::Display for ShellError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ShellError::Listen(address, e) => write!(f, "cannot listen on {address}: {e}"),
+            ShellError::Loop(e) => write!(f, "the loop failed: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for ShellError {}
+
+/// A running gateway.
+pub struct Shell {
+    clock: Clock,
+    site: Site,
+    settings_file: Option<PathBuf>,
+    reactor: Reactor,
+    engine: Engine,
+    front: Front,
+    pool: Pool,
+    listener: Id,
+    address: SocketAddr,
+    /// The front's connections, both ways.
+    links: HashMap<Id, LinkId>,
+    sockets: HashMap<LinkId, Id>,
+    next_link: u64,
+    listed: BTreeSet<WorkerId>,
+    /// How long what is read in this turn may have waited.
+    age: Micros,
+    stopping: bool,
+    /// When a listener that rests may accept again.
+    resume_at: Option<Micros>,
+    to_engine: Vec<Output>,
+    to_front: Vec<FrontOutput>,
+}
+
+impl Shell {
+    /// Binds the listener and takes the worker list; `settings_file` is read again on SIGHUP.
+    ///
+    /// # Errors
+    /// When a socket, the poller or a signal cannot be had.
+    pub fn new(site: Site, settings_file: Option<PathBuf>, clock: Clock) -> Result<Self, ShellError> {
+        let mut reactor = Reactor::new(MAX_BUFFERED).map_err(ShellError::Loop)?;
+        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT, signal_hook::consts::SIGHUP]
+        {
+            reactor.signal(signal).map_err(ShellError::Loop)?;
+        }
+        let (listener, address) =
+            reactor.listen(site.listen).map_err(|e| ShellError::Listen(site.listen, e))?;
+        let order_timeout = site.engine.module.loading.order_timeout;
+        let mut shell = Shell {
+            clock,
+            settings_file,
+            reactor,
+            engine: Engine::new(site.engine.clone()),
+            front: Front::new(site.front.clone()),
+            pool: Pool::new(site.pool, &site.name, order_timeout),
+            listener,
+            address,
+            links: HashMap::new(),
+            sockets: HashMap::new(),
+            next_link: 0,
+            listed: BTreeSet::new(),
+            age: Micros(0),
+            stopping: false,
+            resume_at: None,
+            to_engine: Vec::new(),
+            to_front: Vec::new(),
+            site,
+        };
+        let workers = shell.site.workers.clone();
+        shell.take_list(&workers);
+        Ok(shell)
+    }
+
+    /// Where MQTT clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Runs until an orderly stop is done.
+    ///
+    /// # Errors
+    /// When the poller fails.
+    pub fn run(&mut self) -> Result<(), ShellError> {
+        let mut happened = Vec::new();
+        let mut worked = Micros(0);
+        loop {
+            let before = self.clock.now();
+            let wait = self.wait_from(before);
+            self.reactor.turn(Some(wait), &mut happened).map_err(ShellError::Loop)?;
+            let now = self.clock.now();
+            // What is read now may have come while the turn before was at work, or while the process stood still
+            // beyond the wait that it asked for.
+            let waited = now.0 - before.0;
+            let overslept = (waited - wait.as_micros() as i64).max(0);
+            self.age = Micros(worked.0 + overslept);
+            for happening in happened.drain(..) {
+                self.happened(now, happening);
+            }
+            self.front.advance(now, &mut self.to_front);
+            for end in self.pool.advance(now, &mut self.reactor) {
+                self.ended(now, end);
+            }
+            self.settle(now);
+            self.engine.advance(now, &mut self.to_engine);
+            self.settle(now);
+            if self.resume_at.is_some_and(|at| at <= now) {
+                self.resume_at = None;
+                self.reactor.resume(self.listener);
+            }
+            if self.stopping && self.engine.is_idle() {
+                return self.leave(now);
+            }
+            worked = Micros(self.clock.now().0 - now.0);
+        }
+    }
+
+    fn wait_from(&self, now: Micros) -> Duration {
+        let due = [self.engine.next_wake(), self.front.next_wake(), self.pool.next_wake(), self.resume_at];
+        match due.into_iter().flatten().min() {
+            Some(at) => Duration::from_micros((at.0 - now.0).max(0) as u64).min(LONGEST_WAIT),
+            None => LONGEST_WAIT,
+        }
+    }
+
+    fn happened(&mut self, now: Micros, happening: Happening) {
+        match happening {
+            Happening::Accepted { connection, .. } => {
+                self.next_link += 1;
+                let link = LinkId(self.next_link);
+                self.links.insert(connection, link);
+                self.sockets.insert(link, connection);
+                self.front.opened(now, link);
+            }
+            Happening::Received(id, bytes) => {
+                if let Some(link) = self.links.get(&id) {
+                    self.front.received(now, *link, &bytes, &mut self.to_front);
+                } else if let Some(end) = self.pool.received(now, &mut self.reactor, id, &bytes) {
+                    self.ended(now, end);
+                }
+            }
+            Happening::Connected(id) => self.pool.connected(now, &mut self.reactor, id),
+            Happening::Closed { id, connected, written } => {
+                if let Some(link) = self.links.remove(&id) {
+                    self.sockets.remove(&link);
+                    self.front.closed(now, link, &mut self.to_front);
+                } else if let Some(end) = self.pool.closed(now, id, connected, written) {
+                    self.ended(now, end);
+                }
+            }
+            Happening::Drained(_) => {}
+            Happening::Signal(signal_hook::consts::SIGHUP) => self.reload(),
+            Happening::Signal(_) => self.stop(now),
+            Happening::AcceptFailed { error, .. } => {
+                error!(%error, "cannot accept connections; those that stand go on");
+                self.resume_at = Some(Micros(now.0 + ACCEPT_REST.0));
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Carries out what front and engine want until neither wants anything.
+    fn settle(&mut self, now: Micros) {
+        while !self.to_front.is_empty() || !self.to_engine.is_empty() {
+            for output in std::mem::take(&mut self.to_front) {
+                match output {
+                    FrontOutput::Write(link, bytes) => {
+                        if let Some(id) = self.sockets.get(&link) {
+                            self.reactor.write(*id, &bytes);
+                        }
+                    }
+                    FrontOutput::Finish(link) => {
+                        if let Some(id) = self.sockets.remove(&link) {
+                            self.links.remove(&id);
+                            self.reactor.finish(id);
+                        }
+                    }
+                    FrontOutput::Call(mut call) => {
+                        call.age = self.age;
+                        self.engine.call(now, call, &mut self.to_engine);
+                    }
+                    FrontOutput::Left(ticket) => self.engine.left(now, ticket, &mut self.to_engine),
+                }
+            }
+            for output in std::mem::take(&mut self.to_engine) {
+                self.carry_out(now, output);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, output: Output) {
+        match output {
+            Output::Send { attempt, worker, body, time_left } => {
+                let order = Order::Infer(self.call(attempt, &body, time_left));
+                self.submit(now, worker, Purpose::Attempt(attempt), order);
+            }
+            Output::Cancel(attempt) => self.call_off(now, attempt, Outcome::Cancelled),
+            Output::Expire(attempt) => self.call_off(now, attempt, Outcome::TimedOut),
+            Output::Load { worker, function, name, copies } => {
+                let function_name = name.to_string();
+                let order = match copies {
+                    0 => Order::Count { function: function_name },
+                    _ => Order::Load { function: function_name, copies },
+                };
+                self.submit(now, worker, Purpose::Load(function), order);
+            }
+            Output::Unload { worker, name } => {
+                self.submit(now, worker, Purpose::Unload, Order::Unload { function: name.to_string() });
+            }
+            Output::Probe(worker) => self.submit(now, worker, Purpose::Probe, Order::Ready),
+            // The list comes from the settings file, whole, at the start and on SIGHUP.
+            Output::Subscribe => {}
+            Output::Answer(ticket, answer) => self.front.answer(now, ticket, &answer, &mut self.to_front),
+            Output::Superseded(ticket) => self.front.superseded(ticket),
+        }
+    }
+
+    fn call(&self, attempt: AttemptRef, body: &RunBody, time_left: Micros) -> Call {
+        Call {
+            function: body.function.to_string(),
+            version: None,
+            payload: body.payload.to_vec(),
+            key: body.key.as_ref().map(|k| k.to_vec()),
+            request_id: attempt.request.0.to_string(),
+            attempt: attempt.attempt,
+            time_left_ms: (time_left.0 / 1_000).max(0) as u64,
+            class: self.site.classes.get(body.class.0).cloned().unwrap_or_default(),
+        }
+    }
+
+    fn submit(&mut self, now: Micros, worker: WorkerId, purpose: Purpose, order: Order) {
+        if let Some(end) = self.pool.submit(now, &mut self.reactor, worker, purpose, order) {
+            self.ended(now, end);
+        }
+    }
+
+    fn call_off(&mut self, now: Micros, attempt: AttemptRef, outcome: Outcome) {
+        match self.pool.call_off(now, &mut self.reactor, attempt, outcome) {
+            Some(end) => self.ended(now, end),
+            // The pool has no such attempt any more; the engine passes by what it has heard already.
+            None => {
+                self.engine.attempt_ended(now, attempt, AttemptEnd::bare(outcome), &mut self.to_engine);
+            }
+        }
+    }
+
+    /// A request to a worker ended: the engine is told.
+    fn ended(&mut self, now: Micros, end: TaskEnd) {
+        let TaskEnd { worker, purpose, latency, understood } = end;
+        let out = &mut self.to_engine;
+        match purpose {
+            Purpose::Attempt(attempt) => {
+                let end = AttemptEnd {
+                    outcome: understood.outcome,
+                    payload: understood.payload.into(),
+                    ran: understood.ran.map(Into::into),
+                    crowd: understood.crowd,
+                    load_failed: understood.load_failed,
+                    report: understood.report,
+                };
+                self.engine.attempt_ended(now, attempt, end, out);
+            }
+            Purpose::Probe => {
+                self.engine.probed(now, worker, understood.outcome, latency, understood.report, out);
+            }
+            Purpose::Load(function) => {
+                let (outcome, copies) = (understood.outcome, understood.copies);
+                self.engine.loaded(now, worker, function, outcome, copies, latency, out);
+            }
+            Purpose::Unload => {}
+        }
+    }
+
+    /// Takes a whole worker list. Workers that it no longer names are gone.
+    fn take_list(&mut self, workers: &[WorkerLine]) {
+        let now = self.clock.now();
+        let mut named = BTreeSet::new();
+        for line in workers.iter().filter(|w| w.entry.state != WorkerState::Gone) {
+            self.pool.list(&mut self.reactor, line.entry.id, &line.name, line.address);
+            named.insert(line.entry.id);
+        }
+        for worker in std::mem::take(&mut self.listed).difference(&named) {
+            info!(worker = self.pool.name(*worker), "worker is gone");
+            self.pool.unlist(&mut self.reactor, *worker);
+        }
+        self.listed = named;
+        let entries = workers.iter().map(|w| w.entry.clone()).collect();
+        let listing = Listing { scope: Scope::Full, entries };
+        self.engine.listed(now, listing, &mut self.to_engine);
+        self.settle(now);
+    }
+
+    /// SIGHUP: the worker list is read again. A file with an error changes nothing.
+    fn reload(&mut self) {
+        let Some(path) = &self.settings_file else { return };
+        let read: Result<Site, SettingsError> = Site::load(path, &self.clock, self.site.named.clone());
+        match read {
+            Err(error) => error!(%error, "the settings file was not taken; the worker list stays as it was"),
+            Ok(site) => {
+                info!(workers = site.workers.len(), "worker list read again");
+                self.site.named = site.named;
+                self.site.workers = site.workers.clone();
+                self.take_list(&site.workers);
+            }
+        }
+    }
+
+    /// SIGTERM: no new calls; what is open is finished, or ended when the time is up.
+    fn stop(&mut self, now: Micros) {
+        if self.stopping {
+            return;
+        }
+        info!(open = self.engine.unanswered(), "stopping");
+        self.stopping = true;
+        self.reactor.close(self.listener);
+        self.engine.stop(now, Micros(now.0 + self.site.stop_within.0));
+    }
+
+    /// All is answered: says goodbye to the clients and writes out what waits, for a bounded time.
+    fn leave(&mut self, now: Micros) -> Result<(), ShellError> {
+        self.front.stop(now, &mut self.to_front);
+        self.settle(now);
+        let until = Micros(now.0 + 1_000_000);
+        let mut happened = Vec::new();
+        while self.reactor.has_pending() && self.clock.now() < until {
+            self.reactor.turn(Some(Duration::from_millis(10)), &mut happened).map_err(ShellError::Loop)?;
+            happened.clear();
+        }
+        let counts = self.engine.statistics();
+        if counts.overdue > 0 {
+            warn!(overdue = counts.overdue, "calls were ended by the engine, past their deadline");
+        }
+        info!(
+            calls = counts.calls,
+            served = counts.served,
+            refused = counts.refused,
+            failed = counts.failed,
+            attempts = counts.attempts,
+            "stopped"
+        );
+        Ok(())
+    }
+}
--- a/crates/mqtt/src/front.rs
+++ b/crates/mqtt/src/front.rs
@@ -11,11 +11,12 @@
 use crate::session::{Session, TicketSource, Waiting};
 use mqtt_protocol_core::mqtt::common::Cursor;
 use mqtt_protocol_core::mqtt::connection::{Connection, ConnectionOptions, Event, TimerKind};
-use mqtt_protocol_core::mqtt::packet::{GenericPacketTrait, Packet, Property, Qos, SessionExpiryInterval};
 use mqtt_protocol_core::mqtt::packet::{
-    v3_1_1, v5_0, AssignedClientIdentifier, MaximumPacketSize, ReceiveMaximum, RetainAvailable, ServerKeepAlive,
-    SharedSubscriptionAvailable, SubscriptionIdentifierAvailable, TopicAliasMaximum, WildcardSubscriptionAvailable,
+    v3_1_1, v5_0, AssignedClientIdentifier, MaximumPacketSize, ReceiveMaximum, RetainAvailable,
+    ServerKeepAlive, SharedSubscriptionAvailable, SubscriptionIdentifierAvailable, TopicAliasMaximum,
+    WildcardSubscriptionAvailable,
 };
+use mqtt_protocol_core::mqtt::packet::{GenericPacketTrait, Packet, Property, Qos, SessionExpiryInterval};
 use mqtt_protocol_core::mqtt::result_code::{
     ConnectReasonCode, ConnectReturnCode, DisconnectReasonCode, MqttError,
 };
@@ -148,9 +149,10 @@
     /// A client connected.
     pub fn opened(&mut self, now: Micros, id: LinkId) {
         let size = self.settings.max_packet;
-        let options = ConnectionOptions::new()
-            .maximum_packet_size_recv(size)
-            .receive_maximum(self.settings.receive_maximum);
+        // The library takes 0 for none; 65,535 is what holds where nothing is stated (section 3.2.2.3.3).
+        let receive_maximum = Some(self.settings.receive_maximum).filter(|m| *m < u16::MAX).unwrap_or(0);
+        let options =
+            ConnectionOptions::new().maximum_packet_size_recv(size).receive_maximum(receive_maximum);
         let mut mqtt = Connection::with_options(AnyVersion::Undetermined, options);
         mqtt.set_auto_ping_response(true);
         let due = Some((None, Micros(now.0.saturating_add(self.settings.connect_timeout.0))));
@@ -339,7 +341,13 @@
     }
 
     /// Sends a packet that is part of the protocol's own course; a connection that cannot have it is closed.
-    fn must_send(&mut self, now: Micros, id: LinkId, packet: Result<Packet, MqttError>, out: &mut Vec<FrontOutput>) {
+    fn must_send(
+        &mut self,
+        now: Micros,
+        id: LinkId,
+        packet: Result<Packet, MqttError>,
+        out: &mut Vec<FrontOutput>,
+    ) {
         if let Err(error) = self.send(now, id, packet, out) {
             warn!(link = id.0, %error, "closed: a reply cannot be sent");
             self.finish(now, id, out);
@@ -498,8 +506,8 @@
             self.dismiss(now, old, DisconnectReasonCode::SessionTakenOver, out);
         }
         let known = self.by_id.get(&client_id).copied();
-        let resumes =
-            known.filter(|c| !asking.clean && self.sessions.get(c).is_some_and(|s| s.version == asking.version));
+        let resumes = known
+            .filter(|c| !asking.clean && self.sessions.get(c).is_some_and(|s| s.version == asking.version));
         if let (Some(old), None) = (known, resumes) {
             self.drop_session(old, out);
         }
@@ -541,7 +549,6 @@
         }
         let s = &self.settings;
         let mut properties: Vec<Property> = vec![
-            ReceiveMaximum::new(s.receive_maximum.max(1))?.into(),
             MaximumPacketSize::new(s.max_packet.max(1))?.into(),
             TopicAliasMaximum::new(s.topic_alias_maximum)?.into(),
             RetainAvailable::new(0)?.into(),
@@ -549,6 +556,9 @@
             SubscriptionIdentifierAvailable::new(0)?.into(),
             SharedSubscriptionAvailable::new(0)?.into(),
         ];
+        if s.receive_maximum < u16::MAX {
+            properties.push(ReceiveMaximum::new(s.receive_maximum.max(1))?.into());
+        }
         if expiry != asking.expiry {
             let seconds = u32::try_from(expiry.0 / 1_000_000).unwrap_or(u32::MAX);
             properties.push(SessionExpiryInterval::new(seconds)?.into());
@@ -563,7 +573,14 @@
         Ok(builder.session_present(resumes).props(properties).build()?.into())
     }
 
-    fn turn_away(&mut self, now: Micros, id: LinkId, version: Version, why: Refused, out: &mut Vec<FrontOutput>) {
+    fn turn_away(
+        &mut self,
+        now: Micros,
+        id: LinkId,
+        version: Version,
+        why: Refused,
+        out: &mut Vec<FrontOutput>,
+    ) {
         info!(link = id.0, why = ?why, "connection refused");
         let (code, old_code) = match why {
             Refused::ClientId => {
@@ -572,10 +589,14 @@
             Refused::Full => (ConnectReasonCode::ServerBusy, ConnectReturnCode::ServerUnavailable),
         };
         let packet = match version {
-            Version::V5 => v5_0::Connack::builder().reason_code(code).session_present(false).build().map(Into::into),
-            Version::V3 => {
-                v3_1_1::Connack::builder().return_code(old_code).session_present(false).build().map(Into::into)
+            Version::V5 => {
+                v5_0::Connack::builder().reason_code(code).session_present(false).build().map(Into::into)
             }
+            Version::V3 => v3_1_1::Connack::builder()
+                .return_code(old_code)
+                .session_present(false)
+                .build()
+                .map(Into::into),
         };
         self.must_send(now, id, packet, out);
         self.finish(now, id, out);
@@ -639,6 +660,7 @@
             key: asked.key,
             payload: publish.payload,
             budget: asked.budget.unwrap_or(Micros(i64::MAX)),
+            age: Micros(0),
             repeat: if asked.repeat { Repeat::Marked { covered_since } } else { Repeat::Unmarked },
         }));
     }
--- a/crates/mqtt/src/intake.rs
+++ b/crates/mqtt/src/intake.rs
@@ -138,9 +138,7 @@
 fn key_bytes(stated: Option<String>, correlation: Option<&[u8]>, client_id: &str) -> Option<Vec<u8>> {
     match (stated, correlation) {
         (Some(key), _) => Some([b"k:", key.as_bytes()].concat()),
-        (None, Some(data)) if !data.is_empty() => {
-            Some([b"c:", client_id.as_bytes(), b"\0", data].concat())
-        }
+        (None, Some(data)) if !data.is_empty() => Some([b"c:", client_id.as_bytes(), b"\0", data].concat()),
         _ => None,
     }
 }
--- a/crates/mqtt/src/lib.rs
+++ b/crates/mqtt/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use bridge::{Bridge, BridgeOutput, BridgeSettings};
 pub use front::{Front, FrontOutput, FrontSettings, LinkId};
-pub use intake::{Rejection, KEY_PROPERTY, BUDGET_PROPERTY, REPEAT_PROPERTY};
+pub use intake::{Rejection, BUDGET_PROPERTY, KEY_PROPERTY, REPEAT_PROPERTY};
 pub use routes::{Route, RouteError, Routes};
 pub use session::TicketSource;
 pub use topics::{Template, TemplateError, TopicFilter, TopicFilterError};
--- a/crates/mqtt/src/packets.rs
+++ b/crates/mqtt/src/packets.rs
@@ -1,13 +1,13 @@
 //! Packets of both protocol versions under one name each: what came in, acknowledgements and answers going out.
 //! Called by front and bridge; the coding itself is the library's.
 
-use mqtt_protocol_core::mqtt::packet::{v3_1_1, v5_0, CorrelationData, Packet, Property, Qos, UserProperty};
+use crate::intake::Rejection;
 use mqtt_protocol_core::mqtt::packet::ReasonString;
+use mqtt_protocol_core::mqtt::packet::{v3_1_1, v5_0, CorrelationData, Packet, Property, Qos, UserProperty};
 use mqtt_protocol_core::mqtt::result_code::{
     DisconnectReasonCode, MqttError, PubackReasonCode, PubrecReasonCode, SubackReasonCode, SubackReturnCode,
     UnsubackReasonCode,
 };
-use crate::intake::Rejection;
 use slatevalve_engine::{Answer, Verdict};
 use std::sync::Arc;
 
@@ -135,9 +135,8 @@
     rejection: Option<Rejection>,
 ) -> Result<Option<Packet>, MqttError> {
     let Some(id) = publish.packet_id else { return Ok(None) };
-    let words = |r: Rejection| -> Result<Vec<Property>, MqttError> {
-        Ok(vec![ReasonString::new(r.words())?.into()])
-    };
+    let words =
+        |r: Rejection| -> Result<Vec<Property>, MqttError> { Ok(vec![ReasonString::new(r.words())?.into()]) };
     Ok(Some(match (version, publish.qos) {
         // Version 3.1.1 can only accept (3.1.1 section 3.3.5.2).
         (Version::V3, Qos::ExactlyOnce) => v3_1_1::Pubrec::builder().packet_id(id).build()?.into(),
@@ -234,10 +233,7 @@
 }
 
 /// A DISCONNECT with its reason; version 3.1.1 servers have none and just close.
-pub(crate) fn disconnect(
-    version: Version,
-    code: DisconnectReasonCode,
-) -> Result<Option<Packet>, MqttError> {
+pub(crate) fn disconnect(version: Version, code: DisconnectReasonCode) -> Result<Option<Packet>, MqttError> {
     match version {
         Version::V3 => Ok(None),
         Version::V5 => Ok(Some(v5_0::Disconnect::builder().reason_code(code).build()?.into())),
--- a/crates/mqtt/src/topics.rs
+++ b/crates/mqtt/src/topics.rs
@@ -30,7 +30,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             TopicFilterError::Empty => "a topic filter may not be empty",
-            TopicFilterError::Wildcard => "'#' may only be the last level, and '+' and '#' fill a level alone",
+            TopicFilterError::Wildcard => {
+                "'#' may only be the last level, and '+' and '#' fill a level alone"
+            }
             TopicFilterError::Dollar => "a route's filter may not begin with '$'",
         })
     }
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -208,6 +208,11 @@
         }
     }
 
+    /// Whether anything waits to be written anywhere.
+    pub fn has_pending(&self) -> bool {
+        self.sources.values().any(|s| matches!(s, Source::Connection(c) if c.pending() > 0))
+    }
+
     /// Bytes of a connection that the kernel has taken so far; 0 for one that is gone.
     pub fn written(&self, id: Id) -> u64 {
         match self.sources.get(&id.0) {
--- a/crates/rules/src/drains.rs
+++ b/crates/rules/src/drains.rs
@@ -26,7 +26,8 @@
         if let Some(since) = told.get(&(line.who.as_str(), gateway.as_str())) {
             let after = line.at_us - since;
             if after > terms.drain_grace_us {
-                let what = format!("{gateway} sent {} {what} {after} us after it was told of its end", line.who);
+                let what =
+                    format!("{gateway} sent {} {what} {after} us after it was told of its end", line.who);
                 found.push(Violation { rule: Rule::Drains, at_us: line.at_us, what });
             }
         }
--- a/crates/rules/src/orders.rs
+++ b/crates/rules/src/orders.rs
@@ -28,7 +28,8 @@
                 forget(asked);
                 let most = terms.ration_free + terms.ration_share * asked.len() as f64;
                 if orders.len() as f64 > most {
-                    let what = format!("{gateway} ordered {} loads in a window, {most:.1} allowed", orders.len());
+                    let what =
+                        format!("{gateway} ordered {} loads in a window, {most:.1} allowed", orders.len());
                     found.push(Violation { rule: Rule::Orders, at_us: line.at_us, what });
                 }
             }
--- a/crates/rules/tests/broken.rs
+++ b/crates/rules/tests/broken.rs
@@ -82,7 +82,8 @@
     let (ask, end) = (asked(0, "a", "charge"), answered(50, "a", "served"));
     let (one, two) = (received(10, "w1", "a", "charge", 0), received(30, "w2", "a", "charge", 1));
     let done = ran(40, "w2", "a", "charge");
-    let good = [ask.clone(), one.clone(), never_ran(20, "w1", "a", 0), two.clone(), done.clone(), end.clone()];
+    let good =
+        [ask.clone(), one.clone(), never_ran(20, "w1", "a", 0), two.clone(), done.clone(), end.clone()];
     assert_eq!(broken(&good), []);
     assert_eq!(broken(&[ask.clone(), one.clone(), two, done.clone(), end.clone()]), [Rule::Effects]);
     assert_eq!(broken(&[ask.clone(), one.clone(), ran(20, "w1", "a", "charge"), done, end]), [Rule::Effects]);
@@ -93,7 +94,8 @@
 fn a_keyed_effect_moves_only_within_its_group_and_window() {
     let (ask, end) = (asked(0, "a", "booking"), answered(1_900_000, "a", "served"));
     let first = received(10, "w1", "a", "booking", 0);
-    let again = |at, worker| [ask.clone(), first.clone(), received(at, worker, "a", "booking", 1), end.clone()];
+    let again =
+        |at, worker| [ask.clone(), first.clone(), received(at, worker, "a", "booking", 1), end.clone()];
     assert_eq!(broken(&again(900_000, "w2")), []);
     assert_eq!(broken(&again(900_000, "w3")), [Rule::Effects]);
     assert_eq!(broken(&again(1_100_000, "w2")), [Rule::Effects]);
@@ -101,8 +103,14 @@
 
 #[test]
 fn nothing_new_reaches_a_draining_worker_after_the_grace() {
-    let call = |at| [asked(0, "a", "quote"), told(10, "w1", "draining"), received(at, "w1", "a", "quote", 0),
-        answered(1_000_000, "a", "served")];
+    let call = |at| {
+        [
+            asked(0, "a", "quote"),
+            told(10, "w1", "draining"),
+            received(at, "w1", "a", "quote", 0),
+            answered(1_000_000, "a", "served"),
+        ]
+    };
     assert_eq!(broken(&call(250_010)), []);
     assert_eq!(broken(&call(250_011)), [Rule::Drains]);
     let order = Seen::Ordered { function: "f".into(), copies: 1, gateway: "g".into() };
@@ -113,9 +121,8 @@
 
 #[test]
 fn a_cold_worker_is_sent_no_more_than_it_can_do() {
-    let started = |first| {
-        line(0, "w1", Seen::Started { start_capacity: 0.5, warm_us: 10_000_000, lanes: 1.0, first })
-    };
+    let started =
+        |first| line(0, "w1", Seen::Started { start_capacity: 0.5, warm_us: 10_000_000, lanes: 1.0, first });
     // Five calls of 0.1 s in a second are what half a lane can do.
     let calls = |n: i64| (0..n).map(|i| received(i * 10_000, "w1", "a", "quote", i as usize));
     assert_eq!(broken(&[vec![started(false)], calls(5).collect()].concat()), []);
@@ -126,7 +133,12 @@
 #[test]
 fn orders_stay_within_their_ration() {
     let order = |at| line(at, "w1", Seen::Ordered { function: "f".into(), copies: 1, gateway: "g".into() });
-    let asks = [asked(0, "a", "quote"), answered(1, "a", "served"), asked(2, "b", "quote"), answered(3, "b", "served")];
+    let asks = [
+        asked(0, "a", "quote"),
+        answered(1, "a", "served"),
+        asked(2, "b", "quote"),
+        answered(3, "b", "served"),
+    ];
     let with = |n: i64| [asks.to_vec(), (0..n).map(|i| order(10 + i)).collect()].concat();
     assert_eq!(broken(&with(3)), []);
     assert_eq!(broken(&with(4)), [Rule::Orders]);
