MQTT front tested: sessions, quality of service, take-over, refusals, bytes without sense

Need: the hard cases of the front must be brought about, not hoped for. Sixteen tests drive it with the protocol library as client: resumed and expired sessions, QoS 2 repeats, receive maximum over a resumption (where the library's own count would go below zero, so the front keeps it), take-over, reason codes, 3.1.1 reply topics. Measured: 400 streams of damaged bytes, the other client's call goes through each time.

--- /dev/null
+++ b/crates/mqtt/tests/front.rs
@@ -0,0 +1,501 @@
+//! The front against clients made of the protocol library: sessions, quality of service, and what it refuses.
+
+use mqtt_protocol_core::mqtt::common::Cursor;
+use mqtt_protocol_core::mqtt::connection::{Connection, Event};
+use mqtt_protocol_core::mqtt::packet::*;
+use mqtt_protocol_core::mqtt::result_code::*;
+use mqtt_protocol_core::mqtt::{role, Version};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use slatevalve::{ClassId, Micros};
+use slatevalve_engine::{Answer, Call, Reason, Repeat, Ticket, Verdict};
+use slatevalve_mqtt::*;
+use std::collections::BTreeMap;
+
+/// A front, its clock, and one library connection for each link.
+struct Bench {
+    front: Front,
+    now: Micros,
+    clients: BTreeMap<LinkId, Connection<role::Client>>,
+    heard: BTreeMap<LinkId, Vec<Packet>>,
+    /// All bytes that the front wrote.
+    written: Vec<u8>,
+    closed: Vec<LinkId>,
+    calls: Vec<Call>,
+    left: Vec<Ticket>,
+    /// Whether clients acknowledge by themselves.
+    acknowledge: bool,
+}
+
+fn settings() -> FrontSettings {
+    let route = |filter: &str, class, key: Option<&str>| Route {
+        filter: TopicFilter::parse(filter).unwrap(),
+        class: ClassId(class),
+        tenant: None,
+        function: Template::parse("{2}").unwrap(),
+        key: key.map(|k| Template::parse(k).unwrap()),
+    };
+    let routes = vec![route("quote/+", 0, None), route("charge/+", 1, None), route("old/+/+", 1, Some("{3}"))];
+    FrontSettings {
+        routes: Routes { routes, tenants: Default::default() },
+        max_packet: 2_000,
+        receive_maximum: u16::MAX,
+        session_quota: 4,
+        max_session_expiry: Micros(60_000_000),
+        ..FrontSettings::default()
+    }
+}
+
+fn v5_connect(id: &str, clean: bool, properties: Vec<Property>) -> Packet {
+    let builder = v5_0::Connect::builder().client_id(id).unwrap().clean_start(clean).props(properties);
+    builder.build().unwrap().into()
+}
+
+fn expiry(seconds: u32) -> Property {
+    SessionExpiryInterval::new(seconds).unwrap().into()
+}
+
+fn v5_publish(topic: &str, qos: Qos, id: u16, properties: Vec<Property>) -> v5_0::Publish {
+    let builder = v5_0::Publish::builder().topic_name(topic).unwrap().qos(qos).props(properties).payload("p");
+    match qos {
+        Qos::AtMostOnce => builder.build().unwrap(),
+        _ => builder.packet_id(id).build().unwrap(),
+    }
+}
+
+fn key(text: &str) -> Property {
+    UserProperty::new("key", text).unwrap().into()
+}
+
+fn served(bytes: usize) -> Answer {
+    let payload = vec![b'x'; bytes].into();
+    Answer { verdict: Verdict::Served { payload, ran: None }, attempts: 1, recorded: false }
+}
+
+impl Bench {
+    fn new(settings: FrontSettings) -> Self {
+        Bench {
+            front: Front::new(settings),
+            now: Micros(1_000_000),
+            clients: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            written: Vec::new(),
+            closed: Vec::new(),
+            calls: Vec::new(),
+            left: Vec::new(),
+            acknowledge: true,
+        }
+    }
+
+    fn connect(&mut self, link: u64, version: Version, packet: Packet) {
+        let id = LinkId(link);
+        let mut client = Connection::new(version);
+        client.set_auto_pub_response(self.acknowledge);
+        self.clients.insert(id, client);
+        self.front.opened(self.now, id);
+        self.send(link, packet);
+    }
+
+    /// Sends through the client's library.
+    fn send(&mut self, link: u64, packet: Packet) {
+        let events = self.clients.get_mut(&LinkId(link)).unwrap().send(packet);
+        self.client_events(LinkId(link), events);
+    }
+
+    fn publish(&mut self, link: u64, publish: v5_0::Publish) {
+        if let Some(id) = publish.packet_id() {
+            let _ = self.clients.get_mut(&LinkId(link)).unwrap().register_packet_id(id);
+        }
+        self.send(link, publish.into());
+    }
+
+    /// Sends bytes as they are.
+    fn raw(&mut self, link: u64, bytes: &[u8]) {
+        let mut out = Vec::new();
+        self.front.received(self.now, LinkId(link), bytes, &mut out);
+        self.carry(out);
+    }
+
+    fn client_events(&mut self, id: LinkId, events: Vec<Event>) {
+        for event in events {
+            match event {
+                Event::RequestSendPacket { packet, .. } => {
+                    let bytes = packet.to_continuous_buffer();
+                    let mut out = Vec::new();
+                    self.front.received(self.now, id, &bytes, &mut out);
+                    self.carry(out);
+                }
+                Event::NotifyPacketReceived(packet) => self.heard.entry(id).or_default().push(packet),
+                _ => {}
+            }
+        }
+    }
+
+    fn carry(&mut self, out: Vec<FrontOutput>) {
+        for output in out {
+            match output {
+                FrontOutput::Write(id, bytes) => {
+                    self.written.extend_from_slice(&bytes);
+                    let mut cursor = Cursor::new(bytes.as_slice());
+                    while (cursor.position() as usize) < bytes.len() {
+                        let Some(client) = self.clients.get_mut(&id) else { break };
+                        let events = client.recv(&mut cursor);
+                        self.client_events(id, events);
+                    }
+                }
+                FrontOutput::Finish(id) => self.closed.push(id),
+                FrontOutput::Call(call) => self.calls.push(call),
+                FrontOutput::Left(ticket) => self.left.push(ticket),
+            }
+        }
+    }
+
+    fn drop_link(&mut self, link: u64) {
+        self.clients.remove(&LinkId(link));
+        let mut out = Vec::new();
+        self.front.closed(self.now, LinkId(link), &mut out);
+        self.carry(out);
+    }
+
+    fn answer(&mut self, call: usize, answer: &Answer) {
+        let mut out = Vec::new();
+        self.front.answer(self.now, self.calls[call].ticket, answer, &mut out);
+        self.carry(out);
+    }
+
+    fn pass(&mut self, seconds: i64) {
+        self.now.0 += seconds * 1_000_000;
+        let mut out = Vec::new();
+        self.front.advance(self.now, &mut out);
+        self.carry(out);
+    }
+
+    fn heard(&mut self, link: u64) -> Vec<Packet> {
+        self.heard.remove(&LinkId(link)).unwrap_or_default()
+    }
+
+    fn outcomes(&mut self, link: u64) -> Vec<String> {
+        let told = |p: &v5_0::Publish, name: &str| {
+            p.props().iter().find_map(|p| match p {
+                Property::UserProperty(p) if p.key() == name => Some(p.val().to_string()),
+                _ => None,
+            })
+        };
+        let publishes = self.heard(link).into_iter().filter_map(|p| match p {
+            Packet::V5_0Publish(p) => Some(p),
+            _ => None,
+        });
+        publishes.map(|p| told(&p, "outcome").unwrap_or_default()).collect()
+    }
+}
+
+#[test]
+fn a_call_goes_through_and_its_answer_carries_what_the_client_needs_to_know_it_by() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![]));
+    let properties = vec![
+        ResponseTopic::new("replies/a").unwrap().into(),
+        CorrelationData::new(b"c1").unwrap().into(),
+        UserProperty::new("budget-ms", "250").unwrap().into(),
+    ];
+    b.publish(1, v5_publish("quote/fare", Qos::AtLeastOnce, 7, properties));
+    let call = &b.calls[0];
+    assert_eq!((&*call.function, call.class, call.budget), ("fare", ClassId(0), Micros(250_000)));
+    assert_eq!(call.repeat, Repeat::Unmarked);
+    b.answer(0, &served(3));
+    let heard = b.heard(1);
+    assert!(matches!(&heard[..2], [Packet::V5_0Connack(_), Packet::V5_0Puback(p)] if p.packet_id() == 7));
+    let Packet::V5_0Publish(answer) = &heard[2] else { panic!("{heard:?}") };
+    assert_eq!((answer.topic_name(), answer.payload().as_slice()), ("replies/a", &b"xxx"[..]));
+    assert!(answer.props().iter().any(|p| matches!(p, Property::CorrelationData(d) if d.val() == b"c1")));
+}
+
+#[test]
+fn a_resumed_session_gets_the_answer_that_came_meanwhile_and_one_that_expired_has_left() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![expiry(30)]));
+    b.publish(1, v5_publish("charge/card", Qos::AtLeastOnce, 1, vec![key("k")]));
+    b.publish(1, v5_publish("charge/card", Qos::AtLeastOnce, 2, vec![key("l")]));
+    b.drop_link(1);
+    b.answer(0, &served(1));
+    b.connect(2, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+    assert!(matches!(&b.heard[&LinkId(2)][0], Packet::V5_0Connack(p) if p.session_present()));
+    assert_eq!(b.outcomes(2), ["served"]);
+    b.drop_link(2);
+    b.pass(31);
+    assert_eq!(b.left, [b.calls[1].ticket]);
+    b.connect(3, Version::V5_0, v5_connect("a", false, vec![]));
+    assert!(matches!(&b.heard(3)[0], Packet::V5_0Connack(p) if !p.session_present()));
+}
+
+#[test]
+fn a_call_of_a_session_that_ends_with_its_connection_has_left() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![]));
+    b.publish(1, v5_publish("quote/fare", Qos::AtMostOnce, 0, vec![]));
+    b.drop_link(1);
+    assert_eq!(b.left, [b.calls[0].ticket]);
+    b.answer(0, &served(1));
+    assert!(b.heard(1).iter().all(|p| !matches!(p, Packet::V5_0Publish(_))));
+}
+
+#[test]
+fn an_answer_that_was_not_acknowledged_comes_again_with_the_same_id_on_the_resumed_session() {
+    let mut b = Bench::new(settings());
+    b.acknowledge = false;
+    let limit = || vec![expiry(30), ReceiveMaximum::new(1).unwrap().into()];
+    b.connect(1, Version::V5_0, v5_connect("a", true, limit()));
+    for n in 1..=2 {
+        b.publish(1, v5_publish("quote/fare", Qos::AtLeastOnce, n, vec![]));
+    }
+    b.answer(0, &served(1));
+    b.answer(1, &served(1));
+    let sent: Vec<Option<u16>> = b
+        .heard(1)
+        .iter()
+        .filter_map(|p| match p {
+            Packet::V5_0Publish(p) => Some(p.packet_id()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sent.len(), 1, "one answer at a time, as the client's receive maximum says");
+    let first = sent[0];
+    b.drop_link(1);
+    b.acknowledge = true;
+    b.connect(2, Version::V5_0, v5_connect("a", false, limit()));
+    let heard = b.heard(2);
+    let answers = heard.iter().filter_map(|p| match p {
+        Packet::V5_0Publish(p) => Some((p.dup(), p.packet_id())),
+        _ => None,
+    });
+    let mut answers: Vec<(bool, Option<u16>)> = answers.collect();
+    answers.sort_unstable();
+    assert!(matches!(answers[..], [(false, _), (true, id)] if id == first), "{answers:?}");
+    // The count of unacknowledged answers is whole again: further ones come.
+    b.publish(2, v5_publish("quote/fare", Qos::AtLeastOnce, 9, vec![]));
+    b.answer(2, &served(1));
+    assert_eq!(b.outcomes(2), ["served"]);
+}
+
+#[test]
+fn a_second_connection_of_the_same_client_takes_over_and_gets_the_answer() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![expiry(30)]));
+    b.publish(1, v5_publish("quote/fare", Qos::AtLeastOnce, 1, vec![]));
+    b.connect(2, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+    assert_eq!(b.closed, [LinkId(1)]);
+    let told = b.heard(1);
+    let code = told.iter().find_map(|p| match p {
+        Packet::V5_0Disconnect(p) => p.reason_code(),
+        _ => None,
+    });
+    assert_eq!(code, Some(DisconnectReasonCode::SessionTakenOver));
+    b.answer(0, &served(1));
+    assert_eq!((b.outcomes(1).len(), b.outcomes(2)), (0, vec!["served".to_string()]));
+}
+
+#[test]
+fn a_repeated_publish_is_marked_and_covered_only_on_a_session_known_here() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+    let opened = b.now;
+    b.publish(1, v5_publish("charge/card", Qos::AtLeastOnce, 1, vec![key("k")]).set_dup(true));
+    assert_eq!(b.calls[0].repeat, Repeat::Marked { covered_since: None });
+    b.drop_link(1);
+    b.pass(5);
+    b.connect(2, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+    b.publish(2, v5_publish("charge/card", Qos::AtLeastOnce, 1, vec![key("k")]).set_dup(true));
+    assert_eq!(b.calls[1].repeat, Repeat::Marked { covered_since: Some(opened) });
+    assert_eq!(b.calls[0].client, b.calls[1].client);
+}
+
+#[test]
+fn a_publish_with_qos_2_makes_one_call_however_often_it_is_sent_before_its_release() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![]));
+    let publish = v5_publish("charge/card", Qos::ExactlyOnce, 5, vec![key("k")]);
+    // As bytes and without its library, which would not send the same twice on one connection.
+    b.clients.clear();
+    b.raw(1, &publish.to_continuous_buffer());
+    b.raw(1, &publish.clone().set_dup(true).to_continuous_buffer());
+    assert_eq!(b.calls.len(), 1);
+    let released = |b: &Bench| b.written.windows(4).any(|w| w == [0x70, 2, 0, 5]);
+    assert!(!released(&b));
+    b.raw(1, &v5_0::Pubrel::builder().packet_id(5).build().unwrap().to_continuous_buffer());
+    assert!(released(&b), "no PUBCOMP");
+    b.raw(1, &publish.to_continuous_buffer());
+    assert_eq!(b.calls.len(), 2, "after its release the id is a new message's");
+}
+
+#[test]
+fn keys_from_correlation_data_are_one_clients_own_and_stated_keys_are_everybodys() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![]));
+    b.connect(2, Version::V5_0, v5_connect("b", true, vec![]));
+    for link in [1, 2] {
+        let correlation = vec![CorrelationData::new(b"1").unwrap().into()];
+        b.publish(link, v5_publish("charge/card", Qos::AtLeastOnce, 1, correlation));
+        b.publish(link, v5_publish("charge/card", Qos::AtLeastOnce, 2, vec![key("k")]));
+    }
+    assert_ne!(b.calls[0].key, b.calls[2].key);
+    assert_eq!(b.calls[1].key, b.calls[3].key);
+}
+
+#[test]
+fn what_cannot_be_taken_is_refused_with_its_reason_code() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![]));
+    let wild = vec![UserProperty::new("budget-ms", "soon").unwrap().into()];
+    b.publish(1, v5_publish("nowhere/x", Qos::AtLeastOnce, 1, vec![]));
+    b.publish(1, v5_publish("quote/fare", Qos::AtLeastOnce, 2, wild));
+    b.publish(1, v5_publish("nowhere/x", Qos::ExactlyOnce, 3, vec![]));
+    for n in 4..=8 {
+        b.publish(1, v5_publish("quote/fare", Qos::AtLeastOnce, n, vec![]));
+    }
+    let codes: Vec<u8> = b
+        .heard(1)
+        .iter()
+        .filter_map(|p| match p {
+            Packet::V5_0Puback(p) => Some(p.reason_code().map_or(0, |c| c as u8)),
+            Packet::V5_0Pubrec(p) => Some(p.reason_code().map_or(0, |c| c as u8)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(codes, [0x90, 0x83, 0x90, 0, 0, 0, 0, 0x97]);
+    assert_eq!((b.calls.len(), b.closed.len()), (4, 0));
+}
+
+#[test]
+fn a_wildcard_in_the_response_topic_is_refused_and_a_retained_publish_ends_the_connection() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![]));
+    // The library would not write such a packet, so its bytes are made from a good one.
+    let good = v5_publish("quote/fare", Qos::AtLeastOnce, 1, vec![ResponseTopic::new("replies/a").unwrap().into()]);
+    let mut bytes = good.to_continuous_buffer();
+    let at = bytes.windows(9).position(|w| w == b"replies/a").unwrap();
+    bytes[at + 8] = b'#';
+    b.raw(1, &bytes);
+    assert!(b.calls.is_empty());
+    b.connect(2, Version::V5_0, v5_connect("b", true, vec![]));
+    let retained = v5_0::Publish::builder().topic_name("quote/x").unwrap().retain(true).build().unwrap();
+    b.raw(2, &retained.to_continuous_buffer());
+    assert!(b.calls.is_empty() && b.closed.contains(&LinkId(2)));
+}
+
+#[test]
+fn an_answer_too_large_for_its_client_comes_without_the_result() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![MaximumPacketSize::new(200).unwrap().into()]));
+    b.publish(1, v5_publish("quote/fare", Qos::AtLeastOnce, 1, vec![]));
+    b.answer(0, &served(500));
+    assert_eq!(b.outcomes(1), ["served"]);
+}
+
+#[test]
+fn topic_aliases_stand_for_their_topic() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![]));
+    let alias = || -> Property { TopicAlias::new(3).unwrap().into() };
+    b.publish(1, v5_publish("quote/fare", Qos::AtMostOnce, 0, vec![alias()]));
+    let again = v5_0::Publish::builder().props(vec![alias()]).payload("p").build().unwrap();
+    b.publish(1, again);
+    assert_eq!(b.calls.iter().map(|c| &*c.function).collect::<Vec<_>>(), ["fare", "fare"]);
+}
+
+#[test]
+fn version_3_1_1_gets_its_answer_on_a_topic_made_from_its_id_and_the_outcome() {
+    let mut b = Bench::new(settings());
+    let connect = v3_1_1::Connect::builder().client_id("old/app").unwrap().clean_session(true).build().unwrap();
+    b.connect(1, Version::V3_1_1, connect.into());
+    let publish = |topic: &str, id: u16| -> Packet {
+        let builder = v3_1_1::Publish::builder().topic_name(topic).unwrap().qos(Qos::AtLeastOnce);
+        builder.packet_id(id).payload("p").build().unwrap().into()
+    };
+    for (topic, id) in [("old/card/ride-1", 4), ("nowhere", 5)] {
+        b.clients.get_mut(&LinkId(1)).unwrap().register_packet_id(id).unwrap();
+        b.send(1, publish(topic, id));
+    }
+    assert_eq!(b.calls[0].key.as_deref(), Some(&b"k:ride-1"[..]));
+    let refused = Answer { verdict: Verdict::Refused(Reason::NoCapacity), attempts: 0, recorded: false };
+    b.answer(0, &refused);
+    let topics: Vec<String> = b
+        .heard(1)
+        .iter()
+        .filter_map(|p| match p {
+            Packet::V3_1_1Publish(p) => Some(p.topic_name().to_string()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(topics, ["slatevalve/reply/old%2Fapp/refused/5", "slatevalve/reply/old%2Fapp/refused/4"]);
+}
+
+#[test]
+fn silent_connections_are_closed_before_and_after_their_connect() {
+    let mut b = Bench::new(settings());
+    b.front.opened(b.now, LinkId(1));
+    let keep_alive = v5_0::Connect::builder().client_id("a").unwrap().keep_alive(10).build().unwrap();
+    b.connect(2, Version::V5_0, keep_alive.into());
+    b.pass(6);
+    assert_eq!(b.closed, [LinkId(1)]);
+    b.pass(10);
+    assert_eq!(b.closed, [LinkId(1), LinkId(2)]);
+}
+
+#[test]
+fn subscriptions_to_exact_topics_are_granted_and_wildcards_are_not() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", true, vec![]));
+    b.clients.get_mut(&LinkId(1)).unwrap().register_packet_id(1).unwrap();
+    let entry = |f: &str| SubEntry::new(f, SubOpts::new()).unwrap();
+    let entries = vec![entry("replies/a"), entry("replies/#"), entry("$share/g/x")];
+    b.send(1, v5_0::Subscribe::builder().packet_id(1).entries(entries).build().unwrap().into());
+    let codes = b.heard(1).into_iter().find_map(|p| match p {
+        Packet::V5_0Suback(p) => Some(p.reason_codes()),
+        _ => None,
+    });
+    let codes: Vec<u8> = codes.unwrap().into_iter().map(|c| c as u8).collect();
+    assert_eq!(codes, [0x00, 0xa2, 0x9e]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400, rng_seed: RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    /// Whatever one client sends, another one's call still goes through.
+    #[test]
+    fn no_bytes_of_one_client_reach_another(
+        start in 0usize..4,
+        pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..60), 1..8),
+        flips in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..4),
+    ) {
+        let mut b = Bench::new(settings());
+        b.connect(1, Version::V5_0, v5_connect("good", true, vec![]));
+        let mut bytes: Vec<u8> = match start {
+            0 => Vec::new(),
+            1 => v5_connect("bad", true, vec![expiry(5)]).to_continuous_buffer(),
+            2 => v3_1_1::Connect::builder().client_id("bad").unwrap().build().unwrap().to_continuous_buffer(),
+            _ => {
+                let publish = v5_publish("quote/fare", Qos::ExactlyOnce, 3, vec![key("k")]);
+                [v5_connect("bad", true, vec![]).to_continuous_buffer(), publish.to_continuous_buffer()].concat()
+            }
+        };
+        for (at, value) in flips {
+            if !bytes.is_empty() {
+                let at = at.index(bytes.len());
+                bytes[at] = value;
+            }
+        }
+        b.front.opened(b.now, LinkId(2));
+        b.raw(2, &bytes);
+        for piece in pieces {
+            b.raw(2, &piece);
+        }
+        prop_assert!(!b.closed.contains(&LinkId(1)));
+        let before = b.calls.len();
+        b.publish(1, v5_publish("quote/fare", Qos::AtLeastOnce, 1, vec![]));
+        prop_assert_eq!(b.calls.len(), before + 1);
+        b.answer(before, &served(1));
+        prop_assert_eq!(b.outcomes(1), vec!["served".to_string()]);
+    }
+}
