--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -9,7 +9,7 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use serde_json::json;
 use slatevalve_rules::{check, trace, Terms};
-use slatevalve_standins::{run_worker, ServicePlan, WorkerPlan};
+use slatevalve_standins::{run_broker, run_worker, BrokerPlan, ServicePlan, WorkerPlan};
 use std::error::Error;
 use std::fs;
 use std::io::{self, IsTerminal, Write};
@@ -66,6 +66,18 @@
     /// Prints "ready ADDRESS" on standard output. Its calls do nothing but take time: a payload like
     /// "call=NAME work-us=5000" says how much.
     Worker(WorkerArguments),
+    /// Run a stand-in MQTT 5 broker, for trying out the bridge
+    ///
+    /// Prints "ready ADDRESS" on standard output. Shared subscriptions, sessions and QoS 0 and 1; nothing is kept on
+    /// disk and nobody is asked for a password.
+    Broker {
+        /// Where it listens; port 0 takes a free one
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// Everything as JSON, with faults
+        #[arg(long, hide = true)]
+        plan: Option<String>,
+    },
     /// Start a gateway and three stand-in workers on this machine, make a few calls, and stay for yours
     Demo {
         /// Stop by itself after so many seconds; else on Ctrl-C
@@ -190,6 +202,16 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Worker(arguments) => worker(arguments),
+        Command::Broker { listen, plan } => {
+            let plan = match plan {
+                Some(plan) => serde_json::from_str(&plan)?,
+                None => BrokerPlan { listen, ..BrokerPlan::default() },
+            };
+            run_broker(plan, |address| {
+                let _ = say_ready(address);
+            })?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Demo { seconds, listen, json } => demo::demo(seconds, listen, json),
         Command::Badday { script, seed, keep, json } => bad_day(script, seed, keep, json, cli.log_level),
         Command::Rules { directory, json } => rules(directory, json),
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -11,9 +11,9 @@
 
 use crate::clock::Clock;
 use form::{Fields, Form, SettingsError};
-use slatevalve::{Limits, Loading, Micros, Reports, Rules, Settings, Weights, ZoneId};
+use slatevalve::{Effect, Limits, Loading, Micros, Reports, Rules, Settings, Weights, ZoneId};
 use slatevalve_engine::{ClassPolicy, DuplicateLimits, EngineSettings, FunctionTraits};
-use slatevalve_mqtt::{FrontSettings, Routes};
+use slatevalve_mqtt::{BridgeSettings, FrontSettings, Routes};
 use std::collections::HashMap;
 use std::fs;
 use std::net::SocketAddr;
@@ -47,6 +47,8 @@
     pub engine: EngineSettings,
     /// For the MQTT front.
     pub front: FrontSettings,
+    /// The broker to connect to, and how, where there is one.
+    pub bridge: Option<(SocketAddr, BridgeSettings)>,
     /// Names of the classes, in the order of their ids.
     pub classes: Vec<String>,
     /// The worker list.
@@ -148,12 +150,14 @@
         };
         let stop_within = gateway.or("stop-within-ms", Micros(5_000_000), Form::millis)?;
         gateway.finish()?;
+        let unsafe_classes = classes.iter().any(|c| c.class.effect == Effect::Unsafe);
+        let bridge = bridge(&mut top, &routes, unsafe_classes, engine.seed)?;
         let (listen, front) = mqtt(&mut top, routes)?;
         let pool = pool(&mut top)?;
         top.finish()?;
         let classes = classes.into_iter().map(|c| c.name).collect();
         let named = Named { zones, kinds };
-        Ok(Site { name, listen, engine, front, classes, workers, pool, stop_within, named })
+        Ok(Site { name, listen, engine, front, bridge, classes, workers, pool, stop_within, named })
     }
 }
 
@@ -197,6 +201,56 @@
     Ok((listen, front))
 }
 
+fn bridge(
+    top: &mut Fields<'_>,
+    routes: &Routes,
+    unsafe_classes: bool,
+    seed: u64,
+) -> Res<Option<(SocketAddr, BridgeSettings)>> {
+    let Some(form) = top.take("bridge")? else { return Ok(None) };
+    let mut fields = form.fields()?;
+    let base = BridgeSettings::default();
+    let broker = address(&fields.need("broker")?)?;
+    let client_id = fields.need("client-id")?.text()?;
+    let group = fields.take("group")?.map(|f| f.text()).transpose()?;
+    if client_id.is_empty() || group.as_deref().is_some_and(|g| g.is_empty() || g.contains(['/', '+', '#'])) {
+        return Err(form.error("client-id is empty, or group is empty or holds one of / + #"));
+    }
+    let sole_member = fields.or("sole-member", false, Form::flag)?;
+    // A broker may hand what one member had not acknowledged to another, unmarked; gateways share nothing, so the
+    // other cannot know that it ran.
+    if group.is_some() && unsafe_classes && !sole_member {
+        return Err(form.error(
+            "a group whose broker may hand a publish from one gateway to another would let unsafe calls run twice; \
+             leave (group ...) out, or say (sole-member yes) where no other gateway is in it",
+        ));
+    }
+    let settings = BridgeSettings {
+        number: 2,
+        client_id,
+        group,
+        routes: routes.clone(),
+        receive_maximum: fields
+            .or("receive-maximum", u64::from(base.receive_maximum), |f| f.whole(65_535))?
+            .max(1) as u16,
+        max_packet: fields
+            .or("max-packet", u64::from(base.max_packet), |f| f.whole(256 * 1024 * 1024))?
+            .max(64) as u32,
+        session_expiry_s: fields
+            .or("session-expiry-s", u64::from(base.session_expiry_s), |f| f.whole(u64::from(u32::MAX)))?
+            as u32,
+        keep_alive_s: fields.or("keep-alive-s", u64::from(base.keep_alive_s), |f| f.whole(65_535))? as u16,
+        back_off: (
+            fields.or("back-off-ms", base.back_off.0, Form::millis)?,
+            fields.or("longest-back-off-ms", base.back_off.1, Form::millis)?,
+        ),
+        connect_timeout: fields.or("connect-timeout-ms", base.connect_timeout, Form::millis)?,
+        seed,
+    };
+    fields.finish()?;
+    Ok(Some((broker, settings)))
+}
+
 fn pool(top: &mut Fields<'_>) -> Res<PoolSettings> {
     let mut settings = PoolSettings {
         connect_timeout: Micros(250_000),
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -10,8 +10,8 @@
 use crate::settings::{Site, WorkerLine};
 use pool::{Pool, Purpose, TaskEnd};
 use slatevalve::{Listing, Micros, Outcome, Scope, WorkerId, WorkerState};
-use slatevalve_engine::{AttemptEnd, AttemptRef, Engine, Output, RunBody};
-use slatevalve_mqtt::{Front, FrontOutput, LinkId};
+use slatevalve_engine::{AttemptEnd, AttemptRef, Engine, Output, RunBody, Ticket};
+use slatevalve_mqtt::{Bridge, BridgeOutput, Front, FrontOutput, LinkId, TicketSource};
 use slatevalve_reactor::{Happening, Id, Reactor};
 use slatevalve_worker_wire::{Call, Order};
 use std::collections::{BTreeSet, HashMap};
@@ -26,6 +26,8 @@
 const MAX_BUFFERED: usize = 8 * 1024 * 1024;
 /// The loop wakes at least so often, so that a standstill of its own is noticed also when nothing is due.
 const LONGEST_WAIT: Duration = Duration::from_millis(100);
+/// The bridge's number among the fronts; clients that connect here are 1.
+const BRIDGE: u8 = 2;
 /// A listener that could not accept rests for this.
 const ACCEPT_REST: Micros = Micros(100_000);
 
@@ -57,6 +59,7 @@
     reactor: Reactor,
     engine: Engine,
     front: Front,
+    bridge: Option<BridgeLink>,
     pool: Pool,
     listener: Id,
     address: SocketAddr,
@@ -72,6 +75,14 @@
     resume_at: Option<Micros>,
     to_engine: Vec<Output>,
     to_front: Vec<FrontOutput>,
+    to_bridge: Vec<BridgeOutput>,
+}
+
+/// The bridge and its connection to the broker.
+struct BridgeLink {
+    bridge: Bridge,
+    broker: SocketAddr,
+    socket: Option<Id>,
 }
 
 impl Shell {
@@ -94,6 +105,11 @@
             reactor,
             engine: Engine::new(site.engine.clone()),
             front: Front::new(site.front.clone()),
+            bridge: site.bridge.clone().map(|(broker, settings)| BridgeLink {
+                bridge: Bridge::new(settings),
+                broker,
+                socket: None,
+            }),
             pool: Pool::new(site.pool, &site.name, order_timeout),
             listener,
             address,
@@ -106,6 +122,7 @@
             resume_at: None,
             to_engine: Vec::new(),
             to_front: Vec::new(),
+            to_bridge: Vec::new(),
             site,
         };
         let workers = shell.site.workers.clone();
@@ -139,6 +156,9 @@
                 self.happened(now, happening);
             }
             self.front.advance(now, &mut self.to_front);
+            if let Some(link) = &mut self.bridge {
+                link.bridge.advance(now, &mut self.to_bridge);
+            }
             for end in self.pool.advance(now, &mut self.reactor) {
                 self.ended(now, end);
             }
@@ -157,9 +177,11 @@
     }
 
     fn wait_from(&self, now: Micros) -> Duration {
-        let due = [self.engine.next_wake(), self.front.next_wake(), self.pool.next_wake(), self.resume_at];
+        let bridge = self.bridge.as_ref().and_then(|l| l.bridge.next_wake());
+        let due =
+            [self.engine.next_wake(), self.front.next_wake(), self.pool.next_wake(), self.resume_at, bridge];
         match due.into_iter().flatten().min() {
-            Some(at) => Duration::from_micros((at.0 - now.0).max(0) as u64).min(LONGEST_WAIT),
+            Some(at) => Duration::from_micros(at.0.saturating_sub(now.0).max(0) as u64).min(LONGEST_WAIT),
             None => LONGEST_WAIT,
         }
     }
@@ -176,15 +198,23 @@
             Happening::Received(id, bytes) => {
                 if let Some(link) = self.links.get(&id) {
                     self.front.received(now, *link, &bytes, &mut self.to_front);
+                } else if let Some(link) = self.bridge.as_mut().filter(|l| l.socket == Some(id)) {
+                    link.bridge.received(now, &bytes, &mut self.to_bridge);
                 } else if let Some(end) = self.pool.received(now, &mut self.reactor, id, &bytes) {
                     self.ended(now, end);
                 }
             }
-            Happening::Connected(id) => self.pool.connected(now, &mut self.reactor, id),
+            Happening::Connected(id) => match self.bridge.as_mut().filter(|l| l.socket == Some(id)) {
+                Some(link) => link.bridge.connected(now, &mut self.to_bridge),
+                None => self.pool.connected(now, &mut self.reactor, id),
+            },
             Happening::Closed { id, connected, written } => {
                 if let Some(link) = self.links.remove(&id) {
                     self.sockets.remove(&link);
                     self.front.closed(now, link, &mut self.to_front);
+                } else if let Some(link) = self.bridge.as_mut().filter(|l| l.socket == Some(id)) {
+                    link.socket = None;
+                    link.bridge.closed(now);
                 } else if let Some(end) = self.pool.closed(now, id, connected, written) {
                     self.ended(now, end);
                 }
@@ -202,7 +232,10 @@
 
     /// Carries out what front and engine want until neither wants anything.
     fn settle(&mut self, now: Micros) {
-        while !self.to_front.is_empty() || !self.to_engine.is_empty() {
+        while !(self.to_front.is_empty() && self.to_engine.is_empty() && self.to_bridge.is_empty()) {
+            for output in std::mem::take(&mut self.to_bridge) {
+                self.carry_out_bridge(now, output);
+            }
             for output in std::mem::take(&mut self.to_front) {
                 match output {
                     FrontOutput::Write(link, bytes) => {
@@ -229,6 +262,30 @@
         }
     }
 
+    fn carry_out_bridge(&mut self, now: Micros, output: BridgeOutput) {
+        let Some(link) = &mut self.bridge else { return };
+        match output {
+            BridgeOutput::Connect => match self.reactor.connect(link.broker) {
+                Ok(id) => link.socket = Some(id),
+                Err(_) => link.bridge.closed(now),
+            },
+            BridgeOutput::Write(bytes) => {
+                if let Some(id) = link.socket {
+                    self.reactor.write(id, &bytes);
+                }
+            }
+            BridgeOutput::Finish => {
+                if let Some(id) = link.socket.take() {
+                    self.reactor.finish(id);
+                }
+            }
+            BridgeOutput::Call(mut call) => {
+                call.age = self.age;
+                self.engine.call(now, call, &mut self.to_engine);
+            }
+        }
+    }
+
     fn carry_out(&mut self, now: Micros, output: Output) {
         match output {
             Output::Send { attempt, worker, body, time_left } => {
@@ -251,8 +308,14 @@
             Output::Probe(worker) => self.submit(now, worker, Purpose::Probe, Order::Ready),
             // The list comes from the settings file, whole, at the start and on SIGHUP.
             Output::Subscribe => {}
-            Output::Answer(ticket, answer) => self.front.answer(now, ticket, &answer, &mut self.to_front),
-            Output::Superseded(ticket) => self.front.superseded(ticket),
+            Output::Answer(ticket, answer) => match bridge_of(&mut self.bridge, ticket) {
+                Some(link) => link.bridge.answer(now, ticket, &answer, &mut self.to_bridge),
+                None => self.front.answer(now, ticket, &answer, &mut self.to_front),
+            },
+            Output::Superseded(ticket) => match bridge_of(&mut self.bridge, ticket) {
+                Some(link) => link.bridge.superseded(now, ticket, &mut self.to_bridge),
+                None => self.front.superseded(ticket),
+            },
         }
     }
 
@@ -354,6 +417,9 @@
         info!(open = self.engine.unanswered(), "stopping");
         self.stopping = true;
         self.reactor.close(self.listener);
+        if let Some(link) = &mut self.bridge {
+            link.bridge.hold();
+        }
         self.engine.stop(now, Micros(now.0 + self.site.stop_within.0));
     }
 
@@ -363,9 +429,13 @@
         self.settle(now);
         let until = Micros(now.0 + 1_000_000);
         let mut happened = Vec::new();
-        while self.reactor.has_pending() && self.clock.now() < until {
+        let unsent = |s: &Self| s.bridge.as_ref().is_some_and(|l| l.bridge.is_up() && l.bridge.unsent() > 0);
+        while (self.reactor.has_pending() || unsent(self)) && self.clock.now() < until {
             self.reactor.turn(Some(Duration::from_millis(10)), &mut happened).map_err(ShellError::Loop)?;
-            happened.clear();
+            let now = self.clock.now();
+            for happening in happened.drain(..) {
+                self.happened(now, happening);
+            }
         }
         let counts = self.engine.statistics();
         if counts.overdue > 0 {
@@ -382,3 +452,8 @@
         Ok(())
     }
 }
+
+/// The bridge, where a ticket is of its making.
+fn bridge_of(bridge: &mut Option<BridgeLink>, ticket: Ticket) -> Option<&mut BridgeLink> {
+    bridge.as_mut().filter(|_| TicketSource::front_of(ticket) == BRIDGE)
+}
--- /dev/null
+++ b/crates/gateway/tests/calls.rs
@@ -0,0 +1,126 @@
+//! Calls through a running gateway when workers and connections fail, seen at the client and at the workers' sockets.
+
+mod support;
+
+use slatevalve_worker_wire::Reply;
+use std::net::TcpListener;
+use support::*;
+
+/// Two workers that do the same; their calls counted together.
+fn pair(
+    act: impl Fn(&slatevalve_worker_wire::Call, usize) -> Act + Send + Sync + Clone + 'static,
+) -> [Worker; 2] {
+    [Worker::start(act.clone()), Worker::start(act)]
+}
+
+fn before(workers: &[Worker; 2]) -> Gateway {
+    Gateway::start(SITE, &[("w1", workers[0].address, "(cell 1)"), ("w2", workers[1].address, "(cell 2)")])
+}
+
+fn total(workers: &[Worker]) -> usize {
+    workers.iter().map(Worker::calls).sum()
+}
+
+#[test]
+fn a_call_is_served_and_its_answer_names_the_version_that_ran() {
+    let workers = pair(|_, _| served("done"));
+    let gateway = before(&workers);
+    let mut client = Client::connect(gateway.address(), "a", false);
+    let heard = client.call("quote/fare", 1, None, "q1");
+    assert_eq!((heard.outcome.as_str(), heard.payload.as_str()), ("served", "done"));
+    assert_eq!((heard.ran.as_deref(), heard.call.as_str()), (Some("7"), "q1"));
+}
+
+#[test]
+fn a_worker_that_ends_after_accepting_a_charge_makes_it_fail_and_nothing_is_sent_again() {
+    for act in [Act::Close, Act::Half(Reply::Served { payload: b"paid".to_vec(), ran: None })] {
+        let workers = pair(move |_, _| act.clone());
+        let gateway = before(&workers);
+        let mut client = Client::connect(gateway.address(), "a", false);
+        assert_eq!(client.call("charge/card", 1, Some("k"), "c1").outcome, "failed");
+        let again = client.call("charge/card", 2, Some("k"), "c1");
+        assert_eq!((again.outcome.as_str(), again.recorded), ("failed", true));
+        assert_eq!(total(&workers), 1);
+    }
+}
+
+#[test]
+fn an_answer_without_the_profiles_own_header_proves_nothing() {
+    for status in ["404 Not Found", "429 Too Many Requests", "503 Service Unavailable"] {
+        let bytes = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").into_bytes();
+        let workers = pair(move |_, _| Act::Raw(bytes.clone()));
+        let gateway = before(&workers);
+        let mut client = Client::connect(gateway.address(), "a", false);
+        assert_eq!(client.call("charge/card", 1, Some("k"), "c1").outcome, "failed", "{status}");
+        assert_eq!(total(&workers), 1, "{status}");
+    }
+}
+
+#[test]
+fn a_charge_that_never_ran_goes_on_to_another_worker() {
+    let workers = pair(|_, _| served("paid"));
+    let full = Worker::start(|_, _| Act::Answer(Reply::Full));
+    let list = [("full", full.address, ""), ("w1", workers[0].address, ""), ("w2", workers[1].address, "")];
+    let gateway = Gateway::start(SITE, &list);
+    let mut client = Client::connect(gateway.address(), "a", false);
+    // One of these functions has the full worker as its home.
+    for n in 0..12 {
+        let (topic, key) = (format!("charge/card-{n}"), format!("k{n}"));
+        assert_eq!(client.call(&topic, n + 1, Some(&key), "c").outcome, "served");
+    }
+    assert!(full.calls() > 0, "no function had the full worker as its home");
+}
+
+#[test]
+fn a_worker_that_cannot_be_reached_costs_a_charge_nothing() {
+    // Bound and closed again: nobody listens there.
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let worker = Worker::start(|_, _| served("paid"));
+    let gateway = Gateway::start(SITE, &[("down", nobody, ""), ("up", worker.address, "")]);
+    let mut client = Client::connect(gateway.address(), "a", false);
+    for n in 0..8 {
+        let (topic, key) = (format!("charge/card-{n}"), format!("k{n}"));
+        assert_eq!(client.call(&topic, n + 1, Some(&key), "c").outcome, "served");
+    }
+}
+
+#[test]
+fn a_booking_that_may_have_run_moves_only_within_its_rack() {
+    let act = |_: &slatevalve_worker_wire::Call, n: usize| if n == 0 { Act::Close } else { served("booked") };
+    let workers: Vec<Worker> = (0..6).map(|_| Worker::start(act)).collect();
+    let cells = ["(cell 0)", "(cell 0)", "(cell 1)", "(cell 1)", "(cell 2)", "(cell 2)"];
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let list: Vec<_> = (0..6).map(|n| (names[n], workers[n].address, cells[n])).collect();
+    let gateway = Gateway::start(SITE, &list);
+    let mut client = Client::connect(gateway.address(), "a", false);
+    client.call("booking/ride", 1, Some("k"), "b1");
+    let touched: Vec<usize> = (0..6).filter(|n| workers[*n].calls() > 0).map(|n| n / 2).collect();
+    assert!(!touched.is_empty() && touched.iter().all(|cell| *cell == touched[0]), "{touched:?}");
+}
+
+#[test]
+fn an_answer_after_the_deadline_goes_nowhere_and_the_next_call_is_served() {
+    let late = |call: &slatevalve_worker_wire::Call, _: usize| match call.class.as_str() {
+        "brief" => Act::Later(1_500, Reply::Served { payload: b"late".to_vec(), ran: None }),
+        _ => served("done"),
+    };
+    let workers = pair(late);
+    let gateway = before(&workers);
+    let mut client = Client::connect(gateway.address(), "a", false);
+    assert_eq!(client.call("brief/card", 1, Some("k"), "c1").outcome, "failed");
+    assert!(client.is_quiet(1_500));
+    assert_eq!(client.call("quote/fare", 2, None, "q1").outcome, "served");
+    assert_eq!(workers.iter().flat_map(Worker::payloads).filter(|p| p == "c1").count(), 1);
+}
+
+#[test]
+fn garbage_from_a_worker_fails_a_charge_and_a_quote_goes_elsewhere() {
+    let bad = Worker::start(|_, _| Act::Raw(b"\x00\x01 what is this\r\n\r\n".to_vec()));
+    let good = Worker::start(|_, _| served("done"));
+    let gateway = Gateway::start(SITE, &[("bad", bad.address, ""), ("good", good.address, "")]);
+    let mut client = Client::connect(gateway.address(), "a", false);
+    for n in 0..10 {
+        assert_eq!(client.call(&format!("quote/fare-{n}"), n + 1, None, "q").outcome, "served");
+    }
+    assert!(bad.calls() > 0, "no function had the bad worker as its home");
+}
--- /dev/null
+++ b/crates/gateway/tests/repeats.rs
@@ -0,0 +1,128 @@
+//! Repeats through a running gateway: a key never runs twice, whichever way it comes back.
+
+mod support;
+
+use slatevalve_worker_wire::Reply;
+use support::*;
+
+fn slow(millis: u64) -> Worker {
+    Worker::start(move |_, _| Act::Later(millis, Reply::Served { payload: b"paid".to_vec(), ran: None }))
+}
+
+#[test]
+fn a_publish_sent_again_after_a_reconnect_while_the_first_runs_gets_the_one_answer() {
+    let worker = slow(500);
+    let gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
+    let mut client = Client::connect(gateway.address(), "a", true);
+    client.publish("charge/card", 1, Some("k"), "c1", false);
+    until("the charge to reach its worker", || worker.calls() == 1);
+    drop(client);
+    let mut client = Client::connect(gateway.address(), "a", true);
+    assert!(client.session_present);
+    client.publish("charge/card", 1, Some("k"), "c1", true);
+    assert_eq!(client.answer().outcome, "served");
+    assert!(client.is_quiet(300));
+    assert_eq!(worker.calls(), 1);
+}
+
+#[test]
+fn a_new_publish_with_the_same_key_joins_the_running_one_also_from_another_client() {
+    let worker = slow(500);
+    let gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
+    let mut first = Client::connect(gateway.address(), "a", false);
+    let mut second = Client::connect(gateway.address(), "b", false);
+    first.publish("charge/card", 1, Some("k"), "c1", false);
+    until("the charge to reach its worker", || worker.calls() == 1);
+    second.publish("charge/card", 1, Some("k"), "c1", false);
+    assert_eq!((first.answer().outcome, second.answer().outcome), ("served".into(), "served".into()));
+    assert_eq!(worker.calls(), 1);
+}
+
+#[test]
+fn after_the_answer_a_repeat_gets_the_record_and_another_payload_a_refusal() {
+    let worker = Worker::start(|_, _| served("paid"));
+    let gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
+    let mut client = Client::connect(gateway.address(), "a", false);
+    assert!(!client.call("charge/card", 1, Some("k"), "c1").recorded);
+    let again = client.call("charge/card", 2, Some("k"), "c1");
+    assert_eq!((again.outcome.as_str(), again.payload.as_str(), again.recorded), ("served", "paid", true));
+    let other = client.call("charge/card", 3, Some("k"), "another amount");
+    assert_eq!(other.outcome, "refused");
+    assert_eq!(worker.calls(), 1);
+}
+
+#[test]
+fn after_the_memory_has_passed_a_repeat_is_refused_as_unknown_and_never_run() {
+    let worker = Worker::start(|_, _| served("paid"));
+    let gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
+    let mut client = Client::connect(gateway.address(), "a", false);
+    assert_eq!(client.call("brief/card", 1, Some("k"), "c1").outcome, "served");
+    assert!(client.is_quiet(900));
+    let late = client.call("brief/card", 2, Some("k"), "c1");
+    assert_eq!(late.outcome, "refused");
+    assert!(late.reason.unwrap().contains("repeat"));
+    assert_eq!(worker.calls(), 1);
+}
+
+#[test]
+fn a_publish_marked_as_sent_before_is_refused_by_a_gateway_that_cannot_know_it() {
+    let worker = Worker::start(|_, _| served("paid"));
+    let gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
+    let mut client = Client::connect(gateway.address(), "a", true);
+    client.publish("charge/card", 1, Some("k"), "c1", true);
+    assert_eq!(client.answer().outcome, "refused");
+    assert_eq!(worker.calls(), 0);
+}
+
+#[test]
+fn a_charge_without_a_key_is_refused_with_a_plain_reason() {
+    let worker = Worker::start(|_, _| served("paid"));
+    let gateway = Gateway::start("(class \"charge\" (effect unsafe) (aim-ms 500) (deadline-ms 900))\n(route \"charge/+\" (class \"charge\") (function \"{2}\"))", &[("w", worker.address, "")]);
+    let mut client = Client::connect(gateway.address(), "a", false);
+    client.publish("charge/card", 1, None, "", false);
+    let heard = client.answer();
+    assert_eq!(heard.outcome, "refused");
+    assert!(heard.reason.unwrap().contains("needs a key"));
+    assert_eq!(worker.calls(), 0);
+}
+
+#[test]
+fn a_client_that_lost_its_connection_gets_the_answer_when_its_session_is_resumed() {
+    let worker = slow(300);
+    let gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
+    let mut client = Client::connect(gateway.address(), "a", true);
+    client.publish("quote/fare", 1, None, "q1", false);
+    until("the quote to reach its worker", || worker.calls() == 1);
+    drop(client);
+    std::thread::sleep(std::time::Duration::from_millis(500));
+    let mut client = Client::connect(gateway.address(), "a", true);
+    assert_eq!((client.answer().outcome.as_str(), worker.calls()), ("served", 1));
+}
+
+#[test]
+fn behind_a_broker_a_redelivery_makes_one_run_and_one_answer() {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_micros() as i64;
+    let plan = format!(
+        r#"{{"faults":[{{"at_us":{},"kind":{{"lose-acknowledgements":{{"prefix":"bridge","for_us":2500000}}}}}}]}}"#,
+        now
+    );
+    let broker = Process::start(&["broker", "--plan", &plan], None);
+    let worker = slow(200);
+    let site = format!(
+        "{SITE}\n(bridge (broker \"{}\") (client-id \"bridge\") (group \"g\") (sole-member yes) (back-off-ms 20))",
+        broker.address
+    );
+    let gateway = Gateway::start(&site, &[("w", worker.address, "")]);
+    until("the bridge to come up", || gateway.log().contains("the broker took the connection"));
+    let mut app = Client::connect(broker.address, "app", true);
+    app.subscribe("replies/me");
+    app.publish("charge/card", 7, Some("k"), "c1", false);
+    app.publish("quote/fare", 8, None, "q1", false);
+    let mut outcomes = [app.answer(), app.answer()].map(|h| (h.call, h.outcome));
+    outcomes.sort();
+    assert_eq!(outcomes, [("c1".into(), "served".into()), ("q1".into(), "served".into())]);
+    // The acknowledgements were not heard: once the connection has dropped, both are delivered again.
+    until("the bridge to resume its session", || gateway.log().contains("resumed=true"));
+    assert!(app.is_quiet(600), "answered twice");
+    assert_eq!(worker.calls(), 2);
+}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,418 @@
+//! A gateway as a child process, workers that do what a test says, and a plain MQTT client.
+#![allow(dead_code)] // each test file uses its part
+
+use mqtt_protocol_core::mqtt::common::Cursor;
+use mqtt_protocol_core::mqtt::connection::{Connection, Event};
+use mqtt_protocol_core::mqtt::packet::*;
+use mqtt_protocol_core::mqtt::{role, Version};
+use slatevalve_worker_wire::{Asked, Limits, MessageReader, Order, Reply, Side};
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Nothing that a test waits for takes so long.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Classes and routes of a small site.
+pub const SITE: &str = r#"
+(class "quote" (effect safe) (aim-ms 1000) (deadline-ms 5000))
+(class "booking" (effect keyed (group cell) (window-ms 20000)) (aim-ms 1000) (deadline-ms 5000))
+(class "charge" (effect unsafe) (aim-ms 1000) (deadline-ms 5000))
+(class "brief" (effect unsafe) (aim-ms 300) (deadline-ms 600) (remember-ms 700))
+(route "quote/+" (class "quote") (function "{2}"))
+(route "booking/+" (class "booking") (function "{2}"))
+(route "charge/+" (class "charge") (function "{2}"))
+(route "brief/+" (class "brief") (function "{2}"))
+"#;
+
+/// Waits until something holds.
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Runs the binary to its end.
+pub fn command(arguments: &[&str]) -> std::process::Output {
+    Command::new(env!("CARGO_BIN_EXE_slatevalve")).args(arguments).stdin(Stdio::null()).output().unwrap()
+}
+
+/// A child that says "ready ADDRESS".
+pub struct Process {
+    pub child: Child,
+    pub address: SocketAddr,
+}
+
+impl Process {
+    pub fn start(arguments: &[&str], log: Option<&Path>) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_slatevalve"));
+        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped());
+        if let Some(log) = log {
+            command.stderr(std::fs::File::create(log).unwrap());
+        }
+        let mut child = command.spawn().unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let address = line.trim().strip_prefix("ready ").and_then(|a| a.parse().ok());
+        let Some(address) = address else {
+            let _ = child.kill();
+            let _ = child.wait();
+            panic!("not ready: {line:?}");
+        };
+        Process { child, address }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+    }
+
+    /// Waits for its end and gives its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(start.elapsed() < PATIENCE, "the child does not end");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A running gateway and its files.
+pub struct Gateway {
+    pub process: Process,
+    directory: tempfile::TempDir,
+    site: String,
+}
+
+impl Gateway {
+    /// Starts one before workers, each a name, an address and further fields.
+    pub fn start(site: &str, workers: &[(&str, SocketAddr, &str)]) -> Self {
+        Gateway::start_with("", site, workers)
+    }
+
+    /// The same with further fields of the gateway form.
+    pub fn start_with(fields: &str, site: &str, workers: &[(&str, SocketAddr, &str)]) -> Self {
+        let directory = tempfile::tempdir().unwrap();
+        let file = directory.path().join("site.scm");
+        let site = format!("(gateway (name \"g\") {fields})\n(mqtt (listen \"127.0.0.1:0\"))\n{site}");
+        std::fs::write(&file, Self::text(&site, workers)).unwrap();
+        let log = directory.path().join("log");
+        let process = Process::start(&["run", file.to_str().unwrap()], Some(&log));
+        Gateway { process, directory, site }
+    }
+
+    fn text(site: &str, workers: &[(&str, SocketAddr, &str)]) -> String {
+        let line =
+            |w: &(&str, SocketAddr, &str)| format!("(worker \"{}\" (address \"{}\") {})\n", w.0, w.1, w.2);
+        workers.iter().map(line).fold(site.to_string(), |text, line| text + &line)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.process.address
+    }
+
+    pub fn file(&self) -> PathBuf {
+        self.directory.path().join("site.scm")
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.directory.path().join("log")).unwrap_or_default()
+    }
+
+    /// Writes a new worker list, sends SIGHUP and waits until it was read.
+    pub fn relist(&self, workers: &[(&str, SocketAddr, &str)]) {
+        let count = |log: &str| log.matches("worker list read again").count();
+        let before = count(&self.log());
+        std::fs::write(self.file(), Self::text(&self.site, workers)).unwrap();
+        self.process.signal("HUP");
+        until("the list to be read", || count(&self.log()) > before);
+    }
+}
+
+/// What a worker does about a call.
+#[derive(Clone, Debug)]
+pub enum Act {
+    Answer(Reply),
+    /// After so many milliseconds.
+    Later(u64, Reply),
+    /// These bytes, and the connection stays.
+    Raw(Vec<u8>),
+    /// The first half of an answer, and the connection ends.
+    Half(Reply),
+    /// The connection ends without a byte.
+    Close,
+    /// Nothing.
+    Silence,
+}
+
+pub fn served(text: &str) -> Act {
+    Act::Answer(Reply::Served { payload: text.into(), ran: Some("7".into()) })
+}
+
+/// A worker that answers probes and orders well and calls as a test says.
+#[derive(Clone)]
+pub struct Worker {
+    pub address: SocketAddr,
+    calls: Arc<Mutex<Vec<(Instant, slatevalve_worker_wire::Call)>>>,
+    orders: Arc<Mutex<Vec<Order>>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Worker {
+    /// `act` is given the call and how many calls this worker had before it.
+    pub fn start(act: impl Fn(&slatevalve_worker_wire::Call, usize) -> Act + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let worker = Worker {
+            address: listener.local_addr().unwrap(),
+            calls: Arc::default(),
+            orders: Arc::default(),
+            stop: Arc::default(),
+        };
+        let (shared, act) = (worker.clone(), Arc::new(act));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                if shared.stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                let (shared, act) = (shared.clone(), act.clone());
+                if let Ok(stream) = stream {
+                    thread::spawn(move || shared.serve(stream, &*act));
+                }
+            }
+        });
+        worker
+    }
+
+    fn serve(&self, mut stream: TcpStream, act: &dyn Fn(&slatevalve_worker_wire::Call, usize) -> Act) {
+        let mut reader = MessageReader::new(Side::Request, Limits::default());
+        let mut bytes = [0; 4096];
+        loop {
+            let count = match stream.read(&mut bytes) {
+                Ok(0) | Err(_) => return,
+                Ok(count) => count,
+            };
+            let Ok(message) = reader.feed(&bytes[..count]) else { return };
+            let Some(message) = message else { continue };
+            let order = Asked::read(message).unwrap().order;
+            let act = match order {
+                Order::Infer(call) => {
+                    let before = {
+                        let mut calls = self.calls.lock().unwrap();
+                        calls.push((Instant::now(), call.clone()));
+                        calls.len() - 1
+                    };
+                    act(&call, before)
+                }
+                Order::Ready => Act::Answer(Reply::Ready),
+                Order::Load { copies, .. } => {
+                    self.orders.lock().unwrap().push(order);
+                    Act::Answer(Reply::Copies(copies))
+                }
+                _ => Act::Answer(Reply::Copies(0)),
+            };
+            let done = match act {
+                Act::Answer(reply) => stream.write_all(&reply.encode(None, None)).is_err(),
+                Act::Later(millis, reply) => {
+                    thread::sleep(Duration::from_millis(millis));
+                    stream.write_all(&reply.encode(None, None)).is_err()
+                }
+                Act::Raw(bytes) => stream.write_all(&bytes).is_err(),
+                Act::Half(reply) => {
+                    let bytes = reply.encode(None, None);
+                    let _ = stream.write_all(&bytes[..bytes.len() / 2]);
+                    true
+                }
+                Act::Close => true,
+                Act::Silence => false,
+            };
+            if done {
+                let _ = stream.shutdown(Shutdown::Both);
+                return;
+            }
+        }
+    }
+
+    /// How many calls came.
+    pub fn calls(&self) -> usize {
+        self.calls.lock().unwrap().len()
+    }
+
+    /// The payloads of the calls that came, in order.
+    pub fn payloads(&self) -> Vec<String> {
+        let calls = self.calls.lock().unwrap();
+        calls.iter().map(|(_, c)| String::from_utf8_lossy(&c.payload).into_owned()).collect()
+    }
+
+    /// Calls and orders to load that came.
+    pub fn all(&self) -> usize {
+        self.calls() + self.orders.lock().unwrap().len()
+    }
+}
+
+/// An answer as a client gets it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heard {
+    pub outcome: String,
+    pub reason: Option<String>,
+    pub payload: String,
+    pub recorded: bool,
+    pub ran: Option<String>,
+    pub call: String,
+}
+
+/// A plain blocking MQTT 5 client.
+pub struct Client {
+    stream: TcpStream,
+    mqtt: Connection<role::Client>,
+    heard: VecDeque<Heard>,
+    packets: Vec<Packet>,
+    pub session_present: bool,
+}
+
+impl Client {
+    /// Connects; a session that lives on without a connection where `lasting`.
+    pub fn connect(address: SocketAddr, id: &str, lasting: bool) -> Self {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+        let mut mqtt = Connection::new(Version::V5_0);
+        mqtt.set_auto_pub_response(true);
+        let (heard, packets) = (VecDeque::new(), Vec::new());
+        let mut client = Client { stream, mqtt, heard, packets, session_present: false };
+        let expiry = SessionExpiryInterval::new(if lasting { 60 } else { 0 }).unwrap();
+        let builder = v5_0::Connect::builder().client_id(id).unwrap().clean_start(!lasting);
+        client.send(builder.props(vec![expiry.into()]).build().unwrap().into());
+        let start = Instant::now();
+        while client.packets.is_empty() {
+            assert!(start.elapsed() < PATIENCE, "no CONNACK");
+            client.read();
+        }
+        client.session_present =
+            client.packets.iter().any(|p| matches!(p, Packet::V5_0Connack(p) if p.session_present()));
+        client
+    }
+
+    fn send(&mut self, packet: Packet) {
+        let events = self.mqtt.send(packet);
+        self.carry(events);
+    }
+
+    fn carry(&mut self, events: Vec<Event>) {
+        for event in events {
+            match event {
+                Event::RequestSendPacket { packet, .. } => {
+                    let _ = self.stream.write_all(&packet.to_continuous_buffer());
+                }
+                Event::NotifyPacketReceived(Packet::V5_0Publish(p)) => self.heard.push_back(Self::hear(&p)),
+                Event::NotifyPacketReceived(packet) => self.packets.push(packet),
+                _ => {}
+            }
+        }
+    }
+
+    fn hear(publish: &v5_0::Publish) -> Heard {
+        let told = |name: &str| {
+            publish.props().iter().find_map(|p| match p {
+                Property::UserProperty(p) if p.key() == name => Some(p.val().to_string()),
+                _ => None,
+            })
+        };
+        let call = publish.props().iter().find_map(|p| match p {
+            Property::CorrelationData(p) => Some(String::from_utf8_lossy(p.val()).into_owned()),
+            _ => None,
+        });
+        Heard {
+            outcome: told("outcome").unwrap_or_default(),
+            reason: told("reason"),
+            payload: String::from_utf8_lossy(publish.payload().as_slice()).into_owned(),
+            recorded: told("recorded").is_some(),
+            ran: told("ran"),
+            call: call.unwrap_or_default(),
+        }
+    }
+
+    fn read(&mut self) {
+        let mut bytes = [0; 4096];
+        let Ok(count) = self.stream.read(&mut bytes) else { return };
+        let mut cursor = Cursor::new(&bytes[..count]);
+        while (cursor.position() as usize) < count {
+            let events = self.mqtt.recv(&mut cursor);
+            self.carry(events);
+        }
+    }
+
+    /// Subscribes and waits for the acknowledgement.
+    pub fn subscribe(&mut self, filter: &str) {
+        let id = self.mqtt.acquire_packet_id().unwrap();
+        let entries = vec![SubEntry::new(filter, SubOpts::new().set_qos(Qos::AtLeastOnce)).unwrap()];
+        self.send(v5_0::Subscribe::builder().packet_id(id).entries(entries).build().unwrap().into());
+        let start = Instant::now();
+        while !self.packets.iter().any(|p| matches!(p, Packet::V5_0Suback(_))) {
+            assert!(start.elapsed() < PATIENCE, "no SUBACK");
+            self.read();
+        }
+    }
+
+    /// Publishes with QoS 1 under a packet id of the test's choice; the payload names the call as well.
+    pub fn publish(&mut self, topic: &str, id: u16, key: Option<&str>, call: &str, dup: bool) {
+        let mut properties: Vec<Property> = vec![
+            ResponseTopic::new("replies/me").unwrap().into(),
+            CorrelationData::new(call.as_bytes().to_vec()).unwrap().into(),
+        ];
+        properties.extend(key.map(|k| Property::from(UserProperty::new("key", k).unwrap())));
+        let builder = v5_0::Publish::builder().topic_name(topic).unwrap().qos(Qos::AtLeastOnce).dup(dup);
+        let publish =
+            builder.packet_id(id).props(properties).payload(call.as_bytes().to_vec()).build().unwrap();
+        let _ = self.mqtt.register_packet_id(id);
+        self.send(publish.into());
+    }
+
+    /// The next answer.
+    pub fn answer(&mut self) -> Heard {
+        let start = Instant::now();
+        loop {
+            if let Some(heard) = self.heard.pop_front() {
+                return heard;
+            }
+            assert!(start.elapsed() < PATIENCE, "no answer");
+            self.read();
+        }
+    }
+
+    /// Whether no further answer comes within a while. (That one comes late can only make a test pass wrongly.)
+    pub fn is_quiet(&mut self, millis: u64) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_millis(millis) {
+            self.read();
+        }
+        self.heard.is_empty()
+    }
+
+    /// Calls and waits for the answer.
+    pub fn call(&mut self, topic: &str, id: u16, key: Option<&str>, call: &str) -> Heard {
+        self.publish(topic, id, key, call, false);
+        self.answer()
+    }
+
+    /// Sends bytes as they are.
+    pub fn raw(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes);
+    }
+}
--- a/crates/mqtt/src/front.rs
+++ b/crates/mqtt/src/front.rs
@@ -4,7 +4,7 @@
 //! session without a connection keeps its answers until it expires, and what it still waits for has then left; bytes
 //! that are no MQTT close their own connection and nothing else.
 
-use crate::connect::{first_packet, FirstPacket};
+use crate::connect::{first_packet, Expected, FirstPacket};
 use crate::intake::{self, Asked, Rejection};
 use crate::packets::{self, Inbound, Outbound, Version};
 use crate::routes::Routes;
@@ -168,7 +168,7 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         let Stage::Opening(buffer) = &mut link.stage else { return self.feed(now, id, bytes, out) };
         buffer.extend_from_slice(bytes);
-        match first_packet(buffer, limit) {
+        match first_packet(Expected::Connect, buffer, limit) {
             FirstPacket::Partial => {}
             FirstPacket::Refused => {
                 info!(link = id.0, "closed: the first packet is no CONNECT that can be taken");
@@ -619,13 +619,17 @@
             return self.dismiss(now, id, DisconnectReasonCode::RetainNotSupported, out);
         }
         let read = match session.load() < self.settings.session_quota {
-            true => intake::read(&self.settings.routes, &session.client_id, &publish),
+            true => intake::read(&self.settings.routes, Some(&session.client_id), &publish),
             false => Err(Rejection::Quota),
         };
         let ack = packets::acknowledge(version, &publish, read.as_ref().err().copied());
         if let Some(ack) = ack.transpose() {
             self.must_send(now, id, ack, out);
         }
+        // A message that is sent again as its acknowledgement was lost: its answer is owed or under way already.
+        if read.is_ok() && self.sessions.get_mut(&client).is_some_and(|s| s.is_redelivery(&publish)) {
+            return;
+        }
         match read {
             Ok(Ok(asked)) => self.take(client, publish, asked, out),
             Ok(Err(reason)) => self.refuse(now, client, &publish, reason, out),
--- a/crates/mqtt/src/intake.rs
+++ b/crates/mqtt/src/intake.rs
@@ -71,10 +71,11 @@
     pub(crate) correlation: Option<Vec<u8>>,
 }
 
-/// Reads a publish. The inner error refuses the call in an answer of its own.
+/// Reads a publish. The inner error refuses the call in an answer of its own. Behind a broker the client's id is not
+/// known; its response topic stands for it.
 pub(crate) fn read(
     routes: &Routes,
-    client_id: &str,
+    client_id: Option<&str>,
     publish: &Inbound,
 ) -> Result<Result<Asked, Reason>, Rejection> {
     let route = routes.find(&publish.topic).ok_or(Rejection::NoRoute)?;
@@ -110,7 +111,8 @@
     };
     let function = name(route.function.fill(&publish.topic))?;
     let from_topic = route.key.as_ref().map(|t| t.fill(&publish.topic)).filter(|k| !k.is_empty());
-    let key = key_bytes(key.or(from_topic), correlation.as_deref(), client_id);
+    let owner = client_id.or(response_topic.as_deref());
+    let key = key_bytes(key.or(from_topic), correlation.as_deref(), owner);
     if key.as_ref().is_some_and(|k| k.len() > MAX_KEY) {
         return Err(Rejection::Property);
     }
@@ -135,10 +137,12 @@
 
 /// A stated key is the same whoever sends it. Correlation data is one client's own count, so it is a key only
 /// together with the client's id: two clients that both begin at 1 must not get each other's charges.
-fn key_bytes(stated: Option<String>, correlation: Option<&[u8]>, client_id: &str) -> Option<Vec<u8>> {
-    match (stated, correlation) {
-        (Some(key), _) => Some([b"k:", key.as_bytes()].concat()),
-        (None, Some(data)) if !data.is_empty() => Some([b"c:", client_id.as_bytes(), b"\0", data].concat()),
+fn key_bytes(stated: Option<String>, correlation: Option<&[u8]>, owner: Option<&str>) -> Option<Vec<u8>> {
+    match (stated, correlation, owner) {
+        (Some(key), _, _) => Some([b"k:", key.as_bytes()].concat()),
+        (None, Some(data), Some(owner)) if !data.is_empty() => {
+            Some([b"c:", owner.as_bytes(), b"\0", data].concat())
+        }
         _ => None,
     }
 }
--- a/crates/mqtt/src/packets.rs
+++ b/crates/mqtt/src/packets.rs
@@ -9,6 +9,7 @@
     UnsubackReasonCode,
 };
 use slatevalve_engine::{Answer, Verdict};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 /// The protocol versions that are spoken.
@@ -56,6 +57,16 @@
     }
 }
 
+impl Inbound {
+    /// What tells this message from another one with the same packet id.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (&self.topic, &self.payload).hash(&mut hasher);
+        self.properties.iter().for_each(|p| p.to_continuous_buffer().hash(&mut hasher));
+        hasher.finish()
+    }
+}
+
 /// A message that waits to go out, in either version.
 #[derive(Clone, Debug)]
 pub(crate) struct Outbound {
--- a/crates/mqtt/src/session.rs
+++ b/crates/mqtt/src/session.rs
@@ -1,11 +1,15 @@
 //! What is kept of a client between its connections. Called by the front.
 
-use crate::packets::{Outbound, Version};
+use crate::packets::{Inbound, Outbound, Version};
 use crate::LinkId;
 use mqtt_protocol_core::mqtt::packet::{Qos, StorePacket};
 use slatevalve::Micros;
 use slatevalve_engine::{ClientRef, Ticket};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Packet ids of which a session remembers what they stood for.
+const MAX_TAKEN: usize = 2_048;
 
 /// Numbers for tickets and clients, apart from those of every other front of the same engine.
 #[derive(Clone, Debug)]
@@ -37,6 +41,14 @@
     pub(crate) fn client(&mut self) -> ClientRef {
         ClientRef(self.number())
     }
+
+    /// A client known by a name only, the same each time.
+    pub(crate) fn client_named(&self, name: &str) -> ClientRef {
+        // With the fixed keys of its `new`, this hasher gives the same for the same name.
+        let mut hasher = DefaultHasher::new();
+        name.hash(&mut hasher);
+        ClientRef((u64::from(self.front) << 56) | (hasher.finish() >> 8))
+    }
 }
 
 /// Where an answer goes.
@@ -66,6 +78,9 @@
     /// Since when every publish of this session that was taken was taken by this gateway's knowledge; see
     /// [`slatevalve_engine::Repeat::Marked`].
     pub(crate) covered_since: Option<Micros>,
+    /// Publishes that were taken on this connection and the one before, by packet id: one that is sent again because
+    /// its acknowledgement was lost is known by it, also where it has no key.
+    pub(crate) taken: HashMap<u16, u64>,
     /// What the library had in flight when the connection ended.
     pub(crate) stored: Vec<StorePacket>,
     pub(crate) received_qos2: Vec<u16>,
@@ -88,6 +103,7 @@
             expires_at: None,
             opened: now,
             covered_since: None,
+            taken: HashMap::new(),
             stored: Vec::new(),
             received_qos2: Vec::new(),
             waiting: BTreeMap::new(),
@@ -96,6 +112,20 @@
         }
     }
 
+    /// Notes a publish that is taken; true where it is one that was taken before and is sent again.
+    pub(crate) fn is_redelivery(&mut self, publish: &Inbound) -> bool {
+        let Some(id) = publish.packet_id else { return false };
+        let fingerprint = publish.fingerprint();
+        if publish.dup && self.covered_since.is_some() && self.taken.get(&id) == Some(&fingerprint) {
+            return true;
+        }
+        // Beyond so many the table of keys alone tells repeats, for the classes that need it.
+        if self.taken.len() < MAX_TAKEN || self.taken.contains_key(&id) {
+            self.taken.insert(id, fingerprint);
+        }
+        false
+    }
+
     /// Calls and answers that count against the session's quota.
     pub(crate) fn load(&self) -> usize {
         self.waiting.len() + self.outbox.len()
--- a/crates/mqtt/src/topics.rs
+++ b/crates/mqtt/src/topics.rs
@@ -86,6 +86,20 @@
     }
 }
 
+impl fmt::Display for TopicFilter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (n, level) in self.levels.iter().enumerate() {
+            let slash = if n > 0 { "/" } else { "" };
+            match level {
+                Level::Name(name) => write!(f, "{slash}{name}")?,
+                Level::One => write!(f, "{slash}+")?,
+                Level::Rest => write!(f, "{slash}#")?,
+            }
+        }
+        Ok(())
+    }
+}
+
 /// A text with places for levels of the topic: `rules-{2}` takes the second level.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Template {
--- a/crates/mqtt/tests/front.rs
+++ b/crates/mqtt/tests/front.rs
@@ -35,7 +35,8 @@
         function: Template::parse("{2}").unwrap(),
         key: key.map(|k| Template::parse(k).unwrap()),
     };
-    let routes = vec![route("quote/+", 0, None), route("charge/+", 1, None), route("old/+/+", 1, Some("{3}"))];
+    let routes =
+        vec![route("quote/+", 0, None), route("charge/+", 1, None), route("old/+/+", 1, Some("{3}"))];
     FrontSettings {
         routes: Routes { routes, tenants: Default::default() },
         max_packet: 2_000,
@@ -304,11 +305,27 @@
     b.drop_link(1);
     b.pass(5);
     b.connect(2, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
-    b.publish(2, v5_publish("charge/card", Qos::AtLeastOnce, 1, vec![key("k")]).set_dup(true));
+    b.publish(2, v5_publish("charge/card", Qos::AtLeastOnce, 2, vec![key("k")]).set_dup(true));
     assert_eq!(b.calls[1].repeat, Repeat::Marked { covered_since: Some(opened) });
     assert_eq!(b.calls[0].client, b.calls[1].client);
 }
 
+#[test]
+fn a_publish_sent_again_for_want_of_its_acknowledgement_makes_no_second_call_with_or_without_a_key() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+    b.publish(1, v5_publish("quote/fare", Qos::AtLeastOnce, 1, vec![]));
+    b.drop_link(1);
+    b.connect(2, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+    b.publish(2, v5_publish("quote/fare", Qos::AtLeastOnce, 1, vec![]).set_dup(true));
+    assert_eq!(b.calls.len(), 1);
+    b.answer(0, &served(1));
+    assert_eq!(b.outcomes(2), ["served"]);
+    // The id used again for another message, which was lost before it came: that is a new call.
+    b.publish(2, v5_publish("quote/trip", Qos::AtLeastOnce, 1, vec![]).set_dup(true));
+    assert_eq!(b.calls.len(), 2);
+}
+
 #[test]
 fn a_publish_with_qos_2_makes_one_call_however_often_it_is_sent_before_its_release() {
     let mut b = Bench::new(settings());
@@ -370,7 +387,8 @@
     let mut b = Bench::new(settings());
     b.connect(1, Version::V5_0, v5_connect("a", true, vec![]));
     // The library would not write such a packet, so its bytes are made from a good one.
-    let good = v5_publish("quote/fare", Qos::AtLeastOnce, 1, vec![ResponseTopic::new("replies/a").unwrap().into()]);
+    let good =
+        v5_publish("quote/fare", Qos::AtLeastOnce, 1, vec![ResponseTopic::new("replies/a").unwrap().into()]);
     let mut bytes = good.to_continuous_buffer();
     let at = bytes.windows(9).position(|w| w == b"replies/a").unwrap();
     bytes[at + 8] = b'#';
@@ -405,7 +423,8 @@
 #[test]
 fn version_3_1_1_gets_its_answer_on_a_topic_made_from_its_id_and_the_outcome() {
     let mut b = Bench::new(settings());
-    let connect = v3_1_1::Connect::builder().client_id("old/app").unwrap().clean_session(true).build().unwrap();
+    let connect =
+        v3_1_1::Connect::builder().client_id("old/app").unwrap().clean_session(true).build().unwrap();
     b.connect(1, Version::V3_1_1, connect.into());
     let publish = |topic: &str, id: u16| -> Packet {
         let builder = v3_1_1::Publish::builder().topic_name(topic).unwrap().qos(Qos::AtLeastOnce);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,12 +5,14 @@
 //! lines and know nothing of the gateway's inside. The command line and the scripted bad day start them.
 #![warn(missing_docs)]
 
+mod broker;
 mod client;
 mod faults;
 mod service;
 mod tap;
 mod worker;
 
+pub use broker::{run_broker, BrokerFault, BrokerFaultKind, BrokerPlan};
 pub use client::{Arrival, ClientPlan, ClientReport, Driver};
 pub use faults::{Fault, FaultKind};
 pub use service::{CallBody, ServicePlan};
