One write for all answers of a turn; the benchmark counts processor time for a call

Need: with one message a wake-up the client was what the benchmark measured. Answers of a turn now go to the kernel in one write, safe calls no longer carry their key to workers, and the benchmark reads the thread's processor time.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -339,8 +339,10 @@
         let until = Micros(self.now.0.saturating_add(budget.0));
         let class = self.settings.module.classes.get(call.class.0);
         let recorded = class.is_some_and(|c| c.effect != Effect::Safe);
+        // Workers drop repeats of keyed and unsafe calls; a safe one's key is only ours.
+        let key_sent = call.key.filter(|_| recorded);
         let body =
-            RunBody { function: call.function, payload: call.payload, key: call.key, class: call.class };
+            RunBody { function: call.function, payload: call.payload, key: key_sent, class: call.class };
         let open = Open {
             tickets: vec![(call.ticket, call.client)],
             body: Arc::new(body),
--- a/crates/gateway/benches/relay.rs
+++ b/crates/gateway/benches/relay.rs
@@ -1,8 +1,10 @@
 //! The gateway beside a floor: a bare relay on the same loop, with the same client bytes, the same requests and
 //! responses and the same stand-in workers, in one run and in turn. `cargo bench -p slatevalve-gateway`
 //!
-//! Printed for each number of calls in flight: calls a second through one gateway thread, and the times at the
-//! client. Times are for reading beside each other, not for judging a machine.
+//! Printed for each number of calls in flight: calls a second, the times at the client, and the processor time that
+//! the one thread took for a call, from which follow the calls a second that one core could carry. (Where threads wake
+//! each other for every single message, as on small virtual machines, the client is what limits the calls a second.)
+//! Times are for reading beside each other, not for judging a machine.
 
 use hdrhistogram::Histogram;
 use mqtt_protocol_core::mqtt::packet::*;
@@ -70,10 +72,26 @@
     reply.encode(None, None)
 }
 
-fn gateway(workers: &[SocketAddr]) -> SocketAddr {
+/// Where a thread listens, and its number for the kernel.
+type Listening = (SocketAddr, i32);
+
+fn this_thread() -> i32 {
+    rustix::thread::gettid().as_raw_nonzero().get()
+}
+
+/// Processor seconds of a thread so far, user and system (`/proc/[pid]/task/[tid]/stat`, fields 14 and 15).
+fn cpu_seconds(thread: i32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/self/task/{thread}/stat")).unwrap_or_default();
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = after_name.split_whitespace().skip(11).take(2).filter_map(|t| t.parse::<f64>().ok());
+    ticks.sum::<f64>() / 100.0
+}
+
+fn gateway(workers: &[SocketAddr]) -> Listening {
     let mut text = String::from(
         "(gateway (name \"bench\"))(mqtt (listen \"127.0.0.1:0\"))
          (class \"quote\" (effect safe) (aim-ms 2000) (deadline-ms 10000))
+         (function \"f\" (lanes 2000) (load-ms 1))
          (route \"quote/+\" (class \"quote\") (function \"{2}\"))",
     );
     for (n, address) in workers.iter().enumerate() {
@@ -86,7 +104,7 @@
         let clock = Clock::start();
         let site = Site::parse("bench", &text, &clock, Named::default()).unwrap();
         let mut shell = Shell::new(site, None, clock).unwrap();
-        send.send(shell.address()).unwrap();
+        send.send((shell.address(), this_thread())).unwrap();
         shell.run().unwrap();
     });
     spawned.unwrap();
@@ -94,12 +112,12 @@
 }
 
 /// The floor: each publish of the known length becomes one request, each response of the known length one answer.
-fn relay(workers: &[SocketAddr], publish_length: usize) -> SocketAddr {
+fn relay(workers: &[SocketAddr], publish_length: usize) -> Listening {
     let (workers, (send, receive)) = (workers.to_vec(), mpsc::channel());
     thread::spawn(move || {
         let mut reactor = Reactor::new(1 << 24).unwrap();
         let (_, address) = reactor.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        send.send(address).unwrap();
+        send.send((address, this_thread())).unwrap();
         let call = Call {
             function: "f".into(),
             payload: PAYLOAD.to_vec(),
@@ -166,8 +184,15 @@
     builder.props(properties).payload(PAYLOAD.to_vec()).build().unwrap().to_continuous_buffer()
 }
 
-/// Keeps so many calls in flight for a while; gives calls a second and their times.
-fn load(address: SocketAddr, mqtt: bool, in_flight: usize) -> (f64, Histogram<u64>) {
+/// How a load went.
+struct Measured {
+    per_second: f64,
+    times: Histogram<u64>,
+    cpu_us: f64,
+}
+
+/// Keeps so many calls in flight for a while.
+fn load((address, thread): Listening, mqtt: bool, in_flight: usize) -> Measured {
     let mut reactor = Reactor::new(1 << 24).unwrap();
     let id = reactor.connect(address).unwrap();
     let (publish, answer_length) = (publish(), answer().len());
@@ -195,7 +220,7 @@
     let warm_until = Instant::now() + Duration::from_secs_f64(SECONDS / 2.0);
     let until = warm_until + Duration::from_secs_f64(SECONDS);
     (0..in_flight).for_each(|_| send(&mut reactor, &mut sent));
-    let mut done = 0u64;
+    let (mut done, mut cpu_before) = (0u64, None);
     while Instant::now() < until {
         reactor.turn(Some(Duration::from_millis(50)), &mut happened).unwrap();
         for happening in happened.drain(..) {
@@ -208,6 +233,7 @@
                 // for the mean and little for the rest.
                 let Some(at) = sent.pop_front() else { panic!("more answers than calls") };
                 if now > warm_until {
+                    cpu_before.get_or_insert_with(|| cpu_seconds(thread));
                     times.saturating_record(now.duration_since(at).as_micros().max(1) as u64);
                     done += 1;
                 }
@@ -215,24 +241,35 @@
             }
         }
     }
-    (done as f64 / SECONDS, times)
+    let cpu = cpu_seconds(thread) - cpu_before.unwrap_or(0.0);
+    Measured { per_second: done as f64 / SECONDS, times, cpu_us: cpu * 1e6 / done.max(1) as f64 }
 }
 
 fn main() {
     let workers: Vec<SocketAddr> = (0..WORKERS).map(|_| worker()).collect();
     let length = publish().len();
     println!("calls a second and client times in us, {ROUNDS} rounds of {SECONDS} s each, in turn");
-    println!("{:>9} {:>8} {:>10} {:>8} {:>8} {:>10}", "in flight", "", "calls/s", "p50", "p99", "of floor");
-    for in_flight in [1, 64, 1_024] {
+    println!(
+        "{:>9} {:>8} {:>10} {:>8} {:>8} {:>12} {:>14} {:>9}",
+        "in flight", "", "calls/s", "p50", "p99", "cpu us/call", "calls/s, core", "of floor"
+    );
+    // Other numbers of calls in flight may be named on the command line.
+    let named: Vec<usize> = std::env::args().filter_map(|a| a.parse().ok()).collect();
+    let counts = if named.is_empty() { vec![1, 64, 1_024] } else { named };
+    for in_flight in counts {
         for _ in 0..ROUNDS {
             let floor = load(relay(&workers, length), false, in_flight);
             let gateway = load(gateway(&workers), true, in_flight);
-            let row = |name: &str, r: &(f64, Histogram<u64>), part: f64| {
-                let (p50, p99) = (r.1.value_at_quantile(0.5), r.1.value_at_quantile(0.99));
-                println!("{in_flight:>9} {name:>8} {:>10.0} {p50:>8} {p99:>8} {part:>10.2}", r.0);
-            };
-            row("floor", &floor, 1.0);
-            row("gateway", &gateway, gateway.0 / floor.0);
+            for (name, m) in [("floor", &floor), ("gateway", &gateway)] {
+                let (p50, p99) = (m.times.value_at_quantile(0.5), m.times.value_at_quantile(0.99));
+                println!(
+                    "{in_flight:>9} {name:>8} {:>10.0} {p50:>8} {p99:>8} {:>12.1} {:>14.0} {:>9.2}",
+                    m.per_second,
+                    m.cpu_us,
+                    1e6 / m.cpu_us,
+                    floor.cpu_us / m.cpu_us
+                );
+            }
         }
     }
 }
--- a/crates/gateway/src/shell/pool.rs
+++ b/crates/gateway/src/shell/pool.rs
@@ -48,6 +48,8 @@
 struct Peer {
     name: String,
     address: SocketAddr,
+    /// The address as the requests' `Host` has it.
+    host: String,
     idle: Vec<Id>,
     connections: usize,
     listed: bool,
@@ -103,11 +105,13 @@
 
     /// Notes where a worker is reached. A worker that moved is reached at its new address from now on.
     pub fn list(&mut self, reactor: &mut Reactor, worker: WorkerId, name: &str, address: SocketAddr) {
-        let new = Peer { name: name.into(), address, idle: Vec::new(), connections: 0, listed: true };
+        let host = address.to_string();
+        let new = Peer { name: name.into(), address, host, idle: Vec::new(), connections: 0, listed: true };
         let peer = self.peers.entry(worker).or_insert(new);
         peer.listed = true;
         if peer.address != address {
             peer.address = address;
+            peer.host = address.to_string();
             self.close_idle(reactor, worker);
         }
     }
@@ -186,8 +190,8 @@
             Purpose::Load(_) | Purpose::Unload => Some(self.order_timeout),
         };
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        let host = self.peers.get(&connection.worker).map(|p| p.address.to_string()).unwrap_or_default();
-        let bytes = task.order.encode(&host, &self.gateway);
+        let host = self.peers.get(&connection.worker).map_or("", |p| &p.host);
+        let bytes = task.order.encode(host, &self.gateway);
         connection.written_before = reactor.written(id);
         connection.due = timeout.map(|t| after(now, t));
         if let Purpose::Attempt(attempt) = task.purpose {
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -76,6 +76,8 @@
     paused: bool,
     /// To be closed as soon as all is written; nothing more is read from it.
     finishing: bool,
+    /// Noted to be written at the next turn.
+    unflushed: bool,
 }
 
 enum Source {
@@ -94,6 +96,8 @@
     max_buffered: usize,
     /// Ends noticed while writing, told at the next turn.
     ended: Vec<Happening>,
+    /// Connections with bytes that the kernel has not been offered yet.
+    unflushed: Vec<Id>,
 }
 
 impl Reactor {
@@ -110,6 +114,7 @@
             scratch: vec![0; READ_AT_ONCE],
             max_buffered,
             ended: Vec::new(),
+            unflushed: Vec::new(),
         })
     }
 
@@ -176,28 +181,30 @@
         Ok(())
     }
 
-    /// Writes bytes, or buffers what the kernel does not take yet. A connection whose buffer is full or that
-    /// breaks is closed, which the next turn tells. Unknown connections take nothing.
+    /// Takes bytes to be written. They go to the kernel together with all else for that connection when the next
+    /// turn begins, as one write for many answers costs little more than one for each. A connection whose buffer
+    /// is full or that breaks is closed, which that turn tells. Unknown connections take nothing.
     pub fn write(&mut self, id: Id, bytes: &[u8]) {
+        let max_buffered = self.max_buffered;
         let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
-        let mut rest = bytes;
-        if c.connected && c.pending() == 0 {
-            match write_some(&mut c.stream, rest) {
-                Ok(n) => {
-                    c.written += n as u64;
-                    rest = &rest[n..];
-                }
-                Err(_) => return self.end(id),
-            }
+        if c.pending() + bytes.len() > max_buffered {
+            return self.end(id);
         }
-        if rest.is_empty() {
-            return;
+        c.buffer.extend_from_slice(bytes);
+        if c.connected && !c.watching_writes && !c.unflushed && !bytes.is_empty() {
+            c.unflushed = true;
+            self.unflushed.push(id);
         }
-        if c.pending() + rest.len() > self.max_buffered {
-            return self.end(id);
+    }
+
+    /// Hands the kernel what was written in the turn before.
+    fn flush(&mut self) {
+        for id in std::mem::take(&mut self.unflushed) {
+            if let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) {
+                c.unflushed = false;
+                self.write_pending(id, &mut Vec::new());
+            }
         }
-        c.buffer.extend_from_slice(rest);
-        self.interest(id);
     }
 
     /// Bytes that wait to be written to a connection.
@@ -259,6 +266,7 @@
     /// # Errors
     /// When the poller fails.
     pub fn turn(&mut self, timeout: Option<Duration>, out: &mut Vec<Happening>) -> io::Result<()> {
+        self.flush();
         let timeout = if self.ended.is_empty() { timeout } else { Some(Duration::ZERO) };
         self.events.clear();
         match self.poller.wait(&mut self.events, timeout) {
@@ -334,6 +342,12 @@
             c.connected = true;
             out.push(Happening::Connected(id));
         }
+        self.write_pending(id, out);
+    }
+
+    /// Offers the kernel what waits, and watches for writability while something is left.
+    fn write_pending(&mut self, id: Id, out: &mut Vec<Happening>) {
+        let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
         if c.pending() > 0 {
             match write_some(&mut c.stream, &c.buffer[c.start..]) {
                 Ok(n) => {
@@ -420,6 +434,7 @@
             watching_writes: !connected,
             paused: false,
             finishing: false,
+            unflushed: false,
         }
     }
 
