--- /dev/null
+++ b/fuzz/fuzz_targets/worker_wire.rs
@@ -0,0 +1,26 @@
+//! Bytes into both sides of the workers' protocol: nothing panics, and no body is beyond its limit.
+#![no_main]
+
+use libfuzzer_sys::fuzz_target;
+use slatevalve_worker_wire::{reply, Asked, Call, Limits, MessageReader, Order, Side};
+
+fuzz_target!(|pieces: Vec<Vec<u8>>| {
+    let limits = Limits { head: 512, body: 1_024 };
+    for side in [Side::Request, Side::Response] {
+        let mut reader = MessageReader::new(side, limits);
+        for piece in &pieces {
+            match reader.feed(piece) {
+                Ok(Some(message)) => {
+                    assert!(message.body.len() <= limits.body);
+                    match side {
+                        Side::Request => drop(Asked::read(message)),
+                        Side::Response => drop(reply::read(&Order::Infer(Call::default()), message)),
+                    }
+                }
+                Ok(None) => {}
+                Err(_) => break,
+            }
+        }
+        let _ = reader.end();
+    }
+});
