--- /dev/null
+++ b/crates/plugins/src/catalogue.rs
@@ -0,0 +1,421 @@
+//! The catalogue: versions, digests, aliases and their history, quarantine, and what must not be thrown away.
+//!
+//! Invariants, each with a test: an alias points to a whole version that is not in quarantine, or it does not move; of two
+//! who move it at once, the second is told; a version's digest never changes; content that an alias, a kept
+//! version or an open call needs is never given up. History is ordered by its count, not by the clock, which may jump.
+
+use crate::digest::Digest;
+use crate::manifest::{LayerRef, Manifest};
+use crate::reference::{Reference, Selector};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
+use std::sync::Arc;
+
+/// The alias that a bare name means.
+pub const CURRENT: &str = "current";
+/// The alias that follows `current` by one step.
+pub const PREVIOUS: &str = "previous";
+/// Moves that an alias's history keeps.
+const HISTORY: usize = 1_000;
+
+/// How much of a version is here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VersionState {
+    /// Its manifest is known, some of its content is not here yet.
+    Partial,
+    /// All of it is here and verified.
+    Whole,
+    /// It is deleted; its content stays while a call that is open needs it.
+    Deleted,
+}
+
+/// Why a version runs nowhere.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quarantine {
+    /// What was found.
+    pub reason: String,
+    /// When, in milliseconds of the Unix clock.
+    pub at_ms: i64,
+}
+
+/// One move of an alias.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AliasMove {
+    /// Its count from 1, which orders the history.
+    pub revision: u64,
+    /// Milliseconds of the Unix clock, as the mover's machine showed it.
+    pub at_ms: i64,
+    /// Who moved it.
+    pub who: String,
+    /// The version before.
+    pub from: Option<String>,
+    /// The version from then on.
+    pub to: String,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Version {
+    digest: Digest,
+    manifest: Arc<Manifest>,
+    state: VersionState,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Alias {
+    version: String,
+    revision: u64,
+    history: Vec<AliasMove>,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Function {
+    versions: BTreeMap<String, Version>,
+    aliases: BTreeMap<String, Alias>,
+}
+
+/// Why something cannot be done or found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CatalogueError {
+    /// No such function.
+    UnknownFunction(String),
+    /// No such version or alias.
+    UnknownVersion(String),
+    /// The version was published with other content; versions never change.
+    VersionTaken(Digest),
+    /// An alias and a version may not have the same name.
+    NameTaken(String),
+    /// Not all of its content is here.
+    Partial(String),
+    /// It is in quarantine.
+    Quarantined(String),
+    /// Somebody else moved the alias in between; it is at this revision now.
+    Stale(u64),
+    /// An alias means this version.
+    InUse(String),
+    /// A name, alias or version that cannot be one.
+    BadName(String),
+}
+
+impl fmt::Display for CatalogueError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CatalogueError::UnknownFunction(name) => write!(f, "there is no plug-in {name}"),
+            CatalogueError::UnknownVersion(name) => write!(f, "there is no version or alias {name}"),
+            CatalogueError::VersionTaken(digest) => {
+                write!(f, "this version is published already, as {digest}")
+            }
+            CatalogueError::NameTaken(name) => write!(f, "{name} is an alias or a version already"),
+            CatalogueError::Partial(version) => write!(f, "not all of version {version} is here"),
+            CatalogueError::Quarantined(reason) => write!(f, "in quarantine: {reason}"),
+            CatalogueError::Stale(revision) => {
+                write!(f, "somebody else moved this alias in between; it is at revision {revision}")
+            }
+            CatalogueError::InUse(alias) => write!(f, "alias {alias} means this version"),
+            CatalogueError::BadName(name) => write!(f, "{name:?} cannot be a name here"),
+        }
+    }
+}
+
+impl std::error::Error for CatalogueError {}
+
+/// What a reference means now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Resolved {
+    /// The version's name.
+    pub version: String,
+    /// The digest of its manifest, which names all its content.
+    pub digest: Digest,
+    /// What it says of itself.
+    pub manifest: Arc<Manifest>,
+    /// The revision of the alias by which it was found.
+    pub revision: Option<u64>,
+}
+
+/// A version, for lists.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct VersionView {
+    /// Its name.
+    pub version: String,
+    /// Its digest.
+    pub digest: Digest,
+    /// How much of it is here.
+    pub state: VersionState,
+    /// Why it runs nowhere, if so.
+    pub quarantine: Option<Quarantine>,
+    /// Calls that are open for it.
+    pub open: usize,
+    /// Aliases that mean it.
+    pub aliases: Vec<String>,
+}
+
+/// An alias, for lists.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct AliasView {
+    /// Its name.
+    pub alias: String,
+    /// The version that it means.
+    pub version: String,
+    /// Its revision, for the next mover to name.
+    pub revision: u64,
+}
+
+/// See the module's documentation.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Catalogue {
+    functions: BTreeMap<String, Function>,
+    quarantined: BTreeMap<Digest, Quarantine>,
+    /// Calls that are open, by digest; not kept over a restart, which ends them.
+    #[serde(skip)]
+    open: HashMap<Digest, usize>,
+}
+
+type Res<T> = Result<T, CatalogueError>;
+
+impl Catalogue {
+    /// Whether there is a function of this name.
+    pub fn knows(&self, name: &str) -> bool {
+        self.functions.contains_key(name)
+    }
+
+    /// The functions' names.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.functions.keys().map(String::as_str)
+    }
+
+    fn function(&self, name: &str) -> Res<&Function> {
+        self.functions.get(name).ok_or_else(|| CatalogueError::UnknownFunction(name.into()))
+    }
+
+    /// Adds a version, or says again what is known. Until [`Catalogue::complete`] no alias can mean it.
+    ///
+    /// # Errors
+    /// When the version has other content, or its name is an alias's.
+    pub fn publish(&mut self, manifest: Manifest, digest: Digest) -> Res<()> {
+        let (name, version) = (manifest.name.clone(), manifest.version.clone());
+        if !Reference::is_name(&name) || !Reference::is_word(&version) {
+            return Err(CatalogueError::BadName(format!("{name}@{version}")));
+        }
+        let function = self.functions.entry(name).or_default();
+        if function.aliases.contains_key(&version) || [CURRENT, PREVIOUS].contains(&version.as_str()) {
+            return Err(CatalogueError::NameTaken(version));
+        }
+        match function.versions.get_mut(&version) {
+            Some(known) if known.digest != digest => Err(CatalogueError::VersionTaken(known.digest)),
+            Some(known) => {
+                // Deleted and published again: its content may be gone.
+                if known.state == VersionState::Deleted {
+                    known.state = VersionState::Partial;
+                }
+                Ok(())
+            }
+            None => {
+                let (manifest, state) = (Arc::new(manifest), VersionState::Partial);
+                function.versions.insert(version, Version { digest, manifest, state });
+                Ok(())
+            }
+        }
+    }
+
+    /// All content of a version was pulled or pushed and verified just now. That, and nothing else, lifts a quarantine.
+    ///
+    /// # Errors
+    /// When there is no such version.
+    pub fn complete(&mut self, name: &str, version: &str) -> Res<()> {
+        let function =
+            self.functions.get_mut(name).ok_or_else(|| CatalogueError::UnknownFunction(name.into()))?;
+        let found = function.versions.get_mut(version);
+        let found = found.ok_or_else(|| CatalogueError::UnknownVersion(version.into()))?;
+        found.state = VersionState::Whole;
+        let digest = found.digest;
+        self.quarantined.remove(&digest);
+        Ok(())
+    }
+
+    /// Takes a digest out of use, until it is whole again by a clean pull.
+    pub fn quarantine(&mut self, digest: Digest, reason: &str, at_ms: i64) {
+        let found = Quarantine { reason: reason.into(), at_ms };
+        self.quarantined.entry(digest).or_insert(found);
+    }
+
+    /// Why a digest is in quarantine, if it is.
+    pub fn quarantined(&self, digest: &Digest) -> Option<&Quarantine> {
+        self.quarantined.get(digest)
+    }
+
+    /// Moves an alias, or makes it. `expected` is the revision that the mover saw (0 where there was none); without it
+    /// the alias moves whatever it is. `current` takes `previous` along by one step.
+    ///
+    /// # Errors
+    /// When the version is unknown, not whole or in quarantine, or somebody else moved the alias in between.
+    pub fn move_alias(
+        &mut self,
+        name: &str,
+        alias: &str,
+        to: &str,
+        expected: Option<u64>,
+        who: &str,
+        at_ms: i64,
+    ) -> Res<u64> {
+        if !Reference::is_word(alias) {
+            return Err(CatalogueError::BadName(alias.into()));
+        }
+        let function =
+            self.functions.get_mut(name).ok_or_else(|| CatalogueError::UnknownFunction(name.into()))?;
+        if function.versions.contains_key(alias) {
+            return Err(CatalogueError::NameTaken(alias.into()));
+        }
+        let revision = function.aliases.get(alias).map_or(0, |a| a.revision);
+        if expected.is_some_and(|e| e != revision) {
+            return Err(CatalogueError::Stale(revision));
+        }
+        let version = function.versions.get(to).ok_or_else(|| CatalogueError::UnknownVersion(to.into()))?;
+        if version.state != VersionState::Whole {
+            return Err(CatalogueError::Partial(to.into()));
+        }
+        if let Some(found) = self.quarantined.get(&version.digest) {
+            return Err(CatalogueError::Quarantined(found.reason.clone()));
+        }
+        let before = function.aliases.get(alias).map(|a| a.version.clone());
+        if let Some(before) = before.filter(|b| alias == CURRENT && b != to) {
+            function.set(PREVIOUS, before, who, at_ms);
+        }
+        Ok(function.set(alias, to.into(), who, at_ms))
+    }
+
+    /// What a reference means now.
+    ///
+    /// # Errors
+    /// When it means nothing, or nothing that may run.
+    pub fn resolve(&self, reference: &Reference) -> Res<Resolved> {
+        let function = self.function(&reference.name)?;
+        let by_alias =
+            |alias: &str| function.aliases.get(alias).map(|a| (a.version.as_str(), Some(a.revision)));
+        let found = match &reference.selector {
+            Selector::Current => by_alias(CURRENT),
+            Selector::Word(word) => by_alias(word).or(Some((word.as_str(), None))),
+            Selector::Digest(digest) => {
+                let version = function.versions.iter().find(|(_, v)| v.digest == *digest);
+                version.map(|(name, _)| (name.as_str(), None))
+            }
+        };
+        let unknown = || CatalogueError::UnknownVersion(reference.to_string());
+        let (name, revision) = found.ok_or_else(unknown)?;
+        let version =
+            function.versions.get(name).filter(|v| v.state != VersionState::Deleted).ok_or_else(unknown)?;
+        if let Some(found) = self.quarantined.get(&version.digest) {
+            return Err(CatalogueError::Quarantined(found.reason.clone()));
+        }
+        if version.state == VersionState::Partial {
+            return Err(CatalogueError::Partial(name.into()));
+        }
+        let (digest, manifest) = (version.digest, version.manifest.clone());
+        Ok(Resolved { version: name.into(), digest, manifest, revision })
+    }
+
+    /// A call of a digest was taken: its content is needed until [`Catalogue::closed`].
+    pub fn opened(&mut self, digest: Digest) {
+        *self.open.entry(digest).or_default() += 1;
+    }
+
+    /// A call of a digest ended.
+    pub fn closed(&mut self, digest: Digest) {
+        if let Some(count) = self.open.get_mut(&digest) {
+            *count -= 1;
+            if *count == 0 {
+                self.open.remove(&digest);
+            }
+        }
+    }
+
+    /// Deletes a version. Calls that are open for it go on, and its content stays until they end.
+    ///
+    /// # Errors
+    /// When an alias means it, or there is none.
+    pub fn delete(&mut self, name: &str, version: &str) -> Res<()> {
+        let function =
+            self.functions.get_mut(name).ok_or_else(|| CatalogueError::UnknownFunction(name.into()))?;
+        if let Some((alias, _)) = function.aliases.iter().find(|(_, a)| a.version == version) {
+            return Err(CatalogueError::InUse(alias.clone()));
+        }
+        let found = function.versions.get_mut(version);
+        let found = found.ok_or_else(|| CatalogueError::UnknownVersion(version.into()))?;
+        found.state = VersionState::Deleted;
+        Ok(())
+    }
+
+    /// All content that must be kept: of every version that is not deleted, and of those with calls open.
+    pub fn reachable(&self) -> BTreeSet<Digest> {
+        let versions = self.functions.values().flat_map(|f| f.versions.values());
+        let kept = versions.filter(|v| v.state != VersionState::Deleted || self.open.contains_key(&v.digest));
+        kept.flat_map(|v| v.manifest.layers.iter().map(|l| l.digest).chain([v.digest])).collect()
+    }
+
+    /// Every layer of a version, for pulls and checks.
+    ///
+    /// # Errors
+    /// When there is no such version.
+    pub fn layers(&self, name: &str, version: &str) -> Res<Vec<LayerRef>> {
+        let found = self.function(name)?.versions.get(version);
+        let found = found.ok_or_else(|| CatalogueError::UnknownVersion(version.into()))?;
+        Ok(found.manifest.layers.clone())
+    }
+
+    /// The versions of a function.
+    ///
+    /// # Errors
+    /// When there is no such function.
+    pub fn versions(&self, name: &str) -> Res<Vec<VersionView>> {
+        let function = self.function(name)?;
+        let view = |(version, v): (&String, &Version)| VersionView {
+            version: version.clone(),
+            digest: v.digest,
+            state: v.state,
+            quarantine: self.quarantined.get(&v.digest).cloned(),
+            open: self.open.get(&v.digest).copied().unwrap_or(0),
+            aliases: function
+                .aliases
+                .iter()
+                .filter(|(_, a)| a.version == *version)
+                .map(|(n, _)| n.clone())
+                .collect(),
+        };
+        Ok(function.versions.iter().map(view).collect())
+    }
+
+    /// The aliases of a function.
+    ///
+    /// # Errors
+    /// When there is no such function.
+    pub fn aliases(&self, name: &str) -> Res<Vec<AliasView>> {
+        let view = |(alias, a): (&String, &Alias)| AliasView {
+            alias: alias.clone(),
+            version: a.version.clone(),
+            revision: a.revision,
+        };
+        Ok(self.function(name)?.aliases.iter().map(view).collect())
+    }
+
+    /// An alias's moves, oldest first.
+    ///
+    /// # Errors
+    /// When there is no such alias.
+    pub fn history(&self, name: &str, alias: &str) -> Res<&[AliasMove]> {
+        let alias_found = self.function(name)?.aliases.get(alias);
+        alias_found.map(|a| a.history.as_slice()).ok_or_else(|| CatalogueError::UnknownVersion(alias.into()))
+    }
+}
+
+impl Function {
+    fn set(&mut self, alias: &str, to: String, who: &str, at_ms: i64) -> u64 {
+        let entry = self.aliases.entry(alias.into()).or_default();
+        let from = Some(std::mem::replace(&mut entry.version, to.clone())).filter(|f| !f.is_empty());
+        entry.revision += 1;
+        entry.history.push(AliasMove { revision: entry.revision, at_ms, who: who.into(), from, to });
+        if entry.history.len() > HISTORY {
+            entry.history.remove(0);
+        }
+        entry.revision
+    }
+}
--- /dev/null
+++ b/crates/plugins/src/rollout.rs
@@ -0,0 +1,284 @@
+//! The move of an alias, carried out: copies of the new version first, then calls, a stable part of them at a time; and
+//! back by itself, once, where the new version does worse.
+//!
+//! It decides by what it is told: which copies stand ([`Observed::Stands`]), how calls of either version went. It never
+//! sends and never loads: [`Rollout::wants`] says what is to be ordered ahead, [`Rollout::side`] which version a call
+//! goes to. One for each function whose `current` moved; bounded state, no clock of its own, no chance.
+//!
+//! Invariants, each with a test: no call goes to the new version before a copy of it stands; a key that has gone to the
+//! new version stays there while the move goes on; a move back happens once, and from then on all calls take the old
+//! version; the part never grows faster than copies stand.
+
+/// Figures of a roll-out. Times are in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutSettings {
+    /// Orders that may be out ahead at a time: what the store of plug-ins bears.
+    pub orders_at_once: usize,
+    /// The part of the calls that the first copy may get; it doubles with each step.
+    pub first_part: f64,
+    /// A step lasts at least so long, so that its calls have been seen.
+    pub step_us: i64,
+    /// Calls of the new version that must have ended before it is judged.
+    pub judged_after: u32,
+    /// Failures beyond the old version's part by more than this are too many.
+    pub more_failures: f64,
+    /// Being late beyond the old version's part by more than this is too much.
+    pub more_late: f64,
+    /// Without a copy that stands after this, the move is given up.
+    pub give_up_us: i64,
+}
+
+impl Default for RolloutSettings {
+    fn default() -> Self {
+        RolloutSettings {
+            orders_at_once: 2,
+            first_part: 0.1,
+            step_us: 500_000,
+            judged_after: 20,
+            more_failures: 0.1,
+            more_late: 0.25,
+            give_up_us: 30_000_000,
+        }
+    }
+}
+
+/// One of the two versions of a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// The one before.
+    Old,
+    /// The one after.
+    New,
+}
+
+/// What a roll-out is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Observed {
+    /// An order ahead for a copy of the new version went out.
+    Ordered,
+    /// It ended, and a copy stands.
+    Stands,
+    /// It ended, and none does.
+    OrderFailed,
+    /// A call of one of the versions ended.
+    Ended {
+        /// Which version.
+        side: Direction,
+        /// Whether it was served.
+        served: bool,
+        /// Whether it came later than its class's aim.
+        late: bool,
+    },
+    /// A worker ran other content than the call's, or its content was found corrupt.
+    Corrupt,
+}
+
+/// What a roll-out wants of the gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Want {
+    /// Up to so many further copies of the new version ordered ahead.
+    Copies(usize),
+    /// Nothing for now.
+    Nothing,
+}
+
+/// How a roll-out ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// All calls take the new version; the old one's copies may go.
+    Moved,
+    /// It did worse, or no copy came to stand: the alias is to go back.
+    Back(&'static str),
+}
+
+/// Where a roll-out is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RolloutState {
+    /// No copy of the new version stands yet.
+    Preparing,
+    /// This part of the calls takes the new version.
+    Moving(f64),
+    /// It is over.
+    Over(Ended),
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    ended: u32,
+    failed: u32,
+    late: u32,
+}
+
+impl Tally {
+    fn part(count: u32, of: u32) -> f64 {
+        if of == 0 {
+            0.0
+        } else {
+            f64::from(count) / f64::from(of)
+        }
+    }
+}
+
+/// The move of one function's alias.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    settings: RolloutSettings,
+    began_us: i64,
+    step_from_us: i64,
+    state: RolloutState,
+    /// Copies that will be needed: workers that serve the old version.
+    needed: usize,
+    standing: usize,
+    out: usize,
+    failed_orders: usize,
+    old: Tally,
+    new: Tally,
+    /// Whether its end was given.
+    told: bool,
+}
+
+impl Rollout {
+    /// A move that begins now, of a function whose old version is served by `needed` workers.
+    pub fn new(settings: RolloutSettings, now_us: i64, needed: usize) -> Self {
+        Rollout {
+            settings,
+            began_us: now_us,
+            step_from_us: now_us,
+            state: RolloutState::Preparing,
+            needed: needed.max(1),
+            standing: 0,
+            out: 0,
+            failed_orders: 0,
+            old: Tally::default(),
+            new: Tally::default(),
+            told: false,
+        }
+    }
+
+    /// Where it is.
+    pub fn state(&self) -> RolloutState {
+        self.state
+    }
+
+    /// Copies of the new version that stand, and that are needed.
+    pub fn copies(&self) -> (usize, usize) {
+        (self.standing, self.needed)
+    }
+
+    /// The version that a call goes to, by a stable hash of its key as a number from 0 to 1.
+    pub fn side(&self, hash: f64) -> Direction {
+        match self.state {
+            RolloutState::Preparing | RolloutState::Over(Ended::Back(_)) => Direction::Old,
+            RolloutState::Over(Ended::Moved) => Direction::New,
+            RolloutState::Moving(part) if hash < part => Direction::New,
+            RolloutState::Moving(_) => Direction::Old,
+        }
+    }
+
+    /// What is to be ordered ahead now.
+    pub fn wants(&self) -> Want {
+        let over = matches!(self.state, RolloutState::Over(_));
+        let missing = self.needed.saturating_sub(self.standing + self.out);
+        let room = self.settings.orders_at_once.saturating_sub(self.out);
+        match missing.min(room) {
+            0 => Want::Nothing,
+            _ if over => Want::Nothing,
+            copies => Want::Copies(copies),
+        }
+    }
+
+    /// Takes what happened.
+    pub fn observe(&mut self, now_us: i64, observed: Observed) {
+        match observed {
+            Observed::Ordered => self.out += 1,
+            Observed::Stands => {
+                self.out = self.out.saturating_sub(1);
+                self.standing += 1;
+            }
+            Observed::OrderFailed => {
+                self.out = self.out.saturating_sub(1);
+                self.failed_orders += 1;
+            }
+            Observed::Ended { side, served, late } => {
+                let tally = if side == Direction::Old { &mut self.old } else { &mut self.new };
+                tally.ended += 1;
+                tally.failed += u32::from(!served);
+                tally.late += u32::from(late);
+            }
+            Observed::Corrupt => return self.end(Ended::Back("its content was found corrupt")),
+        }
+        self.judge(now_us);
+    }
+
+    /// Lets time pass; gives the end once, when it comes.
+    pub fn advance(&mut self, now_us: i64) -> Option<Ended> {
+        self.judge(now_us);
+        match self.state {
+            RolloutState::Over(ended) if !std::mem::replace(&mut self.told, true) => Some(ended),
+            _ => None,
+        }
+    }
+
+    fn end(&mut self, ended: Ended) {
+        if !matches!(self.state, RolloutState::Over(_)) {
+            self.state = RolloutState::Over(ended);
+        }
+    }
+
+    fn judge(&mut self, now_us: i64) {
+        if matches!(self.state, RolloutState::Over(_)) {
+            return;
+        }
+        // A clock that jumps back must not hold a move up for ever: its times count anew from there.
+        self.began_us = self.began_us.min(now_us);
+        self.step_from_us = self.step_from_us.min(now_us);
+        if self.standing == 0 && now_us - self.began_us >= self.settings.give_up_us {
+            return self.end(Ended::Back("no copy of it came to stand"));
+        }
+        if let Some(why) = self.worse() {
+            return self.end(Ended::Back(why));
+        }
+        if now_us - self.step_from_us < self.settings.step_us && self.state != RolloutState::Preparing {
+            return;
+        }
+        self.step(now_us);
+    }
+
+    /// Why the new version does worse, if it does: beyond the old one's part, and beyond chance at so few calls.
+    fn worse(&self) -> Option<&'static str> {
+        let (new, old, s) = (self.new, self.old, self.settings);
+        if new.ended < s.judged_after {
+            return None;
+        }
+        let chance = 1.0 / f64::from(new.ended).sqrt();
+        let beyond = |new_part: f64, old_part: f64, more: f64| new_part > old_part + more.max(chance);
+        if beyond(Tally::part(new.failed, new.ended), Tally::part(old.failed, old.ended), s.more_failures) {
+            return Some("more of its calls failed");
+        }
+        if beyond(Tally::part(new.late, new.ended), Tally::part(old.late, old.ended), s.more_late) {
+            return Some("more of its calls came late");
+        }
+        None
+    }
+
+    /// The next part: double what it was, never beyond the part of the copies that stand.
+    fn step(&mut self, now_us: i64) {
+        let stands = (self.standing as f64 / self.needed as f64).min(1.0);
+        let part = match self.state {
+            RolloutState::Preparing if self.standing > 0 => self.settings.first_part.min(stands),
+            RolloutState::Moving(part) => (part * 2.0).min(stands).max(part),
+            _ => return,
+        };
+        // Each part is judged by calls of its own before it grows, unless there are hardly any calls at all.
+        let seen = self.new.ended >= self.settings.judged_after;
+        let quiet = now_us - self.step_from_us >= 4 * self.settings.step_us;
+        if matches!(self.state, RolloutState::Moving(_)) && !seen && !quiet {
+            return;
+        }
+        if part >= 1.0 {
+            return self.end(Ended::Moved);
+        }
+        self.step_from_us = now_us;
+        self.state = RolloutState::Moving(part);
+    }
+}
--- /dev/null
+++ b/crates/plugins/tests/catalogue.rs
@@ -0,0 +1,235 @@
+//! The catalogue and the roll-out, by what their callers see.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use slatevalve_plugins::*;
+
+fn manifest(version: &str) -> (Manifest, Digest) {
+    let layer = LayerRef { digest: Digest::of(version.as_bytes()), size: version.len() as u64 };
+    let manifest = Manifest {
+        name: "fare".into(),
+        version: version.into(),
+        tenant: None,
+        class: "quote".into(),
+        effect: None,
+        lanes: 1,
+        memory_mb: 0.0,
+        load_ms: 0.0,
+        engine: None,
+        layers: vec![layer],
+    };
+    let digest = Digest::of(&serde_json::to_vec(&manifest).unwrap());
+    (manifest, digest)
+}
+
+fn with(versions: &[&str]) -> Catalogue {
+    let mut catalogue = Catalogue::default();
+    for version in versions {
+        let (manifest, digest) = manifest(version);
+        catalogue.publish(manifest, digest).unwrap();
+        catalogue.complete("fare", version).unwrap();
+    }
+    catalogue
+}
+
+fn resolve(catalogue: &Catalogue, reference: &str) -> Result<String, CatalogueError> {
+    catalogue.resolve(&reference.parse().unwrap()).map(|r| r.version)
+}
+
+#[test]
+fn the_four_forms_of_a_reference_find_their_version() {
+    let mut c = with(&["1", "2"]);
+    c.move_alias("fare", CURRENT, "1", None, "anna", 5).unwrap();
+    c.move_alias("fare", CURRENT, "2", None, "anna", 6).unwrap();
+    let digest = manifest("1").1;
+    for (reference, version) in
+        [("fare", "2"), ("fare@previous", "1"), ("fare@1", "1"), (&format!("fare@{digest}"), "1")]
+    {
+        assert_eq!(resolve(&c, reference), Ok(version.to_string()), "{reference}");
+    }
+    assert!(matches!(resolve(&c, "fare@3"), Err(CatalogueError::UnknownVersion(_))));
+    assert!(matches!(resolve(&c, "trip"), Err(CatalogueError::UnknownFunction(_))));
+}
+
+#[test]
+fn an_alias_does_not_move_to_what_is_missing_half_there_or_corrupt() {
+    let mut c = with(&["1"]);
+    c.move_alias("fare", CURRENT, "1", None, "anna", 0).unwrap();
+    let (manifest, digest) = manifest("2");
+    assert!(matches!(
+        c.move_alias("fare", CURRENT, "2", None, "b", 0),
+        Err(CatalogueError::UnknownVersion(_))
+    ));
+    c.publish(manifest, digest).unwrap();
+    assert!(matches!(c.move_alias("fare", CURRENT, "2", None, "b", 0), Err(CatalogueError::Partial(_))));
+    c.complete("fare", "2").unwrap();
+    c.quarantine(digest, "layer 1 does not match", 0);
+    assert!(matches!(c.move_alias("fare", CURRENT, "2", None, "b", 0), Err(CatalogueError::Quarantined(_))));
+    assert_eq!(resolve(&c, "fare"), Ok("1".into()));
+    c.complete("fare", "2").unwrap();
+    assert!(c.move_alias("fare", CURRENT, "2", None, "b", 0).is_ok(), "a clean pull lifts it");
+}
+
+#[test]
+fn of_two_who_move_an_alias_at_once_the_second_is_told() {
+    let mut c = with(&["1", "2", "3"]);
+    let seen = c.move_alias("fare", CURRENT, "1", Some(0), "anna", 0).unwrap();
+    c.move_alias("fare", CURRENT, "2", Some(seen), "anna", 0).unwrap();
+    assert_eq!(c.move_alias("fare", CURRENT, "3", Some(seen), "bert", 0), Err(CatalogueError::Stale(2)));
+    assert_eq!(resolve(&c, "fare"), Ok("2".into()));
+}
+
+#[test]
+fn history_keeps_its_order_when_the_clock_jumps_and_survives_a_restart() {
+    let mut c = with(&["1", "2"]);
+    for (n, at) in [9_000, -5, 100].into_iter().enumerate() {
+        c.move_alias("fare", CURRENT, if n % 2 == 0 { "1" } else { "2" }, None, "anna", at).unwrap();
+    }
+    let c: Catalogue = serde_json::from_str(&serde_json::to_string(&c).unwrap()).unwrap();
+    let moves = c.history("fare", CURRENT).unwrap();
+    assert_eq!(
+        moves.iter().map(|m| (m.revision, m.at_ms)).collect::<Vec<_>>(),
+        [(1, 9_000), (2, -5), (3, 100)]
+    );
+    assert_eq!(
+        (moves[2].from.as_deref(), moves[2].to.as_str(), moves[2].who.as_str()),
+        (Some("2"), "1", "anna")
+    );
+}
+
+#[test]
+fn a_version_never_changes_and_shares_no_name_with_an_alias() {
+    let mut c = with(&["1"]);
+    let (mut other, _) = manifest("1");
+    other.lanes = 9;
+    assert!(matches!(c.publish(other, Digest::of(b"other")), Err(CatalogueError::VersionTaken(_))));
+    c.move_alias("fare", "night", "1", None, "anna", 0).unwrap();
+    let (night, digest) = manifest("night");
+    assert!(matches!(c.publish(night, digest), Err(CatalogueError::NameTaken(_))));
+    assert!(matches!(c.move_alias("fare", "1", "1", None, "anna", 0), Err(CatalogueError::NameTaken(_))));
+}
+
+#[test]
+fn a_deleted_version_keeps_its_content_while_a_call_is_open() {
+    let mut c = with(&["1", "2"]);
+    let digest = manifest("1").1;
+    c.move_alias("fare", "night", "1", None, "anna", 0).unwrap();
+    assert_eq!(c.delete("fare", "1"), Err(CatalogueError::InUse("night".into())));
+    c.move_alias("fare", "night", "2", None, "anna", 0).unwrap();
+    c.opened(digest);
+    c.delete("fare", "1").unwrap();
+    assert!(resolve(&c, "fare@1").is_err());
+    assert!(c.reachable().contains(&digest) && c.reachable().contains(&Digest::of(b"1")));
+    c.closed(digest);
+    assert!(!c.reachable().contains(&digest) && c.reachable().contains(&Digest::of(b"2")));
+}
+
+fn ended(side: Direction, served: bool, late: bool) -> Observed {
+    Observed::Ended { side, served, late }
+}
+
+#[test]
+fn calls_move_in_growing_parts_as_copies_stand_and_never_before() {
+    let mut r = Rollout::new(RolloutSettings::default(), 0, 4);
+    assert_eq!((r.wants(), r.side(0.0)), (Want::Copies(2), Direction::Old));
+    r.observe(0, Observed::Ordered);
+    r.observe(0, Observed::Ordered);
+    assert_eq!(r.wants(), Want::Nothing, "two orders at a time");
+    r.observe(200_000, Observed::Stands);
+    assert_eq!(
+        (r.state(), r.side(0.05), r.side(0.2)),
+        (RolloutState::Moving(0.1), Direction::New, Direction::Old)
+    );
+    let mut now = 200_000;
+    for _ in 0..40 {
+        now += 100_000;
+        (0..5).for_each(|_| r.observe(now, ended(Direction::New, true, false)));
+    }
+    assert_eq!(r.state(), RolloutState::Moving(0.25), "one of four copies stands");
+    for _ in 0..3 {
+        r.observe(now, Observed::Stands);
+    }
+    let mut end = None;
+    while end.is_none() && now < 20_000_000 {
+        now += 500_000;
+        end = r.advance(now);
+    }
+    assert_eq!((end, r.side(0.99)), (Some(Ended::Moved), Direction::New));
+}
+
+#[test]
+fn a_new_version_that_fails_or_is_late_goes_back_once() {
+    for (served, late) in [(false, false), (true, true)] {
+        let mut r = Rollout::new(RolloutSettings::default(), 0, 1);
+        r.observe(0, Observed::Stands);
+        (0..200).for_each(|_| r.observe(1, ended(Direction::Old, true, false)));
+        (0..40).for_each(|_| r.observe(1, ended(Direction::New, served, late)));
+        assert!(matches!(r.state(), RolloutState::Over(Ended::Back(_))));
+        assert_eq!((r.side(0.0), r.wants()), (Direction::Old, Want::Nothing));
+        assert!(matches!((r.advance(9_000_000), r.advance(9_000_001)), (Some(Ended::Back(_)), None)));
+    }
+}
+
+#[test]
+fn a_rush_in_which_both_versions_do_badly_moves_nothing_back() {
+    let mut r = Rollout::new(RolloutSettings::default(), 0, 1);
+    r.observe(0, Observed::Stands);
+    for n in 0..400 {
+        r.observe(1, ended(Direction::Old, n % 2 == 0, n % 3 == 0));
+        r.observe(1, ended(Direction::New, n % 2 == 0, n % 3 == 0));
+    }
+    assert!(matches!(r.state(), RolloutState::Moving(_)), "{:?}", r.state());
+}
+
+#[test]
+fn a_move_without_a_copy_is_given_up_and_corrupt_content_ends_it_at_once() {
+    let mut r = Rollout::new(RolloutSettings::default(), 0, 2);
+    r.observe(0, Observed::Ordered);
+    r.observe(1, Observed::OrderFailed);
+    assert_eq!(r.wants(), Want::Copies(2));
+    assert!(matches!(r.advance(30_000_000), Some(Ended::Back(_))));
+    let mut r = Rollout::new(RolloutSettings::default(), 0, 2);
+    r.observe(0, Observed::Stands);
+    r.observe(0, Observed::Corrupt);
+    assert_eq!(r.side(0.0), Direction::Old);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300, rng_seed: RngSeed::Fixed(21), failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    /// Whatever is observed and however the clock goes: the part never shrinks but by the one move back, it never goes
+    /// beyond the copies that stand, orders stay within their number, and what is over stays over.
+    #[test]
+    fn a_rollout_keeps_its_bounds(steps in prop::collection::vec((0u8..8, -300_000i64..900_000), 1..300)) {
+        let settings = RolloutSettings::default();
+        let mut r = Rollout::new(settings, 0, 3);
+        let (mut now, mut out, mut part, mut over) = (0, 0usize, 0.0, None);
+        for (what, passes) in steps {
+            now += passes;
+            if let Want::Copies(copies) = r.wants() {
+                prop_assert!(out + copies <= settings.orders_at_once);
+            }
+            match what {
+                0 if r.wants() != Want::Nothing => { r.observe(now, Observed::Ordered); out += 1; }
+                1 if out > 0 => { r.observe(now, Observed::Stands); out -= 1; }
+                2 if out > 0 => { r.observe(now, Observed::OrderFailed); out -= 1; }
+                3 | 4 => r.observe(now, ended(Direction::New, true, false)),
+                5 => r.observe(now, ended(Direction::New, false, false)),
+                6 => r.observe(now, ended(Direction::Old, true, false)),
+                _ => { r.advance(now); }
+            }
+            let (standing, needed) = r.copies();
+            match r.state() {
+                RolloutState::Preparing => prop_assert_eq!(part, 0.0),
+                RolloutState::Moving(p) => {
+                    prop_assert!(p >= part && p <= (standing as f64 / needed as f64).min(1.0));
+                    part = p;
+                }
+                RolloutState::Over(end) => prop_assert_eq!(*over.get_or_insert(end), end),
+            }
+            prop_assert!(over.is_none() || matches!(r.state(), RolloutState::Over(_)));
+        }
+    }
+}
