A call stays with the version it was taken for, and copies are ordered ahead of a change

Need: plug-ins. The engine takes with each call what its name meant then; an answer from other content is not passed on and counts as run; repeats stay with the first's version. The module gets one small event, Expected: calls of one function are about to take over from another's, and copies may be ordered ahead where they will go, through the same gate as all orders.

--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -1,5 +1,6 @@
 //! Final answers: what a client is told, and why. Made by the engine, put into bytes by the fronts.
 
+use crate::call::Version;
 use std::fmt;
 use std::sync::Arc;
 
@@ -12,6 +13,8 @@
     pub attempts: usize,
     /// The call had ended before, and this repeats its answer from the record.
     pub recorded: bool,
+    /// The version that it was taken for, where functions have versions and it began a run.
+    pub version: Option<Version>,
 }
 
 /// How a call ended.
@@ -69,6 +72,10 @@
     NoTime,
     /// The function's name cannot be told apart from another's, or there is no room for its name.
     FunctionName,
+    /// The function's name means no version that is here.
+    UnknownVersion,
+    /// Its content was found corrupt; it runs again after a clean pull.
+    Quarantined,
     /// No such tenant.
     UnknownTenant,
     /// No route takes the topic, or the topic gives no usable name.
@@ -95,6 +102,8 @@
             Reason::TooManyOpen => "too many calls are open",
             Reason::NoTime => "too little time is left to answer",
             Reason::FunctionName => "the function's name cannot be taken",
+            Reason::UnknownVersion => "no such plug-in or version is here",
+            Reason::Quarantined => "this version is in quarantine: its content is not what its digest says",
             Reason::UnknownTenant => "unknown tenant",
             Reason::NoRoute => "no route takes this topic",
             Reason::Stopping => "the gateway is stopping",
--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -1,5 +1,7 @@
 //! A call as a front hands it in.
 
+use crate::answer::Reason;
+use crate::engine::FunctionTraits;
 use slatevalve::{ClassId, Micros, TenantId};
 use std::sync::Arc;
 
@@ -26,11 +28,24 @@
     },
 }
 
+/// The version that a call's reference meant when it was taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Version {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The digest of its content, which every worker that runs it must name.
+    pub digest: Arc<str>,
+    /// What the module and the workers know it by: one function for each digest.
+    pub function: Arc<str>,
+}
+
 /// What goes to a worker, shared by all attempts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunBody {
-    /// The function's name.
+    /// The function's name, as workers know it.
     pub function: Arc<str>,
+    /// Its version, where functions have any.
+    pub version: Option<Version>,
     /// The payload.
     pub payload: Arc<[u8]>,
     /// The key, where the class has one.
@@ -50,8 +65,13 @@
     pub class: ClassId,
     /// Its tenant, where the site has any.
     pub tenant: Option<TenantId>,
-    /// The function's name.
+    /// The function's name, as the client gave it.
     pub function: Arc<str>,
+    /// What that name means now, or why it means nothing that may run. It counts only where the call begins a run:
+    /// a repeat stays with the version of the first.
+    pub version: Result<Option<Version>, Reason>,
+    /// What the version says of itself; without it the settings count.
+    pub traits: Option<FunctionTraits>,
     /// The key by which repeats are known.
     pub key: Option<Arc<[u8]>>,
     /// The payload.
--- a/crates/engine/src/duplicates.rs
+++ b/crates/engine/src/duplicates.rs
@@ -217,7 +217,12 @@
 
     fn served(bytes: usize) -> Answer {
         let payload: Arc<[u8]> = vec![7; bytes].into();
-        Answer { verdict: Verdict::Served { payload, ran: None }, attempts: 1, recorded: false }
+        Answer {
+            verdict: Verdict::Served { payload, ran: None },
+            attempts: 1,
+            recorded: false,
+            version: None,
+        }
     }
 
     fn table(result_bytes: usize) -> DuplicateTable {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -5,9 +5,9 @@
 //! told to the module once; what is closed leaves nothing behind but its key's record.
 
 use crate::answer::{Answer, Reason, Verdict};
-use crate::call::{Call, ClientRef, Repeat, RunBody, Ticket};
+use crate::call::{Call, ClientRef, Repeat, RunBody, Ticket, Version};
 use crate::duplicates::{DuplicateLimits, DuplicateTable, Fingerprint, KeyDigest, Seen};
-use crate::names::Names;
+use crate::names::{function_id, Names};
 use crate::timers::Timers;
 use slatevalve::{
     Action, Answer as AttemptAnswer, Brain, ClassId, Effect, Event, FunctionId, Listing, Micros, Outcome,
@@ -139,6 +139,15 @@
     Probe(WorkerId),
     /// Ask for the worker list and its changes.
     Subscribe,
+    /// A worker ran other content than the call's, or did not name what it ran; its answer was not passed on.
+    RanOther {
+        /// Which worker.
+        worker: WorkerId,
+        /// What was to run.
+        version: Version,
+        /// What it named.
+        ran: Option<Arc<str>>,
+    },
     /// Give a ticket its answer.
     Answer(Ticket, Answer),
     /// The same client repeated the call: this ticket gets no answer, the repeat's does.
@@ -162,6 +171,8 @@
     pub attempts: u64,
     /// Calls that the module left without an answer past their deadline.
     pub overdue: u64,
+    /// Answers from other content than the call's; none of them was passed on.
+    pub ran_other: u64,
 }
 
 #[derive(Debug)]
@@ -245,7 +256,8 @@
         self.statistics.calls += 1;
         let ticket = call.ticket;
         if let Err(reason) = self.take(call, out) {
-            let answer = Answer { verdict: Verdict::Refused(reason), attempts: 0, recorded: false };
+            let verdict = Verdict::Refused(reason);
+            let answer = Answer { verdict, attempts: 0, recorded: false, version: None };
             self.give(ticket, answer, out);
         }
     }
@@ -294,13 +306,15 @@
         if self.open.len() >= self.settings.max_open {
             return Err(Reason::TooManyOpen);
         }
-        let function = self.names.open(&call.function).map_err(|_| Reason::FunctionName)?;
+        let version = call.version.clone()?;
+        let run_name = version.as_ref().map_or(&call.function, |v| &v.function);
+        let function = self.names.open(run_name).map_err(|_| Reason::FunctionName)?;
         let id = RequestId(self.next);
         self.next += 1;
         if let Some(key) = key {
             self.keys.begin(key, fingerprint, id, remember);
         }
-        self.begin(id, call, function, key, budget, out);
+        self.begin(id, call, (function, version), key, budget, out);
         Ok(())
     }
 
@@ -318,12 +332,13 @@
         &mut self,
         id: RequestId,
         call: Call,
-        function: FunctionId,
+        (function, version): (FunctionId, Option<Version>),
         key: Option<KeyDigest>,
         budget: Micros,
         out: &mut Vec<Output>,
     ) {
-        let traits = self.settings.functions.get(&*call.function).unwrap_or(&self.settings.other_functions);
+        let stated = self.settings.functions.get(&*call.function).unwrap_or(&self.settings.other_functions);
+        let traits = call.traits.unwrap_or(*stated);
         let request = Request {
             id,
             budget,
@@ -341,8 +356,9 @@
         let recorded = class.is_some_and(|c| c.effect != Effect::Safe);
         // Workers drop repeats of keyed and unsafe calls; a safe one's key is only ours.
         let key_sent = call.key.filter(|_| recorded);
-        let body =
-            RunBody { function: call.function, payload: call.payload, key: key_sent, class: call.class };
+        let name = version.as_ref().map_or(call.function, |v| v.function.clone());
+        let (payload, class) = (call.payload, call.class);
+        let body = RunBody { function: name, version, payload, key: key_sent, class };
         let open = Open {
             tickets: vec![(call.ticket, call.client)],
             body: Arc::new(body),
@@ -391,12 +407,21 @@
     }
 
     /// An attempt ended. Ends of attempts that are over already are passed by.
-    pub fn attempt_ended(&mut self, now: Micros, of: AttemptRef, end: AttemptEnd, out: &mut Vec<Output>) {
+    pub fn attempt_ended(&mut self, now: Micros, of: AttemptRef, mut end: AttemptEnd, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         let Some(open) = self.open.get_mut(&of.request) else { return };
         let Some(attempt) = open.attempts.get_mut(of.attempt).filter(|a| a.outcome.is_none()) else { return };
-        attempt.outcome = Some(end.outcome);
         let (worker, sent) = (attempt.worker, attempt.sent);
+        // What ran must be what was asked for. Other content is no result of this call, and something did run.
+        if let Some(version) = open.body.version.as_ref().filter(|_| end.outcome == Outcome::Ok) {
+            if end.ran.as_ref() != Some(&version.digest) {
+                self.statistics.ran_other += 1;
+                let version = version.clone();
+                out.push(Output::RanOther { worker, version, ran: end.ran.take() });
+                end = AttemptEnd { report: end.report, ..AttemptEnd::bare(Outcome::Error) };
+            }
+        }
+        attempt.outcome = Some(end.outcome);
         if end.outcome == Outcome::Ok {
             self.finish(of.request, Verdict::Served { payload: end.payload, ran: end.ran }, out);
         }
@@ -451,6 +476,33 @@
         self.tell(Event::Loaded { worker, function, outcome, copies, latency }, out);
     }
 
+    /// Calls of one function are about to take over from those of another: the module may order up to `most` copies
+    /// ahead. Gives the orders that it made.
+    pub fn expect(
+        &mut self,
+        now: Micros,
+        name: &Arc<str>,
+        like: &str,
+        most: usize,
+        out: &mut Vec<Output>,
+    ) -> usize {
+        self.now = self.now.max(now);
+        // Its name must be known for the orders that come back, also before its first call.
+        let Ok(function) = self.names.open(name) else { return 0 };
+        self.names.close(function);
+        let before = out.len();
+        self.tell(Event::Expected { function, like: function_id(like), most }, out);
+        out[before..]
+            .iter()
+            .filter(|o| matches!(o, Output::Load { function: f, .. } if *f == function))
+            .count()
+    }
+
+    /// How many workers serve a function; 0 for one without calls.
+    pub fn workers_serving(&self, name: &str) -> usize {
+        self.brain.workers_serving(function_id(name))
+    }
+
     /// When [`Engine::advance`] is due next.
     pub fn next_wake(&self) -> Option<Micros> {
         self.timers.next()
@@ -539,7 +591,8 @@
     fn finish(&mut self, id: RequestId, verdict: Verdict, out: &mut Vec<Output>) {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
         open.answered = true;
-        let answer = Answer { verdict, attempts: open.attempts.len(), recorded: false };
+        let (attempts, version) = (open.attempts.len(), open.body.version.clone());
+        let answer = Answer { verdict, attempts, recorded: false, version };
         let tickets = std::mem::take(&mut open.tickets);
         if let Some(key) = open.key {
             // A key of which nothing ran is as good as new; a safe call's needs no record.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,7 +18,7 @@
 mod timers;
 
 pub use answer::{Answer, Reason, Verdict};
-pub use call::{Call, ClientRef, Repeat, RunBody, Ticket};
+pub use call::{Call, ClientRef, Repeat, RunBody, Ticket, Version};
 pub use duplicates::{DuplicateLimits, DuplicateTable, Seen};
 pub use engine::{
     AttemptEnd, AttemptRef, ClassPolicy, Engine, EngineSettings, FunctionTraits, Output, Statistics,
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -35,7 +35,7 @@
         module: Settings {
             classes: vec![class(Effect::Safe), class(keyed), class(Effect::Unsafe)],
             limits: Limits { probes: false, ..Limits::default() },
-            loading: Loading { on_request: true, ..Loading::default() },
+            loading: Loading { on_request: true, orders: true, ..Loading::default() },
             ..Settings::default()
         },
         classes: vec![ClassPolicy { remember }; 3],
@@ -78,6 +78,8 @@
             class,
             tenant: None,
             function: "f".into(),
+            version: Ok(None),
+            traits: None,
             key: key.map(|k| k.as_bytes().into()),
             payload: Arc::from(&b"p"[..]),
             budget: Micros(1_000_000),
@@ -225,6 +227,90 @@
     assert!(b.sent.len() > before);
 }
 
+fn versioned(digest: &str) -> Version {
+    Version { name: "1".into(), digest: digest.into(), function: format!("f@{digest}").into() }
+}
+
+#[test]
+fn an_answer_from_other_content_is_not_passed_on_and_counts_as_run() {
+    for class in [SAFE, UNSAFE] {
+        let mut b = Bench::new();
+        let ticket = Ticket(700);
+        let call = Call {
+            ticket,
+            client: ClientRef(1),
+            class,
+            tenant: None,
+            function: "f".into(),
+            version: Ok(Some(versioned("sha256:aa"))),
+            traits: None,
+            key: Some(b"k".as_slice().into()),
+            payload: Arc::from(&b"p"[..]),
+            budget: Micros(1_000_000),
+            age: Micros(0),
+            repeat: Repeat::Unmarked,
+        };
+        b.engine.call(b.now, call, &mut b.out);
+        b.carry_out();
+        for _ in 0..3 {
+            if let Some((attempt, body)) = b.waiting.first().cloned() {
+                assert_eq!(&*body.function, "f@sha256:aa");
+                let end = AttemptEnd { ran: Some("sha256:bb".into()), ..AttemptEnd::bare(Outcome::Ok) };
+                b.waiting.clear();
+                b.engine.attempt_ended(b.now, attempt, end, &mut b.out);
+                b.carry_out();
+            }
+        }
+        b.pass(2_000_000);
+        let words = b.words(ticket);
+        assert!(words == ["failed"] || (class == SAFE && words == ["refused"]), "{words:?}");
+        assert_eq!(b.answers[&ticket][0].version.as_ref().map(|v| &*v.digest), Some("sha256:aa"));
+        let sent = b.sent.len() as u64;
+        assert_eq!((b.engine.statistics().ran_other, class == SAFE || sent == 1), (sent, true));
+    }
+}
+
+#[test]
+fn a_repeat_stays_with_the_version_of_the_first_also_when_its_name_means_nothing_any_more() {
+    let mut b = Bench::new();
+    b.call(1, UNSAFE, Some("k"), Repeat::Unmarked);
+    b.answer_first(Outcome::Ok);
+    let call = Call {
+        ticket: Ticket(800),
+        client: ClientRef(1),
+        class: UNSAFE,
+        tenant: None,
+        function: "f".into(),
+        version: Err(Reason::Quarantined),
+        traits: None,
+        key: Some(b"k".as_slice().into()),
+        payload: Arc::from(&b"p"[..]),
+        budget: Micros(1_000_000),
+        age: Micros(0),
+        repeat: Repeat::Unmarked,
+    };
+    b.engine.call(b.now, call.clone(), &mut b.out);
+    let other = Call { ticket: Ticket(801), key: Some(b"l".as_slice().into()), ..call };
+    b.engine.call(b.now, other, &mut b.out);
+    b.carry_out();
+    assert_eq!(b.words(Ticket(800)), ["served"]);
+    assert_eq!(b.reason(Ticket(801)), Some(Reason::Quarantined));
+}
+
+#[test]
+fn copies_are_ordered_ahead_for_a_function_that_takes_over() {
+    let mut b = Bench::new();
+    for _ in 0..40 {
+        b.call(1, SAFE, None, Repeat::Unmarked);
+        b.answer_first(Outcome::Ok);
+    }
+    let (new, mut out): (Arc<str>, _) = ("f@new".into(), Vec::new());
+    assert!(b.engine.workers_serving("f") >= 1);
+    assert_eq!(b.engine.expect(b.now, &new, "f", 1, &mut out), 1);
+    assert!(matches!(&out[..], [Output::Load { name, copies: 1, .. }] if **name == *new));
+    assert_eq!(b.engine.expect(b.now, &new, "nobody", 1, &mut out), 0);
+}
+
 #[test]
 fn keys_used_for_another_call_and_calls_without_the_key_they_need_are_refused() {
     let mut b = Bench::new();
@@ -237,6 +323,8 @@
         class: UNSAFE,
         tenant: None,
         function: "f".into(),
+        version: Ok(None),
+        traits: None,
         key: Some(b"k".as_slice().into()),
         payload: Arc::from(&b"another amount"[..]),
         budget: Micros(1_000_000),
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -308,6 +308,11 @@
             Output::Probe(worker) => self.submit(now, worker, Purpose::Probe, Order::Ready),
             // The list comes from the settings file, whole, at the start and on SIGHUP.
             Output::Subscribe => {}
+            Output::RanOther { worker, version, ran } => {
+                let worker = self.pool.name(worker);
+                error!(worker, digest = %version.digest, ran = ran.as_deref().unwrap_or("nothing named"),
+                    "a worker ran other content; its answer was not passed on");
+            }
             Output::Answer(ticket, answer) => match bridge_of(&mut self.bridge, ticket) {
                 Some(link) => link.bridge.answer(now, ticket, &answer, &mut self.to_bridge),
                 None => self.front.answer(now, ticket, &answer, &mut self.to_front),
--- a/crates/mqtt/src/bridge.rs
+++ b/crates/mqtt/src/bridge.rs
@@ -444,6 +444,8 @@
             class: asked.class,
             tenant: asked.tenant,
             function: asked.function,
+            version: Ok(None),
+            traits: None,
             key: asked.key,
             payload: publish.payload,
             budget: asked.budget.unwrap_or(Micros(i64::MAX)),
@@ -472,7 +474,8 @@
         }
         self.note(publish, ticket);
         self.waiting.insert(ticket, Waiting { packet_id: publish.packet_id, response_topic, correlation });
-        let answer = Answer { verdict: Verdict::Refused(reason), attempts: 0, recorded: false };
+        let answer =
+            Answer { verdict: Verdict::Refused(reason), attempts: 0, recorded: false, version: None };
         self.answer(now, ticket, &answer, out);
     }
 
--- a/crates/mqtt/src/front.rs
+++ b/crates/mqtt/src/front.rs
@@ -661,6 +661,8 @@
             class: asked.class,
             tenant: asked.tenant,
             function: asked.function,
+            version: Ok(None),
+            traits: None,
             key: asked.key,
             payload: publish.payload,
             budget: asked.budget.unwrap_or(Micros(i64::MAX)),
@@ -694,7 +696,8 @@
             qos: publish.qos,
             call: call_name(publish),
         };
-        let answer = Answer { verdict: Verdict::Refused(reason), attempts: 0, recorded: false };
+        let answer =
+            Answer { verdict: Verdict::Refused(reason), attempts: 0, recorded: false, version: None };
         let topic = session.reply_topic(&waiting, answer.verdict.word());
         session.outbox.push_back(Outbound::answer(topic, waiting.qos, waiting.correlation, &answer));
         self.pump(now, client, out);
--- a/crates/mqtt/src/packets.rs
+++ b/crates/mqtt/src/packets.rs
@@ -84,6 +84,8 @@
         let mut told = vec![("outcome", answer.verdict.word().to_string())];
         told.extend(answer.verdict.reason().map(|r| ("reason", r.words().to_string())));
         told.push(("attempts", answer.attempts.to_string()));
+        told.extend(answer.version.iter().map(|v| ("version", v.name.to_string())));
+        told.extend(answer.version.iter().map(|v| ("digest", v.digest.to_string())));
         if answer.recorded {
             told.push(("recorded", "true".into()));
         }
--- a/crates/mqtt/tests/bridge.rs
+++ b/crates/mqtt/tests/bridge.rs
@@ -131,7 +131,8 @@
 
     fn answer(&mut self, call: usize) {
         let verdict = Verdict::Served { payload: b"ok".as_slice().into(), ran: None };
-        let (ticket, answer) = (self.calls[call].ticket, Answer { verdict, attempts: 1, recorded: false });
+        let (ticket, answer) =
+            (self.calls[call].ticket, Answer { verdict, attempts: 1, recorded: false, version: None });
         self.act(|b, now, out| b.answer(now, ticket, &answer, out));
     }
 
--- a/crates/mqtt/tests/front.rs
+++ b/crates/mqtt/tests/front.rs
@@ -70,7 +70,7 @@
 
 fn served(bytes: usize) -> Answer {
     let payload = vec![b'x'; bytes].into();
-    Answer { verdict: Verdict::Served { payload, ran: None }, attempts: 1, recorded: false }
+    Answer { verdict: Verdict::Served { payload, ran: None }, attempts: 1, recorded: false, version: None }
 }
 
 impl Bench {
@@ -435,7 +435,8 @@
         b.send(1, publish(topic, id));
     }
     assert_eq!(b.calls[0].key.as_deref(), Some(&b"k:ride-1"[..]));
-    let refused = Answer { verdict: Verdict::Refused(Reason::NoCapacity), attempts: 0, recorded: false };
+    let refused =
+        Answer { verdict: Verdict::Refused(Reason::NoCapacity), attempts: 0, recorded: false, version: None };
     b.answer(0, &refused);
     let topics: Vec<String> = b
         .heard(1)
--- a/src/api.rs
+++ b/src/api.rs
@@ -481,6 +481,15 @@
         /// Time since the order.
         latency: Micros,
     },
+    /// Calls of one function are about to take over from those of another.
+    Expected {
+        /// The function that calls will ask for.
+        function: FunctionId,
+        /// The one that they ask for now.
+        like: FunctionId,
+        /// Copies that may be ordered ahead now.
+        most: usize,
+    },
     /// A time asked for by [`Action::Wake`] has come.
     Wake {
         /// The token given with it.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -136,6 +136,7 @@
             Event::Loaded { worker, function, outcome, copies, latency } => {
                 self.loaded(worker, function, outcome, copies, latency)
             }
+            Event::Expected { function, like, most } => self.expect(function, like, most, out),
             Event::Wake { token: 0 } => {
                 self.tick_at = None;
                 self.tick(out);
@@ -401,6 +402,26 @@
         true
     }
 
+    /// Calls of one function are going to take over from those of another: orders copies ahead, a few at a
+    /// time, where its calls will go, so that the change does not make them wait for loads.
+    fn expect(&mut self, f: FunctionId, like: FunctionId, most: usize, out: &mut Vec<Action>) {
+        let Some(old) = self.functions.get(&like) else { return };
+        let (lanes, load, svc, width) = (old.lanes, old.load, old.svc, self.width(old));
+        self.functions.entry(f).or_insert(Function { lanes, load, svc, ..Function::default() });
+        let mut left = most;
+        for id in self.walk(f, width) {
+            let place = self.functions.get(&f).and_then(|f| f.places.get(&id));
+            if left > 0 && !place.is_some_and(|p| self.stands(p)) && self.order(f, id, 1, out) {
+                left -= 1;
+            }
+        }
+    }
+
+    /// How many workers serve a function; 0 for one that is not known.
+    pub fn workers_serving(&self, f: FunctionId) -> usize {
+        self.functions.get(&f).map_or(0, |f| self.width(f))
+    }
+
     // ---- what is believed ----
 
     fn class(&self, o: &Open) -> &Class {
@@ -662,8 +683,8 @@
         }
         w.own += usize::from(!loading);
         w.sent.push_back((self.now, work));
-        // In the order of time, so the old ones stand in front: at thousands of calls a second a look at each cost
-        // more than all else that a call costs.
+        // They stand in the order of time, the old ones in front. At thousands of calls a second a look at
+        // each cost more than all else that a call costs.
         while w.sent.front().is_some_and(|t| since(self.now, t.0) > self.s.rules.fall_window) {
             w.sent.pop_front();
         }
