--- a/crates/gateway/src/badday/day.rs
+++ b/crates/gateway/src/badday/day.rs
@@ -5,10 +5,12 @@
 use super::BadDayError;
 use crate::clock::Clock;
 use crate::fleet::Process;
+use crate::plugin_folder::{unix_ms, PluginFolder};
 use crate::settings::form::File;
 use crate::settings::{Named, Site};
 use rustix::process::Signal;
 use slatevalve::{Effect, Group};
+use slatevalve_plugins::{ClassRights, Digest, CURRENT};
 use slatevalve_rules::trace::{self, Line, Seen};
 use slatevalve_rules::{ClassTerms, EffectTerms, GroupTerms, Terms, WorkerTerms};
 use slatevalve_standins::{unix_micros, ClientPlan, ClientReport, Driver, Fault, Tap, WorkerPlan};
@@ -24,6 +26,8 @@
     pub(super) calls: BTreeMap<String, ClientReport>,
     pub(super) lines: Vec<Line>,
     pub(super) terms: Terms,
+    /// The part of the day that is reported by itself, as times of the clock.
+    pub(super) window: Option<(i64, i64)>,
     /// Gateways that did not stop in order.
     pub(super) stopped_badly: usize,
 }
@@ -39,6 +43,7 @@
     Stall(usize),
     GoOn(usize),
     DropConnections(usize),
+    MoveAliases,
 }
 
 struct Worker {
@@ -92,12 +97,59 @@
         for n in 0..script.fleet.workers {
             day.add_worker(n, start_us)?;
         }
+        if script.plugins.is_some() {
+            day.push_plugins()?;
+        }
         for n in 0..script.gateways {
             day.add_gateway(n)?;
         }
         Ok((day, start_us))
     }
 
+    fn plugin_folder(&self) -> PathBuf {
+        self.directory.join("plugins")
+    }
+
+    /// The functions that calls ask for, each with its class.
+    fn functions(&self) -> Vec<(String, String)> {
+        let classes = self.script.load.mix.iter().map(|m| &m.0);
+        let count = self.script.load.functions;
+        classes.flat_map(|class| (1..=count).map(move |n| (format!("{class}-{n}"), class.clone()))).collect()
+    }
+
+    /// Makes every function a plug-in with two versions.
+    fn push_plugins(&mut self) -> Result<(), BadDayError> {
+        let mut folder = PluginFolder::open(&self.plugin_folder())?;
+        let effects =
+            self.script.load.mix.iter().map(|(class, _)| (class.clone(), "any".to_string())).collect();
+        let rights = ClassRights { effects, ..ClassRights::default() };
+        let (manifest, layer) = (self.directory.join("manifest.json"), self.directory.join("layer"));
+        for (name, class) in self.functions() {
+            for version in ["1", "2"] {
+                let content = format!("rules of {name}, version {version}");
+                fs::write(&layer, &content)?;
+                let digest = Digest::of(content.as_bytes());
+                let layers = [serde_json::json!({"digest": digest, "size": content.len()})];
+                let value =
+                    serde_json::json!({"name": name, "version": version, "class": class, "layers": layers});
+                fs::write(&manifest, value.to_string())?;
+                folder.push(&manifest, std::slice::from_ref(&layer), &rights)?;
+            }
+        }
+        self.move_aliases("1")
+    }
+
+    fn move_aliases(&self, version: &str) -> Result<(), BadDayError> {
+        let functions = self.functions();
+        PluginFolder::open(&self.plugin_folder())?.change(|catalogue, _| {
+            for (name, _) in &functions {
+                catalogue.move_alias(name, CURRENT, version, None, "bad day", unix_ms())?;
+            }
+            Ok(())
+        })?;
+        Ok(())
+    }
+
     fn add_worker(&mut self, n: usize, start_us: i64) -> Result<(), BadDayError> {
         let at = |seconds: f64| start_us.saturating_add((seconds * 1e6) as i64);
         let faults = self.script.faults.iter().filter(|f| f.worker == n).map(|f| Fault {
@@ -151,6 +203,12 @@
             gateway.address,
             self.script.settings
         );
+        if let Some(fields) = &self.script.plugins {
+            text.push_str(&format!(
+                "(plugins (folder {:?}) (unlisted yes) {fields})\n",
+                self.plugin_folder()
+            ));
+        }
         for (class, _) in &self.script.load.mix {
             let tenant = if self.tenants.is_empty() { "" } else { " (tenant \"{4}\")" };
             text.push_str(&format!(
@@ -227,7 +285,9 @@
         drop(driver);
         // The workers are ended before their records are read.
         self.workers.clear();
-        Ok(Record { calls, lines: read_traces(self.directory)?, terms, stopped_badly })
+        let at = |seconds: f64| start_us + (seconds * 1e6) as i64;
+        let window = self.script.window.map(|(from, to)| (at(from), at(to)));
+        Ok(Record { calls, lines: read_traces(self.directory)?, terms, window, stopped_badly })
     }
 
     fn steps(&self, start_us: i64) -> Vec<(i64, Step)> {
@@ -262,6 +322,7 @@
                     add(lasts, Step::GoOn(gateway));
                 }
                 Happens::DropConnections(nth) => add(0.0, Step::DropConnections(nth)),
+                Happens::MoveAliases => add(0.0, Step::MoveAliases),
             }
         }
         steps
@@ -307,6 +368,10 @@
                 }
             }
             Step::DropConnections(nth) => driver.drop_connections(nth),
+            Step::MoveAliases => {
+                self.move_aliases("2")?;
+                (0..self.gateways.len()).for_each(|n| self.signal(n, Signal::HUP));
+            }
         }
         Ok(())
     }
--- a/crates/gateway/src/badday/mod.rs
+++ b/crates/gateway/src/badday/mod.rs
@@ -8,6 +8,7 @@
 
 pub use report::Report;
 
+use crate::plugin_folder::FolderError;
 use crate::settings::form::SettingsError;
 use day::Day;
 use script::Script;
@@ -26,6 +27,8 @@
     Script(String),
     /// A process or a file.
     Io(io::Error),
+    /// The folder of plug-ins.
+    Plugins(FolderError),
     /// A record is no trace.
     Trace(String, TraceError),
 }
@@ -36,6 +39,7 @@
             BadDayError::Settings(e) => e.fmt(f),
             BadDayError::Script(words) => f.write_str(words),
             BadDayError::Io(e) => e.fmt(f),
+            BadDayError::Plugins(e) => e.fmt(f),
             BadDayError::Trace(file, e) => write!(f, "{file}: {e}"),
         }
     }
@@ -49,6 +53,12 @@
     }
 }
 
+impl From<FolderError> for BadDayError {
+    fn from(e: FolderError) -> Self {
+        BadDayError::Plugins(e)
+    }
+}
+
 impl From<io::Error> for BadDayError {
     fn from(e: io::Error) -> Self {
         BadDayError::Io(e)
--- a/crates/gateway/src/badday/report.rs
+++ b/crates/gateway/src/badday/report.rs
@@ -37,6 +37,10 @@
     pub worth_asked: f64,
     /// Worth of those served, late ones for their part.
     pub worth_in_time: f64,
+    /// The same of the calls of the script's window, with the 99% time: asked, in time, microseconds.
+    pub window: Option<(f64, f64, u64)>,
+    /// Orders for copies that reached workers.
+    pub orders: u64,
     /// Time from a call to its answer, where it was served.
     pub p50_us: u64,
     /// See `p50_us`.
@@ -63,27 +67,38 @@
             violations,
             worth_asked: 0.0,
             worth_in_time: 0.0,
+            window: None,
+            orders: orders(record),
             p50_us: 0,
             p99_us: 0,
         };
         let mut times: Histogram<u64> =
             Histogram::new_with_bounds(1, 600_000_000, 3).expect("bounds and figures that the library takes");
+        let mut window = record.window.map(|w| (w, 0.0, 0.0, times.clone()));
         for call in record.calls.values() {
             let (Some(asked), Some(class)) = (call.asked_us, record.terms.classes.get(&call.class)) else {
                 continue;
             };
             report.calls += 1;
             report.worth_asked += class.worth;
+            if let Some(w) = window.as_mut().filter(|w| within(w.0, asked)) {
+                w.1 += class.worth;
+            }
             match &call.answer {
                 Some((at, outcome)) if outcome == "served" => {
                     let taken = (at - asked).max(1);
                     report.served += 1;
                     times.saturating_record(taken as u64);
-                    report.worth_in_time += match taken {
+                    let worth = match taken {
                         taken if taken <= class.aim_us => class.worth,
                         taken if taken <= call.budget_us => class.worth * class.late_worth,
                         _ => 0.0,
                     };
+                    report.worth_in_time += worth;
+                    if let Some((_, _, in_time, times)) = window.as_mut().filter(|w| within(w.0, asked)) {
+                        *in_time += worth;
+                        times.saturating_record(taken as u64);
+                    }
                 }
                 Some((_, outcome)) if outcome == "refused" => report.refused += 1,
                 Some(_) => report.failed += 1,
@@ -91,6 +106,8 @@
                 None => {}
             }
         }
+        report.window =
+            window.map(|(_, asked, in_time, times)| (asked, in_time, times.value_at_quantile(0.99)));
         report.p50_us = times.value_at_quantile(0.5);
         report.p99_us = times.value_at_quantile(0.99);
         report
@@ -102,6 +119,15 @@
     }
 }
 
+fn within((from, to): (i64, i64), at_us: i64) -> bool {
+    (from..to).contains(&at_us)
+}
+
+fn orders(record: &Record) -> u64 {
+    record.lines.iter().filter(|l| matches!(l.seen, Seen::Ordered { copies, .. } if copies > 0)).count()
+        as u64
+}
+
 fn ran_twice(record: &Record) -> u64 {
     let mut ran: BTreeMap<&str, u64> = BTreeMap::new();
     for line in &record.lines {
@@ -128,6 +154,10 @@
             "  worth in time {:.1} of {:.1} asked ({worth:.3}); served calls took {} us (median), {} us (99%)",
             self.worth_in_time, self.worth_asked, self.p50_us, self.p99_us
         )?;
+        if let Some((asked, in_time, p99)) = self.window {
+            writeln!(f, "  in the window: worth in time {in_time:.1} of {asked:.1}, {p99} us (99%)")?;
+        }
+        writeln!(f, "  orders for copies: {}", self.orders)?;
         writeln!(f, "  charges that ran twice: {}; rules broken: {}", self.ran_twice, self.violations.len())?;
         if self.stopped_badly > 0 {
             writeln!(f, "  gateways that did not stop in order: {}", self.stopped_badly)?;
--- a/crates/gateway/src/badday/script.rs
+++ b/crates/gateway/src/badday/script.rs
@@ -23,6 +23,11 @@
     pub load: Load,
     /// The workers.
     pub fleet: Fleet,
+    /// Fields of the gateways' `plugins` form; with it every function is a plug-in with versions 1 and 2, and `current`
+    /// means 1 until they move.
+    pub plugins: Option<String>,
+    /// A part of the day that is reported by itself: calls made from one time to another, in seconds.
+    pub window: Option<(f64, f64)>,
     /// What goes wrong in workers.
     pub faults: Vec<WorkerFault>,
     /// What the operators, the network and the gateways themselves do.
@@ -142,6 +147,8 @@
     },
     /// Every so many-th client's connection drops.
     DropConnections(usize),
+    /// `current` of every plug-in moves to version 2.
+    MoveAliases,
 }
 
 impl Script {
@@ -159,6 +166,16 @@
         let settings = top.need("settings")?.source()?;
         let load = load(top.need("load")?)?;
         let fleet = fleet(top.need("fleet")?)?;
+        let plugins = top.take("plugins")?.map(|f| f.source()).transpose()?;
+        let window = match top.take("window")? {
+            None => None,
+            Some(form) => {
+                let mut fields = form.fields()?;
+                let window = (fields.need("from-s")?.number()?, fields.need("to-s")?.number()?);
+                fields.finish()?;
+                Some(window)
+            }
+        };
         let (mut faults, mut events) = (Vec::new(), Vec::new());
         for form in top.take_all("fault") {
             faults.extend(worker_faults(&form, fleet.workers)?);
@@ -171,7 +188,19 @@
             return Err(file.error("(seconds ...) lies between 0.1 and 3,600"));
         }
         events.sort_by(|a: &(f64, Happens), b| a.0.total_cmp(&b.0));
-        Ok(Script { name, seconds, gateways, clients, settings, load, fleet, faults, events })
+        Ok(Script {
+            name,
+            seconds,
+            gateways,
+            clients,
+            settings,
+            load,
+            fleet,
+            plugins,
+            window,
+            faults,
+            events,
+        })
     }
 }
 
@@ -309,6 +338,7 @@
         "drain" => Happens::Drain(which(&kind, workers)?),
         "gone" => Happens::Gone(which(&kind, workers)?),
         "ready" => Happens::Ready(which(&kind, workers)?),
+        "move-aliases" => Happens::MoveAliases,
         "drop-connections" => Happens::DropConnections(kind.whole(1_000)?.max(1) as usize),
         _ => composed(&kind, workers, gateways)?,
     };
