Front and bridge make a call from a publish in one place

Need: the same twelve lines stood in both, and a field added to a call had to be added twice. Asked::call makes it; where the answer goes stays with each front. Behaviour is as it was.

--- a/crates/mqtt/src/bridge.rs
+++ b/crates/mqtt/src/bridge.rs
@@ -20,7 +20,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use slatevalve::Micros;
-use slatevalve_engine::{Answer, Call, Reason, Repeat, Ticket, Verdict};
+use slatevalve_engine::{Answer, Call, Reason, Ticket, Verdict};
 use std::collections::{BTreeMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use tracing::{error, info, warn};
@@ -427,31 +427,18 @@
         }
     }
 
-    fn take(&mut self, publish: Inbound, asked: Asked, out: &mut Vec<BridgeOutput>) {
+    fn take(&mut self, publish: Inbound, mut asked: Asked, out: &mut Vec<BridgeOutput>) {
         let ticket = self.numbers.ticket();
         let client = self.numbers.client_named(asked.response_topic.as_deref().unwrap_or_default());
         self.note(&publish, ticket);
         let waiting = Waiting {
             packet_id: publish.packet_id,
-            response_topic: asked.response_topic,
-            correlation: asked.correlation,
+            response_topic: asked.response_topic.take(),
+            correlation: asked.correlation.take(),
         };
         self.waiting.insert(ticket, waiting);
         let covered_since = self.opened.1;
-        out.push(BridgeOutput::Call(Call {
-            ticket,
-            client,
-            class: asked.class,
-            tenant: asked.tenant,
-            function: asked.function,
-            version: Ok(None),
-            traits: None,
-            key: asked.key,
-            payload: publish.payload,
-            budget: asked.budget.unwrap_or(Micros(i64::MAX)),
-            age: Micros(0),
-            repeat: if asked.repeat { Repeat::Marked { covered_since } } else { Repeat::Unmarked },
-        }));
+        out.push(BridgeOutput::Call(asked.call(ticket, client, publish.payload, covered_since)));
     }
 
     fn note(&mut self, publish: &Inbound, ticket: Ticket) {
--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -8,7 +8,7 @@
 use mqtt_protocol_core::mqtt::packet::{Property, Qos};
 use mqtt_protocol_core::mqtt::result_code::{DisconnectReasonCode, MqttError};
 use slatevalve::Micros;
-use slatevalve_engine::{Answer, Call, ClientRef, Reason, Repeat, Verdict};
+use slatevalve_engine::{Answer, ClientRef, Reason, Verdict};
 use tracing::{info, warn};
 
 impl Front {
@@ -51,32 +51,19 @@
         }
     }
 
-    fn take(&mut self, client: ClientRef, publish: Inbound, asked: Asked, out: &mut Vec<FrontOutput>) {
+    fn take(&mut self, client: ClientRef, publish: Inbound, mut asked: Asked, out: &mut Vec<FrontOutput>) {
         let ticket = self.numbers.ticket();
         let Some(session) = self.sessions.get_mut(&client) else { return };
         let waiting = Waiting {
-            response_topic: asked.response_topic,
-            correlation: asked.correlation,
+            response_topic: asked.response_topic.take(),
+            correlation: asked.correlation.take(),
             qos: publish.qos,
             call: call_name(&publish),
         };
         session.waiting.insert(ticket, waiting);
         self.tickets.insert(ticket, client);
         let covered_since = session.covered_since;
-        out.push(FrontOutput::Call(Call {
-            ticket,
-            client,
-            class: asked.class,
-            tenant: asked.tenant,
-            function: asked.function,
-            version: Ok(None),
-            traits: None,
-            key: asked.key,
-            payload: publish.payload,
-            budget: asked.budget.unwrap_or(Micros(i64::MAX)),
-            age: Micros(0),
-            repeat: if asked.repeat { Repeat::Marked { covered_since } } else { Repeat::Unmarked },
-        }));
+        out.push(FrontOutput::Call(asked.call(ticket, client, publish.payload, covered_since)));
     }
 
     /// Answers a publish that makes no call.
--- a/crates/mqtt/src/intake.rs
+++ b/crates/mqtt/src/intake.rs
@@ -6,7 +6,7 @@
 use crate::topics::is_topic_name;
 use mqtt_protocol_core::mqtt::packet::Property;
 use slatevalve::{ClassId, Micros, TenantId};
-use slatevalve_engine::Reason;
+use slatevalve_engine::{Call, ClientRef, Reason, Repeat, Ticket};
 use std::fmt;
 use std::sync::Arc;
 
@@ -71,6 +71,32 @@
     pub(crate) correlation: Option<Vec<u8>>,
 }
 
+impl Asked {
+    /// The call for the engine; where the answer goes stays with the front.
+    pub(crate) fn call(
+        self,
+        ticket: Ticket,
+        client: ClientRef,
+        payload: Arc<[u8]>,
+        covered_since: Option<Micros>,
+    ) -> Call {
+        Call {
+            ticket,
+            client,
+            class: self.class,
+            tenant: self.tenant,
+            function: self.function,
+            version: Ok(None),
+            traits: None,
+            key: self.key,
+            payload,
+            budget: self.budget.unwrap_or(Micros(i64::MAX)),
+            age: Micros(0),
+            repeat: if self.repeat { Repeat::Marked { covered_since } } else { Repeat::Unmarked },
+        }
+    }
+}
+
 /// Reads a publish. The inner error refuses the call in an answer of its own. Behind a broker the client's id is not
 /// known; its response topic stands for it.
 pub(crate) fn read(
