HTTP/1.1 messages as a crate of their own, streamed as well as whole

The registry client and, later, the watch of a key-value registry need bodies as they come, and the stand-in registry the server side; the reader sat in the workers' protocol and gathered whole messages only. The loop listens on Unix sockets (mode 0600) and can be woken by another thread; the blob store tells sizes without listing the folder and takes content whose digest comes at the end.

--- a/crates/blobs/src/files.rs
+++ b/crates/blobs/src/files.rs
@@ -31,6 +31,11 @@
     /// # Errors
     /// What the disk says.
     fn remove(&mut self, path: &str) -> io::Result<()>;
+    /// The size of a file in bytes.
+    ///
+    /// # Errors
+    /// What the disk says; `NotFound` where there is none.
+    fn size(&self, path: &str) -> io::Result<u64>;
     /// Names in a folder; none where there is no folder.
     ///
     /// # Errors
@@ -50,7 +55,7 @@
     /// # Errors
     /// When it cannot be made.
     pub fn new(root: &Path) -> io::Result<Self> {
-        for folder in ["blobs/sha256", "partial", "documents"] {
+        for folder in ["blobs/sha256", "partial", "staged", "documents"] {
             fs::create_dir_all(root.join(folder))?;
         }
         Ok(Disk { root: root.into() })
@@ -93,6 +98,10 @@
         }
     }
 
+    fn size(&self, path: &str) -> io::Result<u64> {
+        Ok(fs::metadata(self.root.join(path))?.len())
+    }
+
     fn list(&self, folder: &str) -> io::Result<Vec<String>> {
         let entries = match fs::read_dir(self.root.join(folder)) {
             Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
--- a/crates/blobs/src/store.rs
+++ b/crates/blobs/src/store.rs
@@ -74,7 +74,15 @@
 
     /// Whether a blob is here; whether it is whole only reading tells.
     pub fn has(&self, digest: &Digest) -> bool {
-        self.digests().is_ok_and(|all| all.contains(digest))
+        self.files.size(&blob_path(digest)).is_ok()
+    }
+
+    /// The size of a blob, in bytes.
+    ///
+    /// # Errors
+    /// When it is not here, or the disk fails.
+    pub fn size(&self, digest: &Digest) -> Result<u64, BlobError> {
+        Ok(self.files.size(&blob_path(digest))?)
     }
 
     /// Every blob that is here.
@@ -167,6 +175,50 @@
         Ok(digest)
     }
 
+    /// Throws away what is here of a blob that is not whole, so that the next [`BlobStore::begin`] starts from nothing.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    pub fn discard(&mut self, digest: &Digest) -> Result<(), BlobError> {
+        Ok(self.files.remove(&format!("partial/{}", digest.hex()))?)
+    }
+
+    /// Adds a piece to content whose digest is not known yet, under a name of the caller's (a push in parts).
+    ///
+    /// # Errors
+    /// When the disk fails.
+    pub fn stage(&mut self, name: &str, piece: &[u8]) -> Result<u64, BlobError> {
+        let path = format!("staged/{name}");
+        self.files.append(&path, piece)?;
+        Ok(self.files.size(&path)?)
+    }
+
+    /// Makes staged content a blob: verified, synced, renamed to its digest. What does not match is thrown away.
+    ///
+    /// # Errors
+    /// When it is not what the digest says, was never staged, or the disk fails.
+    pub fn commit_staged(&mut self, name: &str, digest: &Digest) -> Result<(), BlobError> {
+        let path = format!("staged/{name}");
+        if Digest::of(&self.files.read(&path)?) != *digest {
+            self.files.remove(&path)?;
+            return Err(BlobError::Corrupt(VerifyError::Other));
+        }
+        self.files.sync(&path)?;
+        Ok(self.files.rename(&path, &blob_path(digest))?)
+    }
+
+    /// Throws away staged content; all of it where no name is given, as after a restart nobody knows its names.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    pub fn discard_staged(&mut self, name: Option<&str>) -> Result<(), BlobError> {
+        let names = match name {
+            Some(name) => vec![name.to_string()],
+            None => self.files.list("staged")?,
+        };
+        names.iter().try_for_each(|n| Ok(self.files.remove(&format!("staged/{n}"))?))
+    }
+
     /// Checks every blob; gives those that were corrupt, which are removed. `progress` is told how many are done.
     ///
     /// # Errors
--- a/crates/blobs/tests/power.rs
+++ b/crates/blobs/tests/power.rs
@@ -72,6 +72,10 @@
         Ok(())
     }
 
+    fn size(&self, path: &str) -> io::Result<u64> {
+        Ok(self.read(path)?.len() as u64)
+    }
+
     fn list(&self, folder: &str) -> io::Result<Vec<String>> {
         let prefix = format!("{folder}/");
         Ok(self.files.keys().filter_map(|k| k.strip_prefix(&prefix)).map(str::to_string).collect())
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -232,7 +232,7 @@
                     self.ended(now, end);
                 }
             }
-            Happening::Drained(_) => {}
+            Happening::Drained(_) | Happening::Woken => {}
             Happening::Signal(signal_hook::consts::SIGHUP) => self.reload(),
             Happening::Signal(_) => self.stop(now),
             Happening::AcceptFailed { error, .. } => {
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -8,11 +8,12 @@
 #![warn(missing_docs)]
 
 use polling::{Event, Events, PollMode, Poller};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
+use std::path::Path;
 use std::time::Duration;
 
 /// Bytes read from one connection in one turn, so that a flood from one peer leaves turns to the others.
@@ -35,8 +36,8 @@
         listener: Id,
         /// The new connection.
         connection: Id,
-        /// Its peer.
-        peer: SocketAddr,
+        /// Its peer; none on a Unix socket.
+        peer: Option<SocketAddr>,
     },
     /// An outgoing connection stands; bytes may be written.
     Connected(Id),
@@ -53,6 +54,8 @@
         /// Bytes handed to the kernel over its life.
         written: u64,
     },
+    /// A [`Waker`] was used, once or more since the last turn.
+    Woken,
     /// A signal asked for with [`Reactor::signal`] came.
     Signal(i32),
     /// Accepting failed, most likely for want of descriptors; the listener rests until [`Reactor::resume`].
@@ -65,7 +68,7 @@
 }
 
 struct Connection {
-    stream: TcpStream,
+    stream: Socket,
     connected: bool,
     /// Bytes not yet taken by the kernel, from `start` on.
     buffer: Vec<u8>,
@@ -81,9 +84,22 @@
 }
 
 enum Source {
-    Listener(TcpListener),
+    Listener(Socket),
     Connection(Connection),
     Signal(UnixStream, i32),
+    Waker(UnixStream),
+}
+
+/// Wakes a loop from another thread.
+#[derive(Debug)]
+pub struct Waker(UnixStream);
+
+impl Waker {
+    /// The loop's next turn tells [`Happening::Woken`]. A loop that is gone, or was woken already, takes nothing.
+    pub fn wake(&self) {
+        // A full pipe means that it was woken many times already.
+        let _ = (&self.0).write(&[0]);
+    }
 }
 
 /// The loop's sockets and signals; [`Reactor::turn`] waits for the next happenings.
@@ -129,7 +145,9 @@
                 Source::Connection(c) => {
                     self.poller.add_with_mode(&c.stream, interest(id), PollMode::Level)?
                 }
-                Source::Signal(s, _) => self.poller.add_with_mode(s, interest(id), PollMode::Level)?,
+                Source::Signal(s, _) | Source::Waker(s) => {
+                    self.poller.add_with_mode(s, interest(id), PollMode::Level)?
+                }
             }
         }
         self.sources.insert(id, source);
@@ -146,9 +164,40 @@
         socket.bind(&address.into())?;
         socket.listen(BACKLOG)?;
         socket.set_nonblocking(true)?;
-        let listener: TcpListener = socket.into();
-        let bound = listener.local_addr()?;
-        Ok((self.watch(Source::Listener(listener), Event::readable)?, bound))
+        let bound = socket.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        Ok((self.watch(Source::Listener(socket), Event::readable)?, bound))
+    }
+
+    /// Listens on a Unix socket that only its owner may open (mode 0600). A file that an earlier process left there is
+    /// replaced; one that somebody listens on is not.
+    ///
+    /// # Errors
+    /// When the path cannot be bound, or somebody listens there.
+    pub fn listen_unix(&mut self, path: &Path) -> io::Result<Id> {
+        match UnixStream::connect(path) {
+            Ok(_) => return Err(io::ErrorKind::AddrInUse.into()),
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => std::fs::remove_file(path)?,
+            Err(_) => {}
+        }
+        let socket = Socket::new(Domain::UNIX, Type::STREAM, None)?;
+        socket.bind(&SockAddr::unix(path)?)?;
+        // Nobody can connect before `listen`, so there is no moment at which others may.
+        std::fs::set_permissions(path, std::os::unix::fs::PermissionsExt::from_mode(0o600))?;
+        socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        self.watch(Source::Listener(socket), Event::readable)
+    }
+
+    /// A handle by which another thread wakes this loop.
+    ///
+    /// # Errors
+    /// When the kernel gives no pair of sockets.
+    pub fn waker(&mut self) -> io::Result<Waker> {
+        let (read, write) = UnixStream::pair()?;
+        read.set_nonblocking(true)?;
+        write.set_nonblocking(true)?;
+        self.watch(Source::Waker(read), Event::readable)?;
+        Ok(Waker(write))
     }
 
     /// Begins a connection; [`Happening::Connected`] or [`Happening::Closed`] tells how that ended.
@@ -165,7 +214,7 @@
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
         }
-        self.watch(Source::Connection(Connection::new(socket.into(), false)), Event::all)
+        self.watch(Source::Connection(Connection::new(socket, false)), Event::all)
     }
 
     /// Turns a signal (SIGTERM, SIGHUP ...) into a [`Happening::Signal`].
@@ -292,6 +341,11 @@
                 while matches!(stream.read(&mut bytes), Ok(n) if n > 0) {}
                 out.push(Happening::Signal(*signal));
             }
+            Some(Source::Waker(stream)) => {
+                let mut bytes = [0; 64];
+                while matches!(stream.read(&mut bytes), Ok(n) if n > 0) {}
+                out.push(Happening::Woken);
+            }
             Some(Source::Connection(_)) => {
                 if event.writable || event.is_err() == Some(true) {
                     self.writable(id, out);
@@ -309,13 +363,14 @@
             let Some(Source::Listener(l)) = self.sources.get(&listener.0) else { return };
             match l.accept() {
                 Ok((stream, peer)) => {
-                    let _ = stream.set_nodelay(true);
+                    // Unix sockets know no such delay and say so.
+                    let _ = stream.set_tcp_nodelay(true);
                     if stream.set_nonblocking(true).is_err() {
                         continue;
                     }
                     let source = Source::Connection(Connection::new(stream, true));
                     if let Ok(connection) = self.watch(source, Event::readable) {
-                        out.push(Happening::Accepted { listener, connection, peer });
+                        out.push(Happening::Accepted { listener, connection, peer: peer.as_socket() });
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -410,7 +465,7 @@
         let _ = match &source {
             Source::Listener(l) => self.poller.delete(l),
             Source::Connection(c) => self.poller.delete(&c.stream),
-            Source::Signal(s, _) => self.poller.delete(s),
+            Source::Signal(s, _) | Source::Waker(s) => self.poller.delete(s),
         };
         Some(source)
     }
@@ -424,7 +479,7 @@
 }
 
 impl Connection {
-    fn new(stream: TcpStream, connected: bool) -> Self {
+    fn new(stream: Socket, connected: bool) -> Self {
         Connection {
             stream,
             connected,
@@ -444,7 +499,7 @@
 }
 
 /// Writes what the kernel takes now; 0 where it takes nothing.
-fn write_some(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<usize> {
+fn write_some(stream: &mut Socket, bytes: &[u8]) -> io::Result<usize> {
     match stream.write(bytes) {
         Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => Ok(0),
         other => other,
--- a/crates/worker-wire/src/lib.rs
+++ b/crates/worker-wire/src/lib.rs
@@ -12,12 +12,11 @@
 #![warn(missing_docs)]
 
 pub mod headers;
-mod message;
 mod order;
 pub mod reply;
 mod tensor;
 
-pub use message::{Head, Limits, Message, MessageError, MessageReader, Side};
 pub use order::{Asked, AskedError, Call, Order};
 pub use reply::{LoadReport, Reply};
+pub use slatevalve_http::{Head, Limits, Message, MessageError, MessageReader, Side};
 pub use tensor::TensorError;
--- a/crates/worker-wire/src/order.rs
+++ b/crates/worker-wire/src/order.rs
@@ -1,8 +1,8 @@
 //! What the gateway asks of a worker, as requests: encoded by the gateway, read by the stand-in worker.
 
-use crate::message::Message;
 use crate::{headers, tensor, TensorError};
 use serde_json::{json, Value};
+use slatevalve_http::Message;
 use std::fmt;
 use std::fmt::Write as _;
 
--- a/crates/worker-wire/src/reply.rs
+++ b/crates/worker-wire/src/reply.rs
@@ -1,10 +1,10 @@
 //! What a worker answers: encoded by the stand-in worker, read by the gateway as the module's outcome.
 
-use crate::message::Message;
 use crate::order::Order;
 use crate::{headers, tensor};
 use serde_json::{json, Value};
 use slatevalve::{Outcome, Report};
+use slatevalve_http::Message;
 
 /// What a worker reports of its load; each value only where it has it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/worker-wire/src/tensor.rs
+++ b/crates/worker-wire/src/tensor.rs
@@ -2,8 +2,8 @@
 //! and the bytes. Called by the order's and the reply's codec.
 
 use crate::headers;
-use crate::message::{Head, Message};
 use serde_json::{json, Value};
+use slatevalve_http::{Head, Message};
 use std::fmt;
 
 /// Why a body holds no payload.
