--- a/crates/blobs/src/lib.rs
+++ b/crates/blobs/src/lib.rs
@@ -5,12 +5,15 @@
 //! does no I/O of its own but through [`Files`], so that tests can cut the power at each step. The gateway's plug-in
 //! host and its commands call it.
 //!
-//! Layout: `blobs/sha256/HEX`, `partial/HEX` (a pull that broke off and can be resumed), `documents/NAME`.
+//! Layout: `blobs/sha256/HEX`, `partial/HEX` (a pull that broke off and can be resumed), `staged/NAME`
+//! (a push in parts, whose digest comes at its end), `documents/NAME`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod files;
+mod memory;
 mod store;
 
 pub use files::{Disk, Files};
+pub use memory::Memory;
 pub use store::{BlobError, BlobStore, Partial};
--- a/crates/plugins/src/catalogue.rs
+++ b/crates/plugins/src/catalogue.rs
@@ -7,6 +7,7 @@
 use crate::digest::Digest;
 use crate::manifest::{LayerRef, Manifest};
 use crate::reference::{Reference, Selector};
+use crate::signature::{KeyList, Signature};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
@@ -18,6 +19,8 @@
 pub const PREVIOUS: &str = "previous";
 /// Moves that an alias's history keeps.
 const HISTORY: usize = 1_000;
+/// Signatures that a version keeps; the oldest give way.
+const SIGNATURES: usize = 32;
 
 /// How much of a version is here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,6 +63,8 @@
     digest: Digest,
     manifest: Arc<Manifest>,
     state: VersionState,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    signatures: Vec<Signature>,
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -90,6 +95,8 @@
     Partial(String),
     /// It is in quarantine.
     Quarantined(String),
+    /// No key of the list vouches for it.
+    Unsigned(String),
     /// Somebody else moved the alias in between; it is at this revision now.
     Stale(u64),
     /// An alias means this version.
@@ -109,6 +116,9 @@
             CatalogueError::NameTaken(name) => write!(f, "{name} is an alias or a version already"),
             CatalogueError::Partial(version) => write!(f, "not all of version {version} is here"),
             CatalogueError::Quarantined(reason) => write!(f, "in quarantine: {reason}"),
+            CatalogueError::Unsigned(version) => {
+                write!(f, "no key of the list has signed version {version}")
+            }
             CatalogueError::Stale(revision) => {
                 write!(f, "somebody else moved this alias in between; it is at revision {revision}")
             }
@@ -144,6 +154,8 @@
     pub state: VersionState,
     /// Why it runs nowhere, if so.
     pub quarantine: Option<Quarantine>,
+    /// The keys that signed it, whether they are listed or not.
+    pub signed_by: Vec<String>,
     /// Calls that are open for it.
     pub open: usize,
     /// Aliases that mean it.
@@ -169,6 +181,12 @@
     /// Calls that are open, by digest; not kept over a restart, which ends them.
     #[serde(skip)]
     open: HashMap<Digest, usize>,
+    /// The keys of which one must vouch for a version that is to run; `None` where none is asked for.
+    #[serde(skip)]
+    keys: Option<KeyList>,
+    /// Versions for which none does; worked out when keys or signatures change, as a call must not wait for it.
+    #[serde(skip)]
+    unsigned: BTreeSet<Digest>,
 }
 
 type Res<T> = Result<T, CatalogueError>;
@@ -212,12 +230,73 @@
             }
             None => {
                 let (manifest, state) = (Arc::new(manifest), VersionState::Partial);
-                function.versions.insert(version, Version { digest, manifest, state });
+                let signatures = Vec::new();
+                function.versions.insert(version, Version { digest, manifest, state, signatures });
+                if self.keys.is_some() {
+                    self.unsigned.insert(digest);
+                }
                 Ok(())
             }
         }
     }
 
+    /// From now on a version runs only where one of these keys vouches for it; `None` asks for no signature.
+    pub fn require(&mut self, keys: Option<KeyList>) {
+        self.keys = keys;
+        let versions = self.functions.values().flat_map(|f| f.versions.values());
+        let bad = |keys: &KeyList, v: &Version| keys.vouched(&v.digest, &v.signatures).is_none();
+        self.unsigned = match &self.keys {
+            Some(keys) => versions.filter(|v| bad(keys, v)).map(|v| v.digest).collect(),
+            None => BTreeSet::new(),
+        };
+    }
+
+    /// Notes signatures of a version, beside those that are known. Whether they are good is asked when it is to run.
+    ///
+    /// # Errors
+    /// When there is no such version.
+    pub fn sign(&mut self, name: &str, version: &str, signatures: &[Signature]) -> Res<()> {
+        let function =
+            self.functions.get_mut(name).ok_or_else(|| CatalogueError::UnknownFunction(name.into()))?;
+        let found = function.versions.get_mut(version);
+        let found = found.ok_or_else(|| CatalogueError::UnknownVersion(version.into()))?;
+        for signature in
+            signatures.iter().filter(|s| !found.signatures.contains(s)).cloned().collect::<Vec<_>>()
+        {
+            found.signatures.push(signature);
+        }
+        let excess = found.signatures.len().saturating_sub(SIGNATURES);
+        found.signatures.drain(..excess);
+        if let Some(keys) = &self.keys {
+            match keys.vouched(&found.digest, &found.signatures) {
+                Some(_) => self.unsigned.remove(&found.digest),
+                None => self.unsigned.insert(found.digest),
+            };
+        }
+        Ok(())
+    }
+
+    /// The signatures of a version.
+    ///
+    /// # Errors
+    /// When there is no such version.
+    pub fn signatures(&self, name: &str, version: &str) -> Res<&[Signature]> {
+        let found = self.function(name)?.versions.get(version);
+        found.map(|v| v.signatures.as_slice()).ok_or_else(|| CatalogueError::UnknownVersion(version.into()))
+    }
+
+    /// Whether a version's content may run now.
+    ///
+    /// # Errors
+    /// With the reason, where it may not.
+    pub fn may_run(&self, version: &str, digest: &Digest) -> Res<()> {
+        match self.quarantined.get(digest) {
+            Some(found) => Err(CatalogueError::Quarantined(found.reason.clone())),
+            None if self.unsigned.contains(digest) => Err(CatalogueError::Unsigned(version.into())),
+            None => Ok(()),
+        }
+    }
+
     /// All content of a version was pulled or pushed and verified just now. That, and nothing else, lifts a quarantine.
     ///
     /// # Errors
@@ -261,8 +340,7 @@
         if !Reference::is_word(alias) {
             return Err(CatalogueError::BadName(alias.into()));
         }
-        let function =
-            self.functions.get_mut(name).ok_or_else(|| CatalogueError::UnknownFunction(name.into()))?;
+        let function = self.function(name)?;
         if function.versions.contains_key(alias) {
             return Err(CatalogueError::NameTaken(alias.into()));
         }
@@ -274,9 +352,10 @@
         if version.state != VersionState::Whole {
             return Err(CatalogueError::Partial(to.into()));
         }
-        if let Some(found) = self.quarantined.get(&version.digest) {
-            return Err(CatalogueError::Quarantined(found.reason.clone()));
-        }
+        let digest = version.digest;
+        self.may_run(to, &digest)?;
+        let function =
+            self.functions.get_mut(name).ok_or_else(|| CatalogueError::UnknownFunction(name.into()))?;
         let before = function.aliases.get(alias).map(|a| a.version.clone());
         if let Some(before) = before.filter(|b| alias == CURRENT && b != to) {
             function.set(PREVIOUS, before, who, at_ms);
@@ -304,9 +383,7 @@
         let (name, revision) = found.ok_or_else(unknown)?;
         let version =
             function.versions.get(name).filter(|v| v.state != VersionState::Deleted).ok_or_else(unknown)?;
-        if let Some(found) = self.quarantined.get(&version.digest) {
-            return Err(CatalogueError::Quarantined(found.reason.clone()));
-        }
+        self.may_run(name, &version.digest)?;
         if version.state == VersionState::Partial {
             return Err(CatalogueError::Partial(name.into()));
         }
@@ -373,6 +450,7 @@
             digest: v.digest,
             state: v.state,
             quarantine: self.quarantined.get(&v.digest).cloned(),
+            signed_by: v.signatures.iter().map(|s| s.key.clone()).collect(),
             open: self.open.get(&v.digest).copied().unwrap_or(0),
             aliases: function
                 .aliases
--- a/crates/plugins/src/lib.rs
+++ b/crates/plugins/src/lib.rs
@@ -12,6 +12,7 @@
 mod manifest;
 mod reference;
 mod rollout;
+mod signature;
 
 pub use catalogue::{
     AliasMove, AliasView, Catalogue, CatalogueError, Quarantine, Resolved, VersionState, VersionView,
@@ -21,3 +22,4 @@
 pub use manifest::{check_manifest, ClassRights, LayerRef, Manifest, ManifestProblem, SCHEMA};
 pub use reference::{Reference, ReferenceError, Selector};
 pub use rollout::{Direction, Ended, Observed, Rollout, RolloutSettings, RolloutState, Want};
+pub use signature::{KeyError, KeyList, Signature, SigningSecret};
