--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -78,6 +78,8 @@
     WrongClass,
     /// Its content was found corrupt; it runs again after a clean pull.
     Quarantined,
+    /// No key that this site listens to has signed the version, or it claims a class that it may not have.
+    NotAllowed,
     /// No such tenant.
     UnknownTenant,
     /// No route takes the topic, or the topic gives no usable name.
@@ -107,6 +109,9 @@
             Reason::UnknownVersion => "no such plug-in or version is here",
             Reason::WrongClass => "this plug-in is of another class than its topic",
             Reason::Quarantined => "this version is in quarantine: its content is not what its digest says",
+            Reason::NotAllowed => {
+                "this version may not run here: unsigned, or of a class that it may not have"
+            }
             Reason::UnknownTenant => "unknown tenant",
             Reason::NoRoute => "no route takes this topic",
             Reason::Stopping => "the gateway is stopping",
--- a/crates/gateway/src/badday/day.rs
+++ b/crates/gateway/src/badday/day.rs
@@ -5,12 +5,12 @@
 use super::BadDayError;
 use crate::clock::Clock;
 use crate::fleet::Process;
-use crate::plugin_folder::{unix_ms, PluginFolder};
+use crate::plugins::folder::{unix_ms, PluginFolder};
 use crate::settings::form::File;
 use crate::settings::{Named, Site};
 use rustix::process::Signal;
 use slatevalve::{Effect, Group};
-use slatevalve_plugins::{ClassRights, Digest, CURRENT};
+use slatevalve_plugins::{Digest, CURRENT};
 use slatevalve_rules::trace::{self, Line, Seen};
 use slatevalve_rules::{ClassTerms, EffectTerms, GroupTerms, Terms, WorkerTerms};
 use slatevalve_standins::{unix_micros, ClientPlan, ClientReport, Driver, Fault, Tap, WorkerPlan};
@@ -120,9 +120,6 @@
     /// Makes every function a plug-in with two versions.
     fn push_plugins(&mut self) -> Result<(), BadDayError> {
         let mut folder = PluginFolder::open(&self.plugin_folder())?;
-        let effects =
-            self.script.load.mix.iter().map(|(class, _)| (class.clone(), "any".to_string())).collect();
-        let rights = ClassRights { effects, ..ClassRights::default() };
         let (manifest, layer) = (self.directory.join("manifest.json"), self.directory.join("layer"));
         for (name, class) in self.functions() {
             for version in ["1", "2"] {
@@ -133,7 +130,7 @@
                 let value =
                     serde_json::json!({"name": name, "version": version, "class": class, "layers": layers});
                 fs::write(&manifest, value.to_string())?;
-                folder.push(&manifest, std::slice::from_ref(&layer), &rights)?;
+                folder.push(&manifest, std::slice::from_ref(&layer), None)?;
             }
         }
         self.move_aliases("1")
--- a/crates/gateway/src/badday/mod.rs
+++ b/crates/gateway/src/badday/mod.rs
@@ -8,7 +8,7 @@
 
 pub use report::Report;
 
-use crate::plugin_folder::FolderError;
+use crate::plugins::folder::FolderError;
 use crate::settings::form::SettingsError;
 use day::Day;
 use script::Script;
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod plugin;
+mod registry;
 
 use crate::badday::{self, script::Script};
 use crate::clock::Clock;
@@ -109,17 +110,13 @@
     },
     /// Versions of functions: push them, move aliases, check their content
     ///
-    /// Works on the folder that `(plugins (folder ...))` names; send the gateway SIGHUP after a change.
-    Plugin {
-        /// The folder of plug-ins
-        #[arg(long)]
-        folder: PathBuf,
-        /// Print JSON
-        #[arg(long)]
-        json: bool,
-        #[command(subcommand)]
-        command: plugin::PluginCommand,
-    },
+    /// With --socket a running gateway does it and the change counts at once; with --folder it is done on the folder, and
+    /// the gateway reads it again on SIGHUP.
+    Plugin(plugin::PluginArguments),
+    /// Run a registry of plug-ins over a folder, by the OCI distribution protocol
+    ///
+    /// Prints "ready ADDRESS" on standard output. `plugin publish` sends to it, `plugin pull` and gateways take from it.
+    Registry(registry::RegistryArguments),
     /// Check the rules in a trace that `badday --keep` left (all.jsonl beside terms.json)
     Rules {
         /// The directory that was kept
@@ -228,7 +225,8 @@
         }
         Command::Demo { seconds, listen, json } => demo::demo(seconds, listen, json),
         Command::Badday { script, seed, keep, json } => bad_day(script, seed, keep, json, cli.log_level),
-        Command::Plugin { folder, json, command } => plugin::plugin(&folder, command, json),
+        Command::Plugin(arguments) => plugin::plugin(arguments),
+        Command::Registry(arguments) => registry::registry(arguments),
         Command::Rules { directory, json } => rules(directory, json),
     }
 }
--- a/crates/gateway/src/commands/plugin.rs
+++ b/crates/gateway/src/commands/plugin.rs
@@ -1,30 +1,99 @@
-//! The `plugin` sub-commands: they work on the folder of plug-ins; a running gateway hears of a change by SIGHUP.
+//! The `plugin` sub-commands: on the folder of plug-ins, or by the admin socket of a running gateway.
 
 use super::Outcome;
 use crate::clock::Clock;
-use crate::plugin_folder::{unix_ms, verify, PluginFolder};
+use crate::plugins::command::{carry_out, Command, CommandError, Context};
+use crate::plugins::folder::PluginFolder;
+use crate::plugins::link;
 use crate::settings::{Named, Site};
-use clap::Subcommand;
+use clap::{Args, Subcommand};
 use serde_json::{json, Value};
-use slatevalve::Effect;
-use slatevalve_plugins::{ClassRights, Digest, Reference, VersionState, CURRENT};
+use slatevalve_oci::{Credentials, Location, Policy, PullSettings, Push};
+use slatevalve_plugins::{ClassRights, Reference, Selector, SigningSecret, CURRENT};
+use std::collections::BTreeSet;
 use std::error::Error;
-use std::io::{self, IsTerminal};
+use std::fs::{self, OpenOptions};
+use std::io::{self, BufRead, BufReader, IsTerminal, Write};
+use std::os::unix::fs::OpenOptionsExt;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
+
+/// Bytes sent to a registry at a time.
+const PART: usize = 4 * 1024 * 1024;
+
+#[derive(Args)]
+pub(super) struct PluginArguments {
+    /// The folder of plug-ins, as `(plugins (folder ...))` names it
+    #[arg(long)]
+    folder: Option<PathBuf>,
+    /// The admin socket of a running gateway, as `(plugins (admin ...))` names it: the change counts at once
+    #[arg(long)]
+    socket: Option<PathBuf>,
+    /// The registry, http://HOST[:PORT][/PREFIX], for `pull` and `publish` without a running gateway
+    #[arg(long)]
+    registry: Option<String>,
+    /// Who we are towards the registry
+    #[arg(long, requires = "password_file")]
+    user: Option<String>,
+    /// The file that holds the password
+    #[arg(long, requires = "user")]
+    password_file: Option<PathBuf>,
+    /// Print JSON
+    #[arg(long)]
+    json: bool,
+    #[command(subcommand)]
+    command: PluginCommand,
+}
 
 #[derive(Subcommand)]
-pub(super) enum PluginCommand {
+enum PluginCommand {
     /// Take a version in: its manifest and the files of its layers
     Push {
         /// The manifest, JSON
         manifest: PathBuf,
         /// The layers' files, in any order; those that are here already may be left out
         layers: Vec<PathBuf>,
-        /// Check the class that it claims against the classes of this settings file
+        /// Check the class that it claims against the classes and tenants of this settings file
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
+    /// Bring a version from the registry, verified; one that broke off goes on from where it was
+    Pull {
+        /// The plug-in's name
+        name: String,
+        /// Its version, or sha256:... of its image manifest
+        version: String,
+        /// Check the class that it claims against the classes and tenants of this settings file
         #[arg(long)]
         settings: Option<PathBuf>,
     },
+    /// Send a version and its signatures from the folder to the registry
+    Publish {
+        /// The plug-in's name
+        name: String,
+        /// Its version
+        version: String,
+    },
+    /// Make a key that signs, in a file that only you can read, and print its public part
+    Keygen {
+        /// The file, which must not be there yet
+        file: PathBuf,
+    },
+    /// Sign a version in the folder
+    Sign {
+        /// The plug-in's name
+        name: String,
+        /// Its version
+        version: String,
+        /// The file that `keygen` made
+        #[arg(long)]
+        key: PathBuf,
+        /// The key's id, as `(signatures (key "ID" ...))` has it
+        #[arg(long)]
+        id: String,
+    },
     /// List all plug-ins and what their `current` means
     List,
     /// Show the versions and aliases of a plug-in
@@ -57,7 +126,7 @@
     },
     /// Check all content against its digests; what is missing or corrupt goes into quarantine
     Verify,
-    /// Take a version out of use until it is pushed again
+    /// Take a version out of use until it is pushed or pulled again
     Quarantine {
         /// NAME@VERSION or NAME@sha256:...
         reference: String,
@@ -74,135 +143,329 @@
     },
     /// Remove content that no version needs
     ///
-    /// Calls that are open in a running gateway may need content of a version deleted just now: run this when none is.
+    /// By --socket, content of calls that are open stays; with --folder run it when none is.
     Gc,
+    /// Let a running gateway read its folder again (--socket)
+    Reload,
+    /// What a running gateway moves, pulled and does not let run (--socket)
+    Status,
 }
 
-pub(super) fn plugin(folder: &Path, command: PluginCommand, as_json: bool) -> Outcome {
-    let mut folder = PluginFolder::open(folder)?;
-    let (found, text) = match command {
-        PluginCommand::Push { manifest, layers, settings } => {
-            let rights = settings.as_deref().map_or(Ok(ClassRights::default()), rights)?;
-            let rights = if settings.is_none() { any_class(&manifest, rights) } else { rights };
-            let (manifest, digest) = folder.push(&manifest, &layers, &rights)?;
-            let text = format!("{}@{} is here as {digest}", manifest.name, manifest.version);
-            (json!({"name": manifest.name, "version": manifest.version, "digest": digest}), text)
+type Shown = Result<Value, Box<dyn Error>>;
+
+pub(super) fn plugin(arguments: PluginArguments) -> Outcome {
+    let PluginArguments { folder, socket, registry, user, password_file, json, command } = arguments;
+    let site = match &command {
+        PluginCommand::Push { settings, .. } | PluginCommand::Pull { settings, .. } => settings.clone(),
+        _ => None,
+    };
+    let rights = site.as_deref().map(|path| Ok::<_, Box<dyn Error>>(load(path)?.rights)).transpose()?;
+    let registry = registry.map(|r| Registry::new(&r, user, password_file)).transpose()?;
+    let on_folder = || match &folder {
+        Some(path) => Ok(PluginFolder::open(path)?),
+        None => Err(Box::<dyn Error>::from("this works on a folder: give --folder")),
+    };
+    let value = match &command {
+        PluginCommand::Push { manifest, layers, .. } => {
+            let (manifest, digest) = on_folder()?.push(manifest, layers, rights.as_ref())?;
+            tell_gateway(socket.as_deref())?;
+            json!({"name": manifest.name, "version": manifest.version, "digest": digest})
         }
-        PluginCommand::List => list(&folder)?,
-        PluginCommand::Show { name } => show(&folder, &name)?,
-        PluginCommand::Alias { name, alias, version, expect, who } => {
-            let revision = folder.change(|catalogue, _| {
-                Ok(catalogue.move_alias(&name, &alias, &version, expect, &who, unix_ms())?)
-            })?;
-            let text = format!("{name}@{alias} means {version} (revision {revision})");
-            (json!({"name": name, "alias": alias, "version": version, "revision": revision}), text)
+        PluginCommand::Publish { name, version } => {
+            publish(&mut on_folder()?, &registry.ok_or(CommandError::NoRegistry)?, name, version)?
         }
-        PluginCommand::History { name, alias } => {
-            let catalogue = folder.catalogue()?;
-            let moves = catalogue.history(&name, &alias)?;
-            let row = |m: &slatevalve_plugins::AliasMove| {
-                let from = m.from.as_deref().unwrap_or("-");
-                format!("{:>6}  {:>14}  {:<16} {from} -> {}", m.revision, m.at_ms, m.who, m.to)
-            };
-            (json!(moves), moves.iter().map(row).collect::<Vec<_>>().join("\n"))
+        PluginCommand::Keygen { file } => keygen(file)?,
+        PluginCommand::Sign { name, version, key, id } => {
+            let value = sign(&mut on_folder()?, name, version, key, id)?;
+            tell_gateway(socket.as_deref())?;
+            value
         }
-        PluginCommand::Verify => {
-            let progress = io::stderr().is_terminal();
-            let blobs = folder.store.digests()?.len();
-            if progress {
-                eprintln!("checking {blobs} blobs");
+        other => {
+            let command = other.plain().ok_or("this command works on a folder only")?;
+            match socket {
+                Some(path) => ask_gateway(&path, &command)?,
+                None => {
+                    let settings = registry.map(|r| r.pull_settings(rights));
+                    run(&mut on_folder()?, &command, settings.as_ref())?
+                }
             }
-            let found = folder.change(|catalogue, store| Ok(verify(catalogue, store, unix_ms())))?;
-            let rows: Vec<Value> =
-                found.iter().map(|(v, d, why)| json!({"version": v, "digest": d, "reason": why})).collect();
-            let mut text = format!("{blobs} blobs, {} versions put into quarantine", found.len());
-            found.iter().for_each(|(version, _, why)| text += &format!("\n  {version}: {why}"));
-            let value = json!({"blobs": blobs, "quarantined": rows});
-            print(&value, &text, as_json);
-            return Ok(if found.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE });
-        }
-        PluginCommand::Quarantine { reference, reason } => {
-            let parsed: Reference = reference.parse()?;
-            let digest: Digest = folder.change(|catalogue, _| {
-                let resolved = catalogue.resolve(&parsed)?;
-                catalogue.quarantine(resolved.digest, &reason, unix_ms());
-                Ok(resolved.digest)
-            })?;
-            (json!({"digest": digest, "reason": reason}), format!("{digest} is in quarantine"))
-        }
-        PluginCommand::Delete { name, version } => {
-            folder.change(|catalogue, _| Ok(catalogue.delete(&name, &version)?))?;
-            (json!({"name": name, "deleted": version}), format!("{name}@{version} is deleted"))
-        }
-        PluginCommand::Gc => {
-            let gone = folder.change(|catalogue, store| Ok(store.collect(&catalogue.reachable())?))?;
-            (json!({ "removed": gone }), format!("{gone} blobs removed"))
         }
     };
-    print(&found, &text, as_json);
-    Ok(ExitCode::SUCCESS)
+    match json {
+        true => println!("{value}"),
+        false => println!("{}", text(&command, &value)),
+    }
+    let found_bad = matches!(command, PluginCommand::Verify) && value["quarantined"] != json!([]);
+    Ok(if found_bad { ExitCode::FAILURE } else { ExitCode::SUCCESS })
 }
 
-fn print(value: &Value, text: &str, as_json: bool) {
-    match as_json {
-        true => println!("{value}"),
-        false => println!("{text}"),
+impl PluginCommand {
+    /// The command as a gateway takes it; none for those that work on files of the caller.
+    fn plain(&self) -> Option<Command> {
+        Some(match self {
+            PluginCommand::List => Command::List,
+            PluginCommand::Show { name } => Command::Show { name: name.clone() },
+            PluginCommand::Alias { name, alias, version, expect, who } => Command::Alias {
+                name: name.clone(),
+                alias: alias.clone(),
+                version: version.clone(),
+                expect: *expect,
+                who: who.clone(),
+            },
+            PluginCommand::History { name, alias } => {
+                Command::History { name: name.clone(), alias: alias.clone() }
+            }
+            PluginCommand::Verify => Command::Verify,
+            PluginCommand::Quarantine { reference, reason } => {
+                Command::Quarantine { reference: reference.clone(), reason: reason.clone() }
+            }
+            PluginCommand::Delete { name, version } => {
+                Command::Delete { name: name.clone(), version: version.clone() }
+            }
+            PluginCommand::Gc => Command::Gc,
+            PluginCommand::Pull { name, version, .. } => {
+                Command::Pull { name: name.clone(), version: version.clone() }
+            }
+            PluginCommand::Reload => Command::Reload,
+            PluginCommand::Status => Command::Status,
+            PluginCommand::Push { .. }
+            | PluginCommand::Publish { .. }
+            | PluginCommand::Keygen { .. }
+            | PluginCommand::Sign { .. } => return None,
+        })
     }
 }
 
-/// What a settings file says of classes; tenants may use all of them.
-fn rights(settings: &Path) -> Result<ClassRights, Box<dyn Error>> {
-    let site = Site::load(settings, &Clock::start(), Named::default())?;
-    let effect = |e: Effect| match e {
-        Effect::Safe => "safe",
-        Effect::Keyed { .. } => "keyed",
-        Effect::Unsafe => "unsafe",
-    };
-    let classes = site.classes.iter().zip(&site.engine.module.classes);
-    let effects = classes.map(|(name, class)| (name.clone(), effect(class.effect).to_string())).collect();
-    Ok(ClassRights { effects, ..ClassRights::default() })
+/// Progress on a terminal, one line that is written over.
+fn show_progress((done, of): (u64, u64)) {
+    if io::stderr().is_terminal() && of > 0 {
+        eprint!("\r  {done} of {of}");
+    }
 }
 
-/// Without a settings file the class that the manifest names is taken as it is; the gateway checks it at each call.
-fn any_class(manifest: &Path, mut rights: ClassRights) -> ClassRights {
-    let value: Option<Value> = std::fs::read(manifest).ok().and_then(|b| serde_json::from_slice(&b).ok());
-    if let Some(class) = value.as_ref().and_then(|v| v.get("class")).and_then(Value::as_str) {
-        let effect = value.as_ref().and_then(|v| v.get("effect")).and_then(Value::as_str).unwrap_or("safe");
-        rights.effects.insert(class.into(), effect.into());
+fn end_progress() {
+    if io::stderr().is_terminal() {
+        eprint!("\r                                \r");
     }
-    rights
 }
 
-type Shown = Result<(Value, String), Box<dyn Error>>;
+fn run(folder: &mut PluginFolder, command: &Command, registry: Option<&PullSettings>) -> Shown {
+    let mut context = Context {
+        registry,
+        clock: &Clock::start(),
+        stop: &AtomicBool::new(false),
+        keep: &BTreeSet::new(),
+        told: &mut show_progress,
+    };
+    let done = carry_out(folder, command, &mut context);
+    end_progress();
+    Ok(done?)
+}
 
-fn list(folder: &PluginFolder) -> Shown {
-    let catalogue = folder.catalogue()?;
-    let (mut rows, mut lines) =
-        (Vec::new(), vec![format!("{:<32} {:<16} {}", "plug-in", "current", "versions")]);
-    for name in catalogue.names() {
-        let aliases = catalogue.aliases(name)?;
-        let current = aliases.iter().find(|a| a.alias == CURRENT).map(|a| a.version.as_str());
-        let versions = catalogue.versions(name)?.len();
-        lines.push(format!("{name:<32} {:<16} {versions}", current.unwrap_or("-")));
-        rows.push(json!({"name": name, "current": current, "versions": versions}));
+/// Sends a command to a running gateway and waits for its answer.
+fn ask_gateway(path: &Path, command: &Command) -> Shown {
+    let said = |e: io::Error| format!("admin socket {}: {e}", path.display());
+    let mut stream = UnixStream::connect(path).map_err(said)?;
+    stream.write_all(format!("{}\n", serde_json::to_string(command)?).as_bytes()).map_err(said)?;
+    for line in BufReader::new(stream).lines() {
+        let mut answer: Value = serde_json::from_str(&line.map_err(said)?)?;
+        if let Some([done, of]) = answer["progress"].as_array().map(Vec::as_slice) {
+            show_progress((done.as_u64().unwrap_or(0), of.as_u64().unwrap_or(0)));
+            continue;
+        }
+        end_progress();
+        return match answer["error"].as_str() {
+            Some(error) => Err(error.into()),
+            None => Ok(answer["done"].take()),
+        };
     }
-    Ok((json!(rows), lines.join("\n")))
-}
-
-fn show(folder: &PluginFolder, name: &str) -> Shown {
-    let catalogue = folder.catalogue()?;
-    let (versions, aliases) = (catalogue.versions(name)?, catalogue.aliases(name)?);
-    let mut lines = vec![format!("{:<16} {:<12} {:<20} {}", "version", "state", "aliases", "digest")];
-    for v in &versions {
-        let state = match (&v.quarantine, v.state) {
-            (Some(_), _) => "quarantine",
-            (None, VersionState::Whole) => "whole",
-            (None, VersionState::Partial) => "partial",
-            (None, VersionState::Deleted) => "deleted",
+    Err(format!("admin socket {}: the gateway ended before it answered", path.display()).into())
+}
+
+fn tell_gateway(socket: Option<&Path>) -> Result<(), Box<dyn Error>> {
+    socket.map_or(Ok(()), |path| ask_gateway(path, &Command::Reload).map(drop))
+}
+
+fn load(settings: &Path) -> Result<Site, Box<dyn Error>> {
+    Ok(Site::load(settings, &Clock::start(), Named::default())?)
+}
+
+struct Registry {
+    location: Location,
+    credentials: Option<Credentials>,
+}
+
+impl Registry {
+    fn new(address: &str, user: Option<String>, file: Option<PathBuf>) -> Result<Self, Box<dyn Error>> {
+        let location = Location::parse(address)?;
+        let credentials = match (user, file) {
+            (Some(user), Some(file)) => {
+                let text = fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+                Some(Credentials { user, password: text.trim_end_matches(['\r', '\n']).into() })
+            }
+            _ => None,
         };
-        lines.push(format!("{:<16} {state:<12} {:<20} {}", v.version, v.aliases.join(","), v.digest));
-        lines.extend(v.quarantine.iter().map(|q| format!("  {}", q.reason)));
+        Ok(Registry { location, credentials })
+    }
+
+    fn pull_settings(self, rights: Option<ClassRights>) -> PullSettings {
+        PullSettings {
+            location: self.location,
+            credentials: self.credentials,
+            policy: Policy::default(),
+            range: PART as u64,
+            max_size: u64::MAX,
+            rights,
+            seed: u64::from(std::process::id()),
+        }
+    }
+}
+
+fn publish(folder: &mut PluginFolder, registry: &Registry, name: &str, version: &str) -> Shown {
+    let package = folder.package(name, version)?;
+    let (clock, stop) = (Clock::start(), AtomicBool::new(false));
+    let seed = u64::from(std::process::id());
+    let (location, credentials) = (registry.location.clone(), registry.credentials.clone());
+    let now_us = clock.now().0;
+    let mut push = Push::new(now_us, location, credentials, Policy::default(), seed, PART, &package)?;
+    let driven = link::drive(&mut push, &clock, &stop, show_progress);
+    end_progress();
+    driven?;
+    let pushed = push.result().ok_or("the push ended early")?;
+    Ok(
+        json!({"name": name, "version": version, "image": pushed.image, "bytes": pushed.bytes, "had": pushed.had}),
+    )
+}
+
+fn keygen(file: &Path) -> Shown {
+    let mut seed = [0; 32];
+    getrandom::fill(&mut seed).map_err(|e| format!("no random bytes: {e}"))?;
+    let secret = SigningSecret::from_random(seed);
+    let mut opened = OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(0o600)
+        .open(file)
+        .map_err(|e| format!("{}: {e}", file.display()))?;
+    writeln!(opened, "{}", secret.base64())?;
+    Ok(json!({"public": secret.public()}))
+}
+
+fn sign(folder: &mut PluginFolder, name: &str, version: &str, key: &Path, id: &str) -> Shown {
+    let text = fs::read_to_string(key).map_err(|e| format!("{}: {e}", key.display()))?;
+    let secret = SigningSecret::parse(&text).map_err(|e| format!("{}: {e}", key.display()))?;
+    let reference = Reference { name: name.into(), selector: Selector::Word(version.into()) };
+    let found = folder.catalogue()?.resolve(&reference)?;
+    let signature = secret.sign(id, &found.digest);
+    let command = Command::Sign { name: name.into(), version: found.version, signature };
+    run(folder, &command, None)
+}
+
+/// A command's answer as lines for people.
+fn text(command: &PluginCommand, value: &Value) -> String {
+    let word = |value: &Value| match value {
+        Value::String(s) => s.clone(),
+        Value::Null => "-".into(),
+        other => other.to_string(),
+    };
+    let of = |field: &str| word(&value[field]);
+    let rows = |value: &Value, row: &dyn Fn(&Value) -> String| -> Vec<String> {
+        value.as_array().into_iter().flatten().map(row).collect()
+    };
+    match command {
+        PluginCommand::Push { .. } => format!("{}@{} is here as {}", of("name"), of("version"), of("digest")),
+        PluginCommand::Pull { .. } => format!(
+            "{}@{} is here as {} ({} bytes came, {} were here)",
+            of("name"),
+            of("version"),
+            of("digest"),
+            of("bytes"),
+            of("had")
+        ),
+        PluginCommand::Publish { .. } => format!(
+            "{}:{} is in the registry as {} ({} bytes went, {} were there)",
+            of("name"),
+            of("version"),
+            of("image"),
+            of("bytes"),
+            of("had")
+        ),
+        PluginCommand::Keygen { .. } => format!("public key: {}", of("public")),
+        PluginCommand::Sign { .. } => format!("{}@{} is signed by {}", of("name"), of("version"), of("key")),
+        PluginCommand::Alias { .. } => {
+            format!("{}@{} means {} (revision {})", of("name"), of("alias"), of("version"), of("revision"))
+        }
+        PluginCommand::Quarantine { .. } => format!("{} is in quarantine", of("digest")),
+        PluginCommand::Delete { .. } => format!("{}@{} is deleted", of("name"), of("deleted")),
+        PluginCommand::Gc => format!("{} blobs removed", of("removed")),
+        PluginCommand::Reload => "read again".into(),
+        PluginCommand::Verify => {
+            let found = rows(&value["quarantined"], &|q| {
+                format!("  {}: {}", word(&q["version"]), word(&q["reason"]))
+            });
+            let mut lines =
+                vec![format!("{} blobs, {} versions put into quarantine", of("blobs"), found.len())];
+            lines.extend(found);
+            lines.join("\n")
+        }
+        PluginCommand::List => {
+            let mut lines = vec![format!("{:<32} {:<16} versions", "plug-in", "current")];
+            lines.extend(rows(value, &|p| {
+                format!("{:<32} {:<16} {}", word(&p["name"]), word(&p["current"]), word(&p["versions"]))
+            }));
+            lines.join("\n")
+        }
+        PluginCommand::History { .. } => rows(value, &|m| {
+            let (revision, at, who) = (word(&m["revision"]), word(&m["at_ms"]), word(&m["who"]));
+            format!("{revision:>6}  {at:>14}  {who:<16} {} -> {}", word(&m["from"]), word(&m["to"]))
+        })
+        .join("\n"),
+        PluginCommand::Show { .. } => show(value, &word, &rows),
+        PluginCommand::Status => {
+            let pulls = &value["pulls"];
+            let mut lines = vec![format!(
+                "{} calls open; pulls: {} done, {} failed, {} bytes, {} requests",
+                of("open"),
+                word(&pulls["done"]),
+                word(&pulls["failed"]),
+                word(&pulls["bytes"]),
+                word(&pulls["requests"])
+            )];
+            lines.extend(rows(&value["moves"], &|m| {
+                let (standing, needed) = (word(&m["standing"]), word(&m["needed"]));
+                format!(
+                    "  {}: {} -> {}, {standing} of {needed} copies stand",
+                    word(&m["name"]),
+                    word(&m["from"]),
+                    word(&m["to"])
+                )
+            }));
+            lines.extend(rows(&value["barred"], &|b| {
+                format!("  {}: {}", word(&b["digest"]), word(&b["reason"]))
+            }));
+            lines.join("\n")
+        }
     }
-    lines.extend(aliases.iter().map(|a| format!("@{:<15} {} (revision {})", a.alias, a.version, a.revision)));
-    Ok((json!({"name": name, "versions": versions, "aliases": aliases}), lines.join("\n")))
+}
+
+type Rows<'a> = dyn Fn(&Value, &dyn Fn(&Value) -> String) -> Vec<String> + 'a;
+
+fn show(value: &Value, word: &dyn Fn(&Value) -> String, rows: &Rows<'_>) -> String {
+    let list = |value: &Value| rows(value, &|v| word(v)).join(",");
+    let mut lines =
+        vec![format!("{:<16} {:<12} {:<20} {:<12} digest", "version", "state", "aliases", "signed by")];
+    lines.extend(rows(&value["versions"], &|v| {
+        let quarantine = &v["quarantine"];
+        let state = if quarantine.is_null() { word(&v["state"]) } else { "quarantine".into() };
+        let (version, aliases, signed) = (word(&v["version"]), list(&v["aliases"]), list(&v["signed_by"]));
+        let mut line = format!("{version:<16} {state:<12} {aliases:<20} {signed:<12} {}", word(&v["digest"]));
+        if !quarantine.is_null() {
+            line += &format!("\n  {}", word(&quarantine["reason"]));
+        }
+        line
+    }));
+    lines.extend(rows(&value["aliases"], &|a| {
+        format!("@{:<15} {} (revision {})", word(&a["alias"]), word(&a["version"]), word(&a["revision"]))
+    }));
+    lines.join("\n")
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,6 @@
 pub mod clock;
 pub mod commands;
 mod fleet;
-pub mod plugin_folder;
+pub mod plugins;
 pub mod settings;
 pub mod shell;
--- a/crates/gateway/src/plugin_folder.rs
+++ b/crates/gateway/src/plugins/folder.rs
@@ -2,9 +2,12 @@
 //! under a lock file, so that of two operators the second sees what the first did.
 
 use slatevalve_blobs::{BlobError, BlobStore, Disk};
+use slatevalve_oci::{Package, Pulled};
 use slatevalve_plugins::{
-    check_manifest, Catalogue, CatalogueError, ClassRights, Digest, Manifest, ManifestProblem,
+    check_manifest, Catalogue, CatalogueError, ClassRights, Digest, Manifest, ManifestProblem, Reference,
+    Selector, VersionState,
 };
+use std::collections::HashMap;
 use std::fmt;
 use std::fs::{self, OpenOptions};
 use std::io;
@@ -157,7 +160,7 @@
         &mut self,
         manifest: &Path,
         layers: &[PathBuf],
-        rights: &ClassRights,
+        rights: Option<&ClassRights>,
     ) -> Res<(Manifest, Digest)> {
         let read = |path: &Path| fs::read(path).map_err(|e| FolderError::Io(path.into(), e));
         let bytes = read(manifest)?;
@@ -180,44 +183,89 @@
                 store.put(content)?;
             }
             store.put(&bytes)?;
-            for layer in &checked.layers {
-                match store.read(&layer.digest) {
-                    Ok(content) if content.len() as u64 == layer.size => {}
-                    Ok(content) => {
-                        let words =
-                            format!("layer {}: {} bytes, not {}", layer.digest, content.len(), layer.size);
-                        return Err(FolderError::Layer(words));
-                    }
-                    Err(e) => return Err(FolderError::Layer(format!("layer {}: {e}", layer.digest))),
-                }
-            }
-            catalogue.complete(&checked.name, &checked.version)?;
+            complete(catalogue, store, &checked)?;
             Ok((checked, digest))
         })
     }
+
+    /// Takes a version in whose content a pull brought.
+    ///
+    /// # Errors
+    /// When the version has other content here, or what came was lost in between.
+    pub fn take_pulled(&mut self, pulled: Pulled) -> Res<()> {
+        self.change(|catalogue, store| {
+            catalogue.publish(pulled.manifest.clone(), pulled.digest)?;
+            store.read(&pulled.digest)?;
+            complete(catalogue, store, &pulled.manifest)?;
+            let (name, version) = (&pulled.manifest.name, &pulled.manifest.version);
+            Ok(catalogue.sign(name, version, &pulled.signatures)?)
+        })
+    }
+
+    /// A version as it goes to a registry, all of it read and verified.
+    ///
+    /// # Errors
+    /// When there is no such version, or its content is not whole.
+    pub fn package(&mut self, name: &str, version: &str) -> Res<Package> {
+        let catalogue = self.catalogue()?;
+        let reference = Reference { name: name.into(), selector: Selector::Word(version.into()) };
+        let found = catalogue.resolve(&reference)?;
+        let config = self.store.read(&found.digest)?;
+        let layers = found.manifest.layers.iter().map(|l| Ok(self.store.read(&l.digest)?.into()));
+        let layers = layers.collect::<Res<_>>()?;
+        let signatures = catalogue.signatures(name, &found.version)?.to_vec();
+        let manifest = Manifest::clone(&found.manifest);
+        Ok(Package { manifest, config: config.into(), layers, signatures })
+    }
+}
+
+/// Marks a version whole once all that its manifest names is here, verified.
+fn complete(catalogue: &mut Catalogue, store: &mut BlobStore<Disk>, manifest: &Manifest) -> Res<()> {
+    for layer in &manifest.layers {
+        match store.read(&layer.digest) {
+            Ok(content) if content.len() as u64 == layer.size => {}
+            Ok(content) => {
+                let words = format!("layer {}: {} bytes, not {}", layer.digest, content.len(), layer.size);
+                return Err(FolderError::Layer(words));
+            }
+            Err(e) => return Err(FolderError::Layer(format!("layer {}: {e}", layer.digest))),
+        }
+    }
+    Ok(catalogue.complete(&manifest.name, &manifest.version)?)
 }
 
 /// Checks all content of all whole versions and puts into quarantine what is missing or corrupt; gives what was found.
+/// `told` hears how many versions are done, of how many.
 pub fn verify(
     catalogue: &mut Catalogue,
     store: &mut BlobStore<Disk>,
     at_ms: i64,
+    told: &mut dyn FnMut((u64, u64)),
 ) -> Vec<(String, Digest, String)> {
-    let names: Vec<String> = catalogue.names().map(str::to_string).collect();
+    let all = whole_versions(catalogue);
     let mut found = Vec::new();
-    for name in names {
-        for version in catalogue.versions(&name).unwrap_or_default() {
-            if version.state != slatevalve_plugins::VersionState::Whole {
-                continue;
-            }
-            let layers = catalogue.layers(&name, &version.version).unwrap_or_default();
-            let digests = layers.iter().map(|l| l.digest).chain([version.digest]);
-            let bad = digests.into_iter().find_map(|d| store.read(&d).err().map(|e| format!("{d}: {e}")));
-            if let Some(reason) = bad {
-                catalogue.quarantine(version.digest, &reason, at_ms);
-                found.push((format!("{name}@{}", version.version), version.digest, reason));
-            }
+    // Versions share layers: each is read once.
+    let mut seen: HashMap<Digest, Option<String>> = HashMap::new();
+    for (n, (name, version, digest)) in all.iter().enumerate() {
+        let layers = catalogue.layers(name, version).unwrap_or_default();
+        let mut digests = layers.iter().map(|l| l.digest).chain([*digest]);
+        let mut look = |d: Digest| store.read(&d).err().map(|e| format!("{d}: {e}"));
+        if let Some(reason) = digests.find_map(|d| seen.entry(d).or_insert_with(|| look(d)).clone()) {
+            catalogue.quarantine(*digest, &reason, at_ms);
+            found.push((format!("{name}@{version}"), *digest, reason));
         }
+        told((n as u64 + 1, all.len() as u64));
     }
     found
 }
+
+/// Name, version and digest of every version that is whole.
+pub fn whole_versions(catalogue: &Catalogue) -> Vec<(String, String, Digest)> {
+    let mut all = Vec::new();
+    for name in catalogue.names() {
+        let versions = catalogue.versions(name).unwrap_or_default().into_iter();
+        let whole = versions.filter(|v| v.state == VersionState::Whole);
+        all.extend(whole.map(|v| (name.to_string(), v.version, v.digest)));
+    }
+    all
+}
--- /dev/null
+++ b/crates/gateway/src/plugins/link.rs
@@ -0,0 +1,212 @@
+//! Carries a [`Job`] at a registry over real sockets: one connection, kept between requests, on a loop of its own. The
+//! `plugin` commands call it, and a running gateway's thread for plug-ins; the gateway's own loop never does.
+
+use crate::clock::Clock;
+use slatevalve_http::{Limits, Part, PartReader, Side};
+use slatevalve_oci::{Broke, Job, Next, Request};
+use slatevalve_reactor::{Happening, Id, Reactor};
+use std::fmt;
+use std::io;
+use std::net::ToSocketAddrs;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Bytes that may wait to be written: a part of a push and its head.
+const MAX_BUFFERED: usize = 16 * 1024 * 1024;
+/// The loop looks at least so often whether it is to stop.
+const LONGEST_WAIT_US: i64 = 100_000;
+
+/// Why a job was not done.
+#[derive(Debug)]
+pub enum LinkError<E> {
+    /// The job's own reason.
+    Job(E),
+    /// The loop failed.
+    Loop(io::Error),
+    /// The gateway stops.
+    Stopped,
+}
+
+impl<E: fmt::Display> fmt::Display for LinkError<E> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LinkError::Job(e) => e.fmt(f),
+            LinkError::Loop(e) => write!(f, "the loop failed: {e}"),
+            LinkError::Stopped => f.write_str("stopped; what came is kept and the next try goes on from it"),
+        }
+    }
+}
+
+impl<E: fmt::Debug + fmt::Display> std::error::Error for LinkError<E> {}
+
+struct Connection {
+    id: Id,
+    host: String,
+    port: u16,
+    connected: bool,
+    reader: PartReader,
+    /// Whether an answer is still to come or to be read.
+    busy: bool,
+    /// Whether the peer closes it after this answer.
+    last: bool,
+    /// Waits for the connection to stand.
+    unsent: Vec<u8>,
+}
+
+struct Link<'a, J> {
+    job: &'a mut J,
+    clock: &'a Clock,
+    reactor: Reactor,
+    connection: Option<Connection>,
+}
+
+/// Drives a job to its end. `told` hears of its progress, `stop` ends it.
+///
+/// # Errors
+/// When the job fails, the loop does, or it was stopped.
+pub fn drive<J: Job>(
+    job: &mut J,
+    clock: &Clock,
+    stop: &AtomicBool,
+    mut told: impl FnMut((u64, u64)),
+) -> Result<(), LinkError<J::Error>> {
+    let reactor = Reactor::new(MAX_BUFFERED).map_err(LinkError::Loop)?;
+    let mut link = Link { job, clock, reactor, connection: None };
+    let mut happened = Vec::new();
+    loop {
+        if stop.load(Ordering::Relaxed) {
+            return Err(LinkError::Stopped);
+        }
+        let now = clock.now().0;
+        let until = match link.job.next(now).map_err(LinkError::Job)? {
+            Next::Done => return Ok(()),
+            Next::Send(request) => {
+                link.send(request)?;
+                continue;
+            }
+            Next::Wait(at) => at,
+            Next::Receive(at) if now >= at => {
+                link.stalled(now)?;
+                continue;
+            }
+            Next::Receive(at) => at,
+        };
+        let wait = until.saturating_sub(now).clamp(0, LONGEST_WAIT_US) as u64;
+        link.reactor.turn(Some(Duration::from_micros(wait)), &mut happened).map_err(LinkError::Loop)?;
+        for happening in happened.drain(..) {
+            link.happened(happening).map_err(LinkError::Job)?;
+        }
+        told(link.job.progress());
+    }
+}
+
+impl<J: Job> Link<'_, J> {
+    fn now(&self) -> i64 {
+        self.clock.now().0
+    }
+
+    fn close(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.reactor.close(connection.id);
+        }
+    }
+
+    fn send(&mut self, request: Request) -> Result<(), LinkError<J::Error>> {
+        let fits = |c: &Connection| c.host == request.host && c.port == request.port && !c.busy && !c.last;
+        if !self.connection.as_ref().is_some_and(fits) {
+            self.close();
+            // Looked up for each connection: a registry may move while a gateway runs.
+            let address =
+                (request.host.as_str(), request.port).to_socket_addrs().ok().and_then(|mut a| a.next());
+            let Some(id) = address.and_then(|a| self.reactor.connect(a).ok()) else {
+                let now = self.now();
+                return self.job.broke(now, Broke::Connect).map_err(LinkError::Job);
+            };
+            // How much of a body is taken the job decides.
+            let limits = Limits { body: usize::MAX, ..Limits::default() };
+            self.connection = Some(Connection {
+                id,
+                host: request.host,
+                port: request.port,
+                connected: false,
+                reader: PartReader::new(Side::Response, limits),
+                busy: false,
+                last: false,
+                unsent: Vec::new(),
+            });
+        }
+        if let Some(connection) = &mut self.connection {
+            connection.busy = true;
+            if request.bodiless {
+                connection.reader.expect_no_body();
+            }
+            match connection.connected {
+                true => self.reactor.write(connection.id, &request.bytes),
+                false => connection.unsent = request.bytes,
+            }
+        }
+        Ok(())
+    }
+
+    fn stalled(&mut self, now: i64) -> Result<(), LinkError<J::Error>> {
+        let connected = self.connection.as_ref().is_some_and(|c| c.connected);
+        self.close();
+        let broke = if connected { Broke::Stalled } else { Broke::Connect };
+        self.job.broke(now, broke).map_err(LinkError::Job)
+    }
+
+    fn happened(&mut self, happening: Happening) -> Result<(), J::Error> {
+        let now = self.now();
+        let Some(connection) = &mut self.connection else { return Ok(()) };
+        match happening {
+            Happening::Connected(id) if id == connection.id => {
+                connection.connected = true;
+                let bytes = std::mem::take(&mut connection.unsent);
+                self.reactor.write(id, &bytes);
+                Ok(())
+            }
+            Happening::Received(id, bytes) if id == connection.id => self.received(now, &bytes),
+            Happening::Closed { id, connected, .. } if id == connection.id => {
+                let busy = connection.busy;
+                let ended = connection.reader.end();
+                self.connection = None;
+                match (busy, ended) {
+                    (false, _) => Ok(()),
+                    (true, Ok(true)) => self.job.part(now, Part::End),
+                    (true, _) if connected => self.job.broke(now, Broke::Cut),
+                    (true, _) => self.job.broke(now, Broke::Connect),
+                }
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn received(&mut self, now: i64, bytes: &[u8]) -> Result<(), J::Error> {
+        let Some(connection) = &mut self.connection else { return Ok(()) };
+        let mut parts = Vec::new();
+        let fed = connection.reader.feed(bytes, &mut parts);
+        for part in parts {
+            let Some(connection) = self.connection.as_mut().filter(|c| c.busy) else { break };
+            match &part {
+                Part::Head(head) => connection.last = head.last,
+                Part::End => connection.busy = false,
+                Part::Body(_) => {}
+            }
+            let whole = part == Part::End;
+            self.job.part(now, part)?;
+            // It wants something else now: what this answer still brings is nobody's.
+            if !whole && !self.job.is_receiving() {
+                self.close();
+                return Ok(());
+            }
+        }
+        if fed.is_err() {
+            let busy = self.connection.as_ref().is_some_and(|c| c.busy);
+            self.close();
+            if busy {
+                return self.job.broke(now, Broke::Garbage);
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/gateway/src/settings/classes.rs
+++ b/crates/gateway/src/settings/classes.rs
@@ -3,6 +3,7 @@
 use super::form::{Fields, Form, SettingsError};
 use slatevalve::{Class, ClassId, Effect, Group, Micros, Tenant, TenantId};
 use slatevalve_mqtt::{Route, Template, TopicFilter};
+use std::collections::BTreeSet;
 
 type Res<T> = Result<T, SettingsError>;
 
@@ -77,17 +78,34 @@
     Ok(Effect::Keyed { group, memory })
 }
 
-pub(crate) fn tenants(top: &mut Fields<'_>) -> Res<Vec<(String, Tenant, TenantId)>> {
-    let mut tenants: Vec<(String, Tenant, TenantId)> = Vec::new();
+pub(crate) struct NamedTenant {
+    pub(crate) name: String,
+    pub(crate) tenant: Tenant,
+    pub(crate) id: TenantId,
+    /// The classes that its plug-ins may claim; all where none are named.
+    pub(crate) classes: Option<BTreeSet<String>>,
+}
+
+pub(crate) fn tenants(top: &mut Fields<'_>, known: &[NamedClass]) -> Res<Vec<NamedTenant>> {
+    let mut tenants: Vec<NamedTenant> = Vec::new();
     for form in top.take_all("tenant") {
         let (name, mut fields) = form.named_fields()?;
-        if tenants.iter().any(|t| t.0 == name) {
+        if tenants.iter().any(|t| t.name == name) {
             return Err(form.error(format!("tenant \"{name}\" stands twice")));
         }
         let quota_per_s = fields.or("per-second", 0.0, Form::number)?;
+        let classes = fields.take("plugin-classes")?;
+        let classes = classes.map(|f| {
+            let named: BTreeSet<String> = f.texts()?.into_iter().collect();
+            match named.iter().find(|n| !known.iter().any(|c| c.name == **n)) {
+                Some(other) => Err(f.error(format!("there is no class \"{other}\""))),
+                None => Ok(named),
+            }
+        });
+        let classes = classes.transpose()?;
         fields.finish()?;
         let id = TenantId(tenants.len());
-        tenants.push((name, Tenant { quota_per_s }, id));
+        tenants.push(NamedTenant { name, tenant: Tenant { quota_per_s }, id, classes });
     }
     Ok(tenants)
 }
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -5,8 +5,10 @@
 
 mod classes;
 pub mod form;
+mod plugins;
 mod workers;
 
+pub use plugins::PluginSettings;
 pub use workers::WorkerLine;
 
 use crate::clock::Clock;
@@ -14,11 +16,11 @@
 use slatevalve::{Effect, Limits, Loading, Micros, Reports, Rules, Settings, Weights, ZoneId};
 use slatevalve_engine::{ClassPolicy, DuplicateLimits, EngineSettings, FunctionTraits};
 use slatevalve_mqtt::{BridgeSettings, FrontSettings, Routes};
-use slatevalve_plugins::RolloutSettings;
+use slatevalve_plugins::ClassRights;
 use std::collections::HashMap;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 type Res<T> = Result<T, SettingsError>;
 
@@ -52,6 +54,8 @@
     pub bridge: Option<(SocketAddr, BridgeSettings)>,
     /// Names of the classes, in the order of their ids.
     pub classes: Vec<String>,
+    /// What each class's effect is, and which classes each tenant may use.
+    pub rights: ClassRights,
     /// The worker list.
     pub workers: Vec<WorkerLine>,
     /// Connections to workers.
@@ -64,17 +68,6 @@
     pub named: Named,
 }
 
-/// Plug-ins.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PluginSettings {
-    /// The folder of blobs and of the catalogue.
-    pub folder: PathBuf,
-    /// Whether functions that are no plug-ins run as well.
-    pub unlisted: bool,
-    /// How an alias's move is carried out; `None` for a plain switch.
-    pub rollout: Option<RolloutSettings>,
-}
-
 /// Names that become places in lists, in the order in which they appear.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Places(Vec<String>);
@@ -128,7 +121,7 @@
         let zone = gateway.or("zone", "default".to_string(), Form::text)?;
         let zone = ZoneId(zones.of(&zone));
         let classes = classes::classes(&mut top)?;
-        let tenants = classes::tenants(&mut top)?;
+        let tenants = classes::tenants(&mut top, &classes)?;
         let (loading, rules) = (loading(&mut top, &mut kinds)?, rules(&mut top)?);
         let limits = limits(&mut top)?;
         let workers = workers::workers(&mut top, &mut zones, &mut kinds, clock)?;
@@ -138,7 +131,7 @@
             zone,
             step: Micros(1_000),
             classes: classes.iter().map(|c| c.class.clone()).collect(),
-            tenants: tenants.iter().map(|t| t.1.clone()).collect(),
+            tenants: tenants.iter().map(|t| t.tenant.clone()).collect(),
             weights: if uneven { Weights::Size } else { Weights::None },
             reports: Reports::Answers,
             loading,
@@ -148,7 +141,7 @@
         };
         let routes = Routes {
             routes: classes::routes(&mut top, &classes, !tenants.is_empty())?,
-            tenants: tenants.into_iter().map(|(name, _, id)| (name, id)).collect(),
+            tenants: tenants.iter().map(|t| (t.name.clone(), t.id)).collect(),
         };
         let (functions, other_functions) = functions(&mut top)?;
         let engine = EngineSettings {
@@ -167,11 +160,38 @@
         let unsafe_classes = classes.iter().any(|c| c.class.effect == Effect::Unsafe);
         let bridge = bridge(&mut top, &routes, unsafe_classes, engine.seed)?;
         let (listen, front) = mqtt(&mut top, routes)?;
-        let (pool, plugins) = (pool(&mut top)?, plugins(&mut top)?);
+        let rights = class_rights(&classes, &tenants);
+        let (pool, plugins) = (pool(&mut top)?, plugins::plugins(&mut top, rights.clone(), engine.seed)?);
         top.finish()?;
         let classes = classes.into_iter().map(|c| c.name).collect();
         let named = Named { zones, kinds };
-        Ok(Site { name, listen, engine, front, bridge, classes, workers, pool, plugins, stop_within, named })
+        Ok(Site {
+            name,
+            listen,
+            engine,
+            front,
+            bridge,
+            classes,
+            rights,
+            workers,
+            pool,
+            plugins,
+            stop_within,
+            named,
+        })
+    }
+}
+
+fn class_rights(classes: &[classes::NamedClass], tenants: &[classes::NamedTenant]) -> ClassRights {
+    let effect = |e: Effect| match e {
+        Effect::Safe => "safe",
+        Effect::Keyed { .. } => "keyed",
+        Effect::Unsafe => "unsafe",
+    };
+    let limited = tenants.iter().filter_map(|t| Some((t.name.clone(), t.classes.clone()?)));
+    ClassRights {
+        effects: classes.iter().map(|c| (c.name.clone(), effect(c.class.effect).to_string())).collect(),
+        tenants: limited.collect(),
     }
 }
 
@@ -285,28 +305,6 @@
     Ok(settings)
 }
 
-fn plugins(top: &mut Fields<'_>) -> Res<Option<PluginSettings>> {
-    let Some(mut fields) = sub(top, "plugins")? else { return Ok(None) };
-    let folder = PathBuf::from(fields.need("folder")?.text()?);
-    let unlisted = fields.or("unlisted", false, Form::flag)?;
-    let plain = fields.or("plain-switch", false, Form::flag)?;
-    let mut rollout = RolloutSettings::default();
-    if let Some(mut form) = sub(&mut fields, "rollout")? {
-        rollout.orders_at_once =
-            form.or("orders-at-once", rollout.orders_at_once as u64, |f| f.whole(1_000))? as usize;
-        rollout.first_part = form.or("first-part", rollout.first_part, Form::number)?.clamp(0.001, 1.0);
-        rollout.step_us = form.or("step-ms", Micros(rollout.step_us), Form::millis)?.0;
-        rollout.judged_after =
-            form.or("judged-after", u64::from(rollout.judged_after), |f| f.whole(1_000_000))? as u32;
-        rollout.more_failures = form.or("more-failures", rollout.more_failures, Form::number)?;
-        rollout.more_late = form.or("more-late", rollout.more_late, Form::number)?;
-        rollout.give_up_us = form.or("give-up-ms", Micros(rollout.give_up_us), Form::millis)?.0;
-        form.finish()?;
-    }
-    fields.finish()?;
-    Ok(Some(PluginSettings { folder, unlisted, rollout: (!plain).then_some(rollout) }))
-}
-
 fn duplicates(top: &mut Fields<'_>) -> Res<DuplicateLimits> {
     let mut limits = DuplicateLimits::default();
     if let Some(mut keys) = sub(top, "keys")? {
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -3,13 +3,15 @@
 //! It carries and times; it decides nothing. In each turn what came in on sockets is handed on before timers fire:
 //! a gateway that stood still finds the answers that were there in time before it finds that time is up.
 
+mod admin;
 mod plugins;
 mod pool;
 
 use crate::clock::Clock;
-use crate::plugin_folder::FolderError;
+use crate::plugins::folder::FolderError;
 use crate::settings::form::SettingsError;
 use crate::settings::{Site, WorkerLine};
+use admin::Admin;
 use plugins::PluginHost;
 use pool::{Pool, Purpose, TaskEnd};
 use slatevalve::{Listing, Micros, Outcome, Scope, WorkerId, WorkerState};
@@ -39,6 +41,8 @@
 pub enum ShellError {
     /// A socket could not be had.
     Listen(SocketAddr, io::Error),
+    /// The admin socket could not be had.
+    Admin(PathBuf, io::Error),
     /// The folder of plug-ins cannot be read.
     Plugins(FolderError),
     /// The poller or a signal failed.
@@ -49,6 +53,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ShellError::Listen(address, e) => write!(f, "cannot listen on {address}: {e}"),
+            ShellError::Admin(path, e) => write!(f, "admin socket {}: {e}", path.display()),
             ShellError::Plugins(e) => write!(f, "plug-ins: {e}"),
             ShellError::Loop(e) => write!(f, "the loop failed: {e}"),
         }
@@ -67,6 +72,7 @@
     front: Front,
     bridge: Option<BridgeLink>,
     plugins: Option<PluginHost>,
+    admin: Option<Admin>,
     pool: Pool,
     listener: Id,
     address: SocketAddr,
@@ -106,8 +112,16 @@
         let (listener, address) =
             reactor.listen(site.listen).map_err(|e| ShellError::Listen(site.listen, e))?;
         let order_timeout = site.engine.module.loading.order_timeout;
-        let plugins = site.plugins.clone().map(|settings| PluginHost::open(settings, &site, clock.now()));
-        let plugins = plugins.transpose().map_err(ShellError::Plugins)?;
+        let (mut plugins, mut admin) = (None, None);
+        if let Some(settings) = site.plugins.clone() {
+            if let Some(path) = &settings.admin {
+                let opened = Admin::open(&mut reactor, path);
+                admin = Some(opened.map_err(|e| ShellError::Admin(path.clone(), e))?);
+            }
+            let waker = reactor.waker().map_err(ShellError::Loop)?;
+            let host = PluginHost::open(settings, &site, clock, waker);
+            plugins = Some(host.map_err(ShellError::Plugins)?);
+        }
         let mut shell = Shell {
             clock,
             settings_file,
@@ -120,6 +134,7 @@
                 socket: None,
             }),
             plugins,
+            admin,
             pool: Pool::new(site.pool, &site.name, order_timeout),
             listener,
             address,
@@ -201,6 +216,9 @@
 
     fn happened(&mut self, now: Micros, happening: Happening) {
         match happening {
+            Happening::Accepted { listener, connection, .. } if listener != self.listener => {
+                self.admin.iter_mut().for_each(|a| a.accepted(&mut self.reactor, connection));
+            }
             Happening::Accepted { connection, .. } => {
                 self.next_link += 1;
                 let link = LinkId(self.next_link);
@@ -213,6 +231,8 @@
                     self.front.received(now, *link, &bytes, &mut self.to_front);
                 } else if let Some(link) = self.bridge.as_mut().filter(|l| l.socket == Some(id)) {
                     link.bridge.received(now, &bytes, &mut self.to_bridge);
+                } else if self.admin.as_ref().is_some_and(|a| a.knows(id)) {
+                    self.admin_said(id, &bytes);
                 } else if let Some(end) = self.pool.received(now, &mut self.reactor, id, &bytes) {
                     self.ended(now, end);
                 }
@@ -228,13 +248,16 @@
                 } else if let Some(link) = self.bridge.as_mut().filter(|l| l.socket == Some(id)) {
                     link.socket = None;
                     link.bridge.closed(now);
+                } else if self.admin.as_mut().is_some_and(|a| a.closed(id)) {
                 } else if let Some(end) = self.pool.closed(now, id, connected, written) {
                     self.ended(now, end);
                 }
             }
-            Happening::Drained(_) | Happening::Woken => {}
+            Happening::Drained(_) => {}
+            Happening::Woken => self.hear_plugins(now),
             Happening::Signal(signal_hook::consts::SIGHUP) => self.reload(),
             Happening::Signal(_) => self.stop(now),
+            // The admin socket's listener stays at rest: who may open it is one of us, and can ask again.
             Happening::AcceptFailed { error, .. } => {
                 error!(%error, "cannot accept connections; those that stand go on");
                 self.resume_at = Some(Micros(now.0 + ACCEPT_REST.0));
@@ -243,6 +266,24 @@
         self.settle(now);
     }
 
+    /// What the plug-ins' thread has told.
+    fn hear_plugins(&mut self, now: Micros) {
+        let Some(plugins) = &mut self.plugins else { return };
+        for (id, answer, more) in plugins.hear(now, &self.engine) {
+            self.admin.iter_mut().for_each(|a| a.answer(&mut self.reactor, id, &answer, more));
+        }
+    }
+
+    /// A command came on the admin socket.
+    fn admin_said(&mut self, id: Id, bytes: &[u8]) {
+        let (Some(admin), Some(plugins)) = (&mut self.admin, &mut self.plugins) else { return };
+        if let Some(command) = admin.received(&mut self.reactor, id, bytes) {
+            if let Some(answer) = plugins.command(&self.engine, id, command) {
+                admin.answer(&mut self.reactor, id, &answer, false);
+            }
+        }
+    }
+
     /// Carries out what front and engine want until neither wants anything.
     fn settle(&mut self, now: Micros) {
         while !(self.to_front.is_empty() && self.to_engine.is_empty() && self.to_bridge.is_empty()) {
@@ -426,16 +467,16 @@
 
     /// SIGHUP: the worker list and the catalogue of plug-ins are read again. A file with an error changes nothing.
     fn reload(&mut self) {
-        let now = self.clock.now();
-        if let Some(Err(error)) = self.plugins.as_mut().map(|p| p.reload(now, &self.engine)) {
-            error!(%error, "the catalogue of plug-ins was not taken; it stays as it was");
-        }
+        self.plugins.iter().for_each(PluginHost::reload);
         let Some(path) = &self.settings_file else { return };
         let read: Result<Site, SettingsError> = Site::load(path, &self.clock, self.site.named.clone());
         match read {
             Err(error) => error!(%error, "the settings file was not taken; the worker list stays as it was"),
             Ok(site) => {
                 info!(workers = site.workers.len(), "worker list read again");
+                if let (Some(plugins), Some(settings)) = (&mut self.plugins, site.plugins) {
+                    plugins.require(settings.terms);
+                }
                 self.site.named = site.named;
                 self.site.workers = site.workers.clone();
                 self.take_list(&site.workers);
--- a/crates/gateway/src/shell/plugins.rs
+++ b/crates/gateway/src/shell/plugins.rs
@@ -3,15 +3,21 @@
 //! It joins the catalogue, one [`Rollout`] for each function whose `current` moved, and the engine, and decides nothing
 //! itself. A call's version is fixed when it is taken; what it came to is told to the roll-out that it was part of.
 
-use crate::plugin_folder::{unix_ms, verify, FolderError, PluginFolder};
+use crate::clock::Clock;
+use crate::plugins::aside::{Aside, AsideSettings, Asker, Task, Told};
+use crate::plugins::command::{Command, CommandError};
+use crate::plugins::folder::{unix_ms, verify, FolderError, PluginFolder};
 use crate::settings::{PluginSettings, Site};
+use serde_json::{json, Value};
 use slatevalve::Micros;
 use slatevalve_engine::{Answer, Call, Engine, FunctionTraits, Output, Reason, Ticket, Verdict, Version};
+use slatevalve_oci::{Wanted, WantedSettings};
 use slatevalve_plugins::{
     Catalogue, CatalogueError, Digest, Direction, Ended, Observed, Reference, Resolved, Rollout, Selector,
-    Want, CURRENT,
+    Terms, Want, CURRENT,
 };
-use std::collections::{BTreeMap, HashMap};
+use slatevalve_reactor::{Id, Waker};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use tracing::{error, info, warn};
@@ -36,19 +42,33 @@
     ordered: Vec<Micros>,
 }
 
+/// Counts of what was pulled.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pulls {
+    done: u64,
+    failed: u64,
+    bytes: u64,
+    requests: u64,
+}
+
 /// See the module's documentation.
 pub(super) struct PluginHost {
     settings: PluginSettings,
-    folder: PluginFolder,
+    aside: Aside,
     catalogue: Catalogue,
     /// What `current` of each function means for calls, moves under way aside.
     settled: BTreeMap<String, Resolved>,
     moves: BTreeMap<String, Moving>,
+    /// The version that a move went back from and the alias's revision then: it is not begun again until somebody moves
+    /// the alias.
+    went_back: BTreeMap<String, (Digest, Option<u64>)>,
     calls: HashMap<Ticket, Taken>,
     /// Names and aims of the classes, in the order of their ids.
     classes: Vec<(String, Micros)>,
     order_timeout: Micros,
     due: Micros,
+    wanted: Wanted,
+    pulls: Pulls,
 }
 
 impl Moving {
@@ -69,53 +89,217 @@
 
 impl PluginHost {
     /// Reads the folder and checks all content in it: what is corrupt goes into quarantine before a call can ask for it.
-    pub(super) fn open(settings: PluginSettings, site: &Site, now: Micros) -> Result<Self, FolderError> {
+    pub(super) fn open(
+        settings: PluginSettings,
+        site: &Site,
+        clock: Clock,
+        waker: Waker,
+    ) -> Result<Self, FolderError> {
+        let now = clock.now();
         let mut folder = PluginFolder::open(&settings.folder)?;
-        let found = folder.change(|catalogue, store| Ok(verify(catalogue, store, unix_ms())))?;
+        let found = folder.change(|catalogue, store| Ok(verify(catalogue, store, unix_ms(), &mut |_| {})))?;
         for (version, _, reason) in found {
             error!(version, reason, "in quarantine: its content is not what its digest says");
         }
-        let catalogue = folder.catalogue()?;
+        let mut catalogue = folder.catalogue()?;
+        catalogue.require(settings.terms.clone());
+        for (digest, reason) in catalogue.barred() {
+            warn!(%digest, %reason, "a version does not run here");
+        }
+        let of_thread =
+            AsideSettings { registry: settings.registry.clone(), scrub_per_s: settings.scrub_per_s, clock };
         let classes = site.classes.iter().zip(&site.engine.module.classes);
         let mut host = PluginHost {
             classes: classes.map(|(name, class)| (name.clone(), class.aim)).collect(),
             order_timeout: site.engine.module.loading.order_timeout,
+            aside: Aside::start(&settings.folder, of_thread, waker)?,
             settings,
-            folder,
             catalogue,
             settled: BTreeMap::new(),
             moves: BTreeMap::new(),
+            went_back: BTreeMap::new(),
             calls: HashMap::new(),
             due: now,
+            wanted: Wanted::new(WantedSettings::default(), site.engine.seed),
+            pulls: Pulls::default(),
         };
-        for name in host.catalogue.names().map(str::to_string).collect::<Vec<_>>() {
+        for name in host.names() {
             if let Ok(current) = host.current(&name) {
                 host.settled.insert(name, current);
             }
         }
+        host.heal(now);
         Ok(host)
     }
 
+    fn names(&self) -> Vec<String> {
+        self.catalogue.names().map(str::to_string).collect()
+    }
+
     fn current(&self, name: &str) -> Result<Resolved, CatalogueError> {
         self.catalogue.resolve(&Reference { name: name.into(), selector: Selector::Current })
     }
 
-    /// Reads the catalogue again. Where `current` moved, the move begins; a move to somewhere else in the middle of one
-    /// begins anew from the version that calls are sure of.
-    pub(super) fn reload(&mut self, now: Micros, engine: &Engine) -> Result<(), FolderError> {
-        let mut catalogue = self.folder.catalogue()?;
+    /// Wants every version whose content was found wrong, where there is a registry to have it from. What an operator took
+    /// out of use stays so.
+    fn heal(&mut self, now: Micros) {
+        if self.settings.registry.is_none() {
+            return;
+        }
+        for name in self.names() {
+            for version in self.catalogue.versions(&name).unwrap_or_default() {
+                if version.quarantine.is_some_and(|q| !q.held) {
+                    self.wanted.want(now.0, &format!("{name}@{}", version.version));
+                }
+            }
+        }
+    }
+
+    fn submit(&self, asker: Asker, command: Command) -> bool {
+        // Content of calls that are open stays, whatever was deleted since.
+        let keep = if command == Command::Gc { self.catalogue.reachable() } else { BTreeSet::new() };
+        self.aside.submit(Task { asker, command, keep })
+    }
+
+    /// Asks for the folder to be read again.
+    pub(super) fn reload(&self) {
+        if !self.submit(Asker::Signal, Command::Reload) {
+            warn!("too much waits to be done on the folder of plug-ins; it is not read again now");
+        }
+    }
+
+    /// What versions must fulfil from now on: keys may change while a gateway runs.
+    pub(super) fn require(&mut self, terms: Terms) {
+        self.catalogue.require(terms.clone());
+        self.settings.terms = terms;
+    }
+
+    /// What the thread has told since. What goes to connections of the admin socket is given, each with whether more of the
+    /// same answer follows.
+    pub(super) fn hear(&mut self, now: Micros, engine: &Engine) -> Vec<(Id, Value, bool)> {
+        let mut replies = Vec::new();
+        for told in self.aside.told() {
+            match told {
+                Told::Progress(Asker::Admin(id), done, of) => {
+                    replies.push((id, json!({"progress": [done, of]}), true));
+                }
+                Told::Progress(..) => {}
+                Told::Ended { asker, command, outcome, catalogue } => {
+                    match catalogue {
+                        Some(Ok(catalogue)) => self.take_catalogue(now, engine, *catalogue),
+                        Some(Err(error)) => {
+                            error!(%error, "the catalogue of plug-ins was not taken; it stays as it was");
+                        }
+                        None => {}
+                    }
+                    replies.extend(self.ended(now, asker, &command, outcome));
+                }
+            }
+        }
+        replies
+    }
+
+    fn ended(
+        &mut self,
+        now: Micros,
+        asker: Asker,
+        command: &Command,
+        outcome: Result<Value, CommandError>,
+    ) -> Option<(Id, Value, bool)> {
+        if let Command::Pull { name, version } = command {
+            let count = |field: &str| outcome.as_ref().ok().and_then(|v| v[field].as_u64()).unwrap_or(0);
+            self.pulls.bytes += count("bytes");
+            self.pulls.requests += count("requests");
+            match &outcome {
+                Ok(_) => {
+                    self.pulls.done += 1;
+                    info!(name, version, bytes = count("bytes"), "pulled");
+                }
+                Err(error) => {
+                    self.pulls.failed += 1;
+                    warn!(name, version, %error, "was not pulled");
+                }
+            }
+        }
+        match asker {
+            Asker::Admin(id) => {
+                let answer = match outcome {
+                    Ok(value) => json!({"done": value}),
+                    Err(error) => json!({"error": error.to_string()}),
+                };
+                return Some((id, answer, false));
+            }
+            Asker::Calls => self.wanted.ended(now.0, outcome.is_ok()),
+            Asker::Rollout => match outcome {
+                Ok(done) => {
+                    info!(name = %done["name"], version = %done["version"], "the alias points back");
+                }
+                Err(error) => warn!(%error, "the alias was not pointed back"),
+            },
+            Asker::Signal => info!("plug-ins read again"),
+            Asker::Scrub => {
+                if let Command::Quarantine { reference, reason } = command {
+                    error!(
+                        version = reference,
+                        reason, "in quarantine: its content is not what its digest says"
+                    );
+                }
+                self.heal(now);
+            }
+        }
+        None
+    }
+
+    /// A command from the admin socket; answered at once where it needs no disk, else by [`PluginHost::hear`].
+    pub(super) fn command(&mut self, engine: &Engine, id: Id, command: Command) -> Option<Value> {
+        match command {
+            Command::Status => Some(json!({"done": self.status(engine)})),
+            Command::Pull { .. } if self.settings.registry.is_none() => {
+                Some(json!({"error": CommandError::NoRegistry.to_string()}))
+            }
+            command => {
+                if matches!(command, Command::Pull { .. }) {
+                    self.wanted.forgive();
+                }
+                let taken = self.submit(Asker::Admin(id), command);
+                (!taken).then(|| json!({"error": "too much waits to be done; try again"}))
+            }
+        }
+    }
+
+    fn status(&self, engine: &Engine) -> Value {
+        let moves = self.moves.iter().map(|(name, m)| {
+            let (standing, needed) = m.rollout.copies();
+            let serving = engine.copies_standing(&run_name(name, &m.new.digest));
+            json!({"name": name, "from": m.old.version, "to": m.new.version, "copies": standing,
+                "needed": needed, "standing": serving, "ordered": m.ordered.len()})
+        });
+        let barred = self.catalogue.barred();
+        let barred = barred.map(|(digest, why)| json!({"digest": digest, "reason": why.to_string()}));
+        let pulls = json!({"done": self.pulls.done, "failed": self.pulls.failed, "bytes": self.pulls.bytes,
+            "requests": self.pulls.requests});
+        json!({"moves": moves.collect::<Vec<_>>(), "barred": barred.collect::<Vec<_>>(), "pulls": pulls,
+            "open": self.calls.len()})
+    }
+
+    /// Takes the catalogue as it was read again. Where `current` moved, the move begins; a move to somewhere else in the
+    /// middle of one begins anew from the version that calls are sure of.
+    fn take_catalogue(&mut self, now: Micros, engine: &Engine, mut catalogue: Catalogue) {
         for taken in self.calls.values() {
             catalogue.opened(taken.digest);
         }
+        catalogue.require(self.settings.terms.clone());
         self.catalogue = catalogue;
-        for name in self.catalogue.names().map(str::to_string).collect::<Vec<_>>() {
+        for name in self.names() {
             let Ok(target) = self.current(&name) else { continue };
             let under_way = self.moves.get(&name).map(|m| m.new.digest);
-            let settled = self.settled.get(&name);
-            if under_way == Some(target.digest) {
+            if under_way == Some(target.digest)
+                || self.went_back.get(&name) == Some(&(target.digest, target.revision))
+            {
                 continue;
             }
-            match settled {
+            self.went_back.remove(&name);
+            match self.settled.get(&name) {
                 Some(old) if old.digest == target.digest => {
                     if self.moves.remove(&name).is_some() {
                         info!(name, version = target.version, "the move was taken back");
@@ -131,7 +315,6 @@
                 }
             }
         }
-        Ok(())
     }
 
     fn begin(&mut self, now: Micros, engine: &Engine, name: String, old: Resolved, new: Resolved) {
@@ -148,7 +331,7 @@
 
     /// What a call's function means now; noted in the call.
     pub(super) fn resolve(&mut self, now: Micros, call: &mut Call) {
-        call.version = self.version_of(call).map(|found| {
+        call.version = self.version_of(now, call).map(|found| {
             found.map(|(name, resolved)| {
                 let manifest = &resolved.manifest;
                 call.traits = Some(FunctionTraits {
@@ -173,7 +356,7 @@
         });
     }
 
-    fn version_of(&self, call: &Call) -> Result<Option<(String, Resolved)>, Reason> {
+    fn version_of(&mut self, now: Micros, call: &Call) -> Result<Option<(String, Resolved)>, Reason> {
         let reference: Option<Reference> = call.function.parse().ok();
         let Some(reference) = reference.filter(|r| self.catalogue.knows(&r.name)) else {
             return if self.settings.unlisted { Ok(None) } else { Err(Reason::UnknownVersion) };
@@ -190,10 +373,17 @@
             },
             None => self.catalogue.resolve(&reference),
         };
-        let resolved = found.map_err(|e| match e {
-            CatalogueError::Quarantined(_) => Reason::Quarantined,
-            _ => Reason::UnknownVersion,
-        })?;
+        let resolved = match found {
+            Ok(resolved) => resolved,
+            Err(e) => {
+                self.want(now, &reference, &e);
+                return Err(match e {
+                    CatalogueError::Quarantined(_) => Reason::Quarantined,
+                    CatalogueError::Unsigned(_) | CatalogueError::NotAllowed(_) => Reason::NotAllowed,
+                    _ => Reason::UnknownVersion,
+                });
+            }
+        };
         if self.classes.get(call.class.0).is_some_and(|c| c.0 != resolved.manifest.class) {
             return Err(Reason::WrongClass);
         }
@@ -201,9 +391,16 @@
     }
 
     fn still_good(&self, resolved: &Resolved) -> Result<Resolved, CatalogueError> {
-        match self.catalogue.quarantined(&resolved.digest) {
-            Some(found) => Err(CatalogueError::Quarantined(found.reason.clone())),
-            None => Ok(resolved.clone()),
+        self.catalogue.may_run(&resolved.digest).map(|()| resolved.clone())
+    }
+
+    /// A call was refused for want of a version: it is pulled, where the settings say so, for the calls that follow.
+    fn want(&mut self, now: Micros, reference: &Reference, why: &CatalogueError) {
+        let missing = matches!(why, CatalogueError::UnknownVersion(_) | CatalogueError::Partial(_));
+        if missing && self.settings.on_call && self.settings.registry.is_some() {
+            if let Ok((version, _)) = self.catalogue.version_of(reference) {
+                self.wanted.want(now.0, &format!("{}@{version}", reference.name));
+            }
         }
     }
 
@@ -233,6 +430,15 @@
 
     /// Lets moves go on: copies ahead, and their ends.
     pub(super) fn advance(&mut self, now: Micros, engine: &mut Engine, out: &mut Vec<Output>) {
+        if let Some((name, version)) = self
+            .wanted
+            .begin()
+            .and_then(|w| w.split_once('@').map(|(name, version)| (name.to_string(), version.to_string())))
+        {
+            if !self.submit(Asker::Calls, Command::Pull { name, version }) {
+                self.wanted.ended(now.0, false);
+            }
+        }
         if now < self.due || self.moves.is_empty() {
             return;
         }
@@ -259,11 +465,11 @@
             }
         }
         for (name, end) in ended {
-            self.end(&name, end);
+            self.end_move(&name, end);
         }
     }
 
-    fn end(&mut self, name: &str, end: Ended) {
+    fn end_move(&mut self, name: &str, end: Ended) {
         let Some(m) = self.moves.remove(name) else { return };
         match end {
             Ended::Moved => {
@@ -280,16 +486,16 @@
 
     /// Points the alias back, unless somebody moved it on in between.
     fn move_back(&mut self, name: &str, old: &Resolved, new: &Resolved) {
-        let changed = self.folder.change(|catalogue, _| {
-            Ok(catalogue.move_alias(name, CURRENT, &old.version, new.revision, "roll-out", unix_ms())?)
-        });
-        match changed {
-            Ok(revision) => info!(name, version = old.version, revision, "the alias points back"),
-            Err(error) => warn!(name, %error, "the alias was not pointed back"),
-        }
-        if let Ok(mut catalogue) = self.folder.catalogue() {
-            self.calls.values().for_each(|t| catalogue.opened(t.digest));
-            self.catalogue = catalogue;
+        self.went_back.insert(name.into(), (new.digest, new.revision));
+        let command = Command::Alias {
+            name: name.into(),
+            alias: CURRENT.into(),
+            version: old.version.clone(),
+            expect: new.revision,
+            who: "roll-out".into(),
+        };
+        if !self.submit(Asker::Rollout, command) {
+            warn!(name, "the alias was not pointed back: too much waits to be done on the folder");
         }
     }
 }
--- a/crates/gateway/tests/plugins.rs
+++ b/crates/gateway/tests/plugins.rs
@@ -83,7 +83,7 @@
 }
 
 fn hup(gateway: &Gateway) {
-    let count = |log: &str| log.matches("worker list read again").count();
+    let count = |log: &str| log.matches("plug-ins read again").count();
     let before = count(&gateway.log());
     gateway.process.signal("HUP");
     until("the catalogue to be read", || count(&gateway.log()) > before);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -40,9 +40,23 @@
     }
 }
 
-/// Runs the binary to its end.
+/// Runs the binary to its end; one that finds none is killed.
 pub fn command(arguments: &[&str]) -> std::process::Output {
-    Command::new(env!("CARGO_BIN_EXE_slatevalve")).args(arguments).stdin(Stdio::null()).output().unwrap()
+    let mut command = Command::new(env!("CARGO_BIN_EXE_slatevalve"));
+    command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let child = command.spawn().unwrap();
+    let pid = child.id().to_string();
+    let (tell, ended) = std::sync::mpsc::channel();
+    thread::spawn(move || tell.send(child.wait_with_output()));
+    match ended.recv_timeout(PATIENCE) {
+        Ok(output) => output.unwrap(),
+        Err(_) => {
+            let _ = Command::new("kill").args(["-s", "KILL", &pid]).status();
+            // Reaped by the thread, which tells then.
+            let _ = ended.recv_timeout(PATIENCE);
+            panic!("no end within {PATIENCE:?}: {arguments:?}");
+        }
+    }
 }
 
 /// A child that says "ready ADDRESS".
--- a/crates/oci/src/document.rs
+++ b/crates/oci/src/document.rs
@@ -159,7 +159,7 @@
         .schema_version(2u32)
         .media_type(MediaType::ImageManifest)
         .artifact_type(MediaType::Other(SIGNATURE_TYPE.into()))
-        .config(descriptor(&MediaType::EmptyJSON.to_string(), &Digest::of(b"{}"), 2)?)
+        .config(descriptor(MediaType::EmptyJSON.as_ref(), &Digest::of(b"{}"), 2)?)
         .layers(Vec::new())
         .subject(descriptor(&subject_type, &subject.digest, subject.bytes.len() as u64)?)
         .annotations(annotations)
--- a/crates/oci/src/pull.rs
+++ b/crates/oci/src/pull.rs
@@ -20,6 +20,8 @@
 const MAX_DOCUMENT: usize = 4 * 1024 * 1024;
 /// Bytes of a plug-in's own manifest.
 const MAX_CONFIG: u64 = 1024 * 1024;
+/// A try that brings one part in so many of what it asked for counts as one that went on.
+const GOOD_PART: u64 = 16;
 /// Times that content may be wrong before it is the registry's fault.
 const SPOILED: u32 = 2;
 
@@ -36,8 +38,8 @@
     pub range: u64,
     /// Bytes of one plug-in's content at most.
     pub max_size: u64,
-    /// What the classes are, and who may use which.
-    pub rights: ClassRights,
+    /// What the classes are, and who may use which; `None` where that is not known.
+    pub rights: Option<ClassRights>,
     /// Seed of the jitter.
     pub seed: u64,
 }
@@ -133,7 +135,7 @@
 enum Phase {
     Manifest(Vec<u8>),
     /// The config, then the layers in order.
-    Content(Content),
+    Content(Box<Content>),
     Referrers(Vec<u8>),
     Done,
 }
@@ -355,8 +357,13 @@
     /// # Errors
     /// When it was the last try.
     pub fn broke(&mut self, now_us: i64, broke: Broke) -> Result<(), PullError> {
-        // What came is kept, so a try that brought something is none in vain.
-        if matches!(&self.phase, Phase::Content(c) if c.came > 0) {
+        // What came is kept, so a try that brought a good part of what it asked for is none in vain. One that brought a few
+        // bytes is: a registry that drips a byte for each connection would hold the pull for all the time that it has.
+        let asked =
+            |c: &Content| c.blob.size.saturating_sub(c.partial.as_ref().map_or(0, Partial::have)) + c.came;
+        if matches!(&self.phase, Phase::Content(c)
+            if c.came > 0 && c.came.saturating_mul(GOOD_PART) >= asked(c).min(self.settings.range))
+        {
             self.exchange.progress();
         }
         self.exchange.broke(now_us, broke)?;
@@ -418,7 +425,8 @@
                 Err(BlobError::Missing | BlobError::Corrupt(_)) => {}
                 Err(e) => return Err(e.into()),
             }
-            let mut content = Content { at, blob, partial: None, taking: false, came: 0, spoiled: 0 };
+            let content = Content { at, blob, partial: None, taking: false, came: 0, spoiled: 0 };
+            let mut content = Box::new(content);
             let partial = store.begin(blob.digest, blob.size)?;
             self.had += partial.have();
             content.partial = Some(partial);
@@ -449,7 +457,7 @@
         &mut self,
         now_us: i64,
         store: &mut BlobStore<F>,
-        mut content: Content,
+        mut content: Box<Content>,
     ) -> Result<(), PullError> {
         let have = content.partial.as_ref().map_or(0, Partial::have);
         if have < content.blob.size {
@@ -512,8 +520,8 @@
             return Ok(());
         }
         let file = format!("{}:{}", self.repository, self.reference);
-        let (manifest, _) =
-            check_manifest(&file, bytes, &self.settings.rights).map_err(PullError::Manifest)?;
+        let rights = self.settings.rights.as_ref();
+        let (manifest, _) = check_manifest(&file, bytes, rights).map_err(PullError::Manifest)?;
         let by_digest = self.reference.contains(':');
         if manifest.name != self.name || (!by_digest && manifest.version != self.reference) {
             return Err(PullError::Other {
@@ -528,6 +536,11 @@
         Ok(())
     }
 
+    /// The plug-in's manifest and digest as soon as they are here and checked, whatever comes of its layers.
+    pub fn begun(&self) -> Option<(Manifest, Digest)> {
+        Some((self.manifest.clone()?, self.image.as_ref()?.1.config.digest))
+    }
+
     /// What it brought, once [`Pull::next`] says that it is done.
     pub fn result(self) -> Option<Pulled> {
         let (manifest, (_, image)) = (self.manifest?, self.image?);
--- a/crates/oci/tests/pulls.rs
+++ b/crates/oci/tests/pulls.rs
@@ -42,7 +42,7 @@
 fn package_of(layers: &[&[u8]]) -> Package {
     let named: Vec<_> = layers.iter().map(|l| json!({"digest": Digest::of(l), "size": l.len()})).collect();
     let config = json!({"name": "fare", "version": "1", "class": "quote", "layers": named}).to_string();
-    let (manifest, _) = check_manifest("fare", config.as_bytes(), &rights()).unwrap();
+    let (manifest, _) = check_manifest("fare", config.as_bytes(), Some(&rights())).unwrap();
     let layers = layers.iter().map(|l| Arc::from(*l)).collect();
     Package { manifest, config: config.into_bytes().into(), layers, signatures: Vec::new() }
 }
@@ -66,7 +66,7 @@
         policy: Policy::default(),
         range: RANGE,
         max_size: 1 << 20,
-        rights: rights(),
+        rights: Some(rights()),
         seed: 1,
     }
 }
@@ -137,10 +137,7 @@
                 }
             }
         }
-        match cut {
-            Some(broke) => job.broke(self.now_us, broke),
-            None => panic!("an answer without its end"),
-        }
+        job.broke(self.now_us, cut.unwrap_or(Broke::Cut))
     }
 }
 
@@ -266,12 +263,21 @@
         assert!(matches!(error, PullError::Exchange(ExchangeError::GaveUp(_))), "{fault:?}: {error}");
     }
     // One that drips brings something new with each try, and still ends with the time for it all.
-    let drip = |n: usize, _: &str| (n > 1).then_some(Fault::Cut(250));
+    let drip = |n: usize, _: &str| (n > 1).then_some(Fault::Cut(700));
     let mut slow = settings();
     (slow.policy.first_wait_us, slow.policy.within_us) = (2_000_000, 3_000_000);
     let mut store = BlobStore::new(Memory::default());
     let error = pull_into(&mut pushed(), &mut store, slow, &drip).0.unwrap_err();
     assert!(matches!(error, PullError::Exchange(ExchangeError::TimeUp(_))), "{error}");
+    // A byte or so for each connection is nothing new.
+    let byte = |n: usize, _: &str| {
+        let answer = "HTTP/1.1 206 P\r\nContent-Length: 1000\r\nContent-Range: bytes 0-999/2500\r\n\r\na";
+        (n > 1).then(|| Fault::Instead(answer.into()))
+    };
+    let mut store = BlobStore::new(Memory::default());
+    let (done, asked) = pull_into(&mut pushed(), &mut store, settings(), &byte);
+    assert!(matches!(done, Err(PullError::Exchange(ExchangeError::GaveUp(_)))), "{done:?}");
+    assert!(asked.len() < 12, "{asked:?}");
 }
 
 #[test]
@@ -289,11 +295,10 @@
     let found = pull_into(&mut pushed(), &mut store, small, &|_, _| None).0;
     assert!(matches!(found, Err(PullError::TooLarge(_))));
     let mut rights = settings();
-    rights.rights.effects = [("quote".to_string(), "unsafe".to_string())].into();
-    rights.rights.tenants = Default::default();
+    rights.rights.as_mut().unwrap().effects = [("quote".to_string(), "unsafe".to_string())].into();
     assert!(pull_into(&mut pushed(), &mut store, rights, &|_, _| None).0.is_ok(), "it claims no effect");
     let mut none = settings();
-    none.rights.effects.clear();
+    none.rights = Some(ClassRights::default());
     let found = pull_into(&mut pushed(), &mut BlobStore::new(Memory::default()), none, &|_, _| None).0;
     assert!(matches!(found, Err(PullError::Manifest(_))));
     for (name, reference) in [("Fare", "1"), ("fare", "a/b"), ("../x", "1")] {
--- a/crates/plugins/src/catalogue.rs
+++ b/crates/plugins/src/catalogue.rs
@@ -5,7 +5,7 @@
 //! version or an open call needs is never given up. History is ordered by its count, not by the clock, which may jump.
 
 use crate::digest::Digest;
-use crate::manifest::{LayerRef, Manifest};
+use crate::manifest::{ClassRights, LayerRef, Manifest};
 use crate::reference::{Reference, Selector};
 use crate::signature::{KeyList, Signature};
 use serde::{Deserialize, Serialize};
@@ -41,6 +41,9 @@
     pub reason: String,
     /// When, in milliseconds of the Unix clock.
     pub at_ms: i64,
+    /// An operator put it there: only an operator's pull or push lifts it.
+    #[serde(default)]
+    pub held: bool,
 }
 
 /// One move of an alias.
@@ -97,6 +100,8 @@
     Quarantined(String),
     /// No key of the list vouches for it.
     Unsigned(String),
+    /// It claims what its tenant, or nobody, may at this site.
+    NotAllowed(String),
     /// Somebody else moved the alias in between; it is at this revision now.
     Stale(u64),
     /// An alias means this version.
@@ -119,6 +124,7 @@
             CatalogueError::Unsigned(version) => {
                 write!(f, "no key of the list has signed version {version}")
             }
+            CatalogueError::NotAllowed(words) => f.write_str(words),
             CatalogueError::Stale(revision) => {
                 write!(f, "somebody else moved this alias in between; it is at revision {revision}")
             }
@@ -173,6 +179,28 @@
     pub revision: u64,
 }
 
+/// What a version must fulfil to run at a site.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// The keys of which one must vouch for it; `None` where none is asked for.
+    pub keys: Option<KeyList>,
+    /// The classes and who may use which; `None` where that is not known.
+    pub rights: Option<ClassRights>,
+}
+
+impl Terms {
+    fn check(&self, name: &str, version: &str, v: &Version) -> Res<()> {
+        let problems = self.rights.as_ref().map(|r| r.problems(&format!("{name}@{version}"), &v.manifest));
+        if let Some(problem) = problems.into_iter().flatten().next() {
+            return Err(CatalogueError::NotAllowed(problem.to_string()));
+        }
+        match self.keys.as_ref().map(|keys| keys.vouched(&v.digest, &v.signatures)) {
+            Some(None) => Err(CatalogueError::Unsigned(version.into())),
+            Some(Some(_)) | None => Ok(()),
+        }
+    }
+}
+
 /// See the module's documentation.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Catalogue {
@@ -181,12 +209,12 @@
     /// Calls that are open, by digest; not kept over a restart, which ends them.
     #[serde(skip)]
     open: HashMap<Digest, usize>,
-    /// The keys of which one must vouch for a version that is to run; `None` where none is asked for.
+    /// What a version must fulfil to run here; not kept, as it comes from the settings.
     #[serde(skip)]
-    keys: Option<KeyList>,
-    /// Versions for which none does; worked out when keys or signatures change, as a call must not wait for it.
+    terms: Terms,
+    /// Versions that do not, and why; worked out when terms or versions change, as a call must not wait for it.
     #[serde(skip)]
-    unsigned: BTreeSet<Digest>,
+    barred: HashMap<Digest, CatalogueError>,
 }
 
 type Res<T> = Result<T, CatalogueError>;
@@ -215,7 +243,7 @@
         if !Reference::is_name(&name) || !Reference::is_word(&version) {
             return Err(CatalogueError::BadName(format!("{name}@{version}")));
         }
-        let function = self.functions.entry(name).or_default();
+        let function = self.functions.entry(name.clone()).or_default();
         if function.aliases.contains_key(&version) || [CURRENT, PREVIOUS].contains(&version.as_str()) {
             return Err(CatalogueError::NameTaken(version));
         }
@@ -231,24 +259,32 @@
             None => {
                 let (manifest, state) = (Arc::new(manifest), VersionState::Partial);
                 let signatures = Vec::new();
-                function.versions.insert(version, Version { digest, manifest, state, signatures });
-                if self.keys.is_some() {
-                    self.unsigned.insert(digest);
+                let new = Version { digest, manifest, state, signatures };
+                if let Err(e) = self.terms.check(&name, &version, &new) {
+                    self.barred.insert(digest, e);
                 }
+                function.versions.insert(version, new);
                 Ok(())
             }
         }
     }
 
-    /// From now on a version runs only where one of these keys vouches for it; `None` asks for no signature.
-    pub fn require(&mut self, keys: Option<KeyList>) {
-        self.keys = keys;
-        let versions = self.functions.values().flat_map(|f| f.versions.values());
-        let bad = |keys: &KeyList, v: &Version| keys.vouched(&v.digest, &v.signatures).is_none();
-        self.unsigned = match &self.keys {
-            Some(keys) => versions.filter(|v| bad(keys, v)).map(|v| v.digest).collect(),
-            None => BTreeSet::new(),
-        };
+    /// From now on a version runs only where it fulfils these terms.
+    pub fn require(&mut self, terms: Terms) {
+        self.terms = terms;
+        self.barred.clear();
+        for (name, function) in &self.functions {
+            for (version, v) in &function.versions {
+                if let Err(e) = self.terms.check(name, version, v) {
+                    self.barred.insert(v.digest, e);
+                }
+            }
+        }
+    }
+
+    /// Versions that do not run here, with the reason.
+    pub fn barred(&self) -> impl Iterator<Item = (&Digest, &CatalogueError)> {
+        self.barred.iter()
     }
 
     /// Notes signatures of a version, beside those that are known. Whether they are good is asked when it is to run.
@@ -267,12 +303,10 @@
         }
         let excess = found.signatures.len().saturating_sub(SIGNATURES);
         found.signatures.drain(..excess);
-        if let Some(keys) = &self.keys {
-            match keys.vouched(&found.digest, &found.signatures) {
-                Some(_) => self.unsigned.remove(&found.digest),
-                None => self.unsigned.insert(found.digest),
-            };
-        }
+        match self.terms.check(name, version, found) {
+            Ok(()) => self.barred.remove(&found.digest),
+            Err(e) => self.barred.insert(found.digest, e),
+        };
         Ok(())
     }
 
@@ -289,11 +323,11 @@
     ///
     /// # Errors
     /// With the reason, where it may not.
-    pub fn may_run(&self, version: &str, digest: &Digest) -> Res<()> {
-        match self.quarantined.get(digest) {
-            Some(found) => Err(CatalogueError::Quarantined(found.reason.clone())),
-            None if self.unsigned.contains(digest) => Err(CatalogueError::Unsigned(version.into())),
-            None => Ok(()),
+    pub fn may_run(&self, digest: &Digest) -> Res<()> {
+        match (self.quarantined.get(digest), self.barred.get(digest)) {
+            (Some(found), _) => Err(CatalogueError::Quarantined(found.reason.clone())),
+            (None, Some(why)) => Err(why.clone()),
+            (None, None) => Ok(()),
         }
     }
 
@@ -314,10 +348,15 @@
 
     /// Takes a digest out of use, until it is whole again by a clean pull.
     pub fn quarantine(&mut self, digest: Digest, reason: &str, at_ms: i64) {
-        let found = Quarantine { reason: reason.into(), at_ms };
+        let found = Quarantine { reason: reason.into(), at_ms, held: false };
         self.quarantined.entry(digest).or_insert(found);
     }
 
+    /// An operator takes a digest out of use.
+    pub fn hold(&mut self, digest: Digest, reason: &str, at_ms: i64) {
+        self.quarantined.insert(digest, Quarantine { reason: reason.into(), at_ms, held: true });
+    }
+
     /// Why a digest is in quarantine, if it is.
     pub fn quarantined(&self, digest: &Digest) -> Option<&Quarantine> {
         self.quarantined.get(digest)
@@ -353,7 +392,7 @@
             return Err(CatalogueError::Partial(to.into()));
         }
         let digest = version.digest;
-        self.may_run(to, &digest)?;
+        self.may_run(&digest)?;
         let function =
             self.functions.get_mut(name).ok_or_else(|| CatalogueError::UnknownFunction(name.into()))?;
         let before = function.aliases.get(alias).map(|a| a.version.clone());
@@ -363,11 +402,12 @@
         Ok(function.set(alias, to.into(), who, at_ms))
     }
 
-    /// What a reference means now.
+    /// The version that a reference means, whether it may run or not, and the revision of the alias by which it was found.
+    /// For a word that is neither version nor alias, that word: it may be a version that is not here yet.
     ///
     /// # Errors
-    /// When it means nothing, or nothing that may run.
-    pub fn resolve(&self, reference: &Reference) -> Res<Resolved> {
+    /// When there is no such function, no `current`, or no such digest.
+    pub fn version_of<'a>(&'a self, reference: &'a Reference) -> Res<(&'a str, Option<u64>)> {
         let function = self.function(&reference.name)?;
         let by_alias =
             |alias: &str| function.aliases.get(alias).map(|a| (a.version.as_str(), Some(a.revision)));
@@ -379,11 +419,19 @@
                 version.map(|(name, _)| (name.as_str(), None))
             }
         };
-        let unknown = || CatalogueError::UnknownVersion(reference.to_string());
-        let (name, revision) = found.ok_or_else(unknown)?;
-        let version =
-            function.versions.get(name).filter(|v| v.state != VersionState::Deleted).ok_or_else(unknown)?;
-        self.may_run(name, &version.digest)?;
+        found.ok_or_else(|| CatalogueError::UnknownVersion(reference.to_string()))
+    }
+
+    /// What a reference means now.
+    ///
+    /// # Errors
+    /// When it means nothing, or nothing that may run.
+    pub fn resolve(&self, reference: &Reference) -> Res<Resolved> {
+        let (name, revision) = self.version_of(reference)?;
+        let version = self.function(&reference.name)?.versions.get(name);
+        let version = version.filter(|v| v.state != VersionState::Deleted);
+        let version = version.ok_or_else(|| CatalogueError::UnknownVersion(reference.to_string()))?;
+        self.may_run(&version.digest)?;
         if version.state == VersionState::Partial {
             return Err(CatalogueError::Partial(name.into()));
         }
--- a/crates/plugins/src/lib.rs
+++ b/crates/plugins/src/lib.rs
@@ -15,7 +15,7 @@
 mod signature;
 
 pub use catalogue::{
-    AliasMove, AliasView, Catalogue, CatalogueError, Quarantine, Resolved, VersionState, VersionView,
+    AliasMove, AliasView, Catalogue, CatalogueError, Quarantine, Resolved, Terms, VersionState, VersionView,
     CURRENT, PREVIOUS,
 };
 pub use digest::{Digest, DigestError, Verifier, VerifyError};
--- a/crates/plugins/src/manifest.rs
+++ b/crates/plugins/src/manifest.rs
@@ -87,7 +87,8 @@
 }
 
 impl ClassRights {
-    fn problems(&self, file: &str, manifest: &Manifest) -> Vec<ManifestProblem> {
+    /// What is wrong with the class that a manifest claims.
+    pub fn problems(&self, file: &str, manifest: &Manifest) -> Vec<ManifestProblem> {
         let problem =
             |field: &str, words: String| ManifestProblem { file: file.into(), field: field.into(), words };
         let mut found = Vec::new();
@@ -115,14 +116,14 @@
     }
 }
 
-/// Reads and checks a manifest; gives it with the digest of its bytes, which is the version's digest.
+/// Reads and checks a manifest, its class too where the site's rights are known; gives it with the digest of its bytes, which is the version's digest.
 ///
 /// # Errors
 /// With everything that is wrong, each naming file and field.
 pub fn check_manifest(
     file: &str,
     bytes: &[u8],
-    rights: &ClassRights,
+    rights: Option<&ClassRights>,
 ) -> Result<(Manifest, Digest), Vec<ManifestProblem>> {
     let problem = |field: String, words: String| ManifestProblem { file: file.into(), field, words };
     let value: Value =
@@ -139,7 +140,7 @@
     // What the schema lets pass and the type does not is a digest of another algorithm.
     let manifest: Manifest =
         serde_json::from_value(value).map_err(|e| vec![problem("/layers".into(), e.to_string())])?;
-    let mut found = rights.problems(file, &manifest);
+    let mut found = rights.map_or_else(Vec::new, |r| r.problems(file, &manifest));
     if let Some(engine) = &manifest.engine {
         let parts: Vec<u32> = engine.split('.').filter_map(|p| p.parse().ok()).collect();
         if parts.len() != 2 || parts[0] != ENGINE.0 || parts[1] > ENGINE.1 {
@@ -171,7 +172,7 @@
     }
 
     fn fields(manifest: &Value) -> Vec<String> {
-        match check_manifest("fare.json", manifest.to_string().as_bytes(), &rights()) {
+        match check_manifest("fare.json", manifest.to_string().as_bytes(), Some(&rights())) {
             Ok(_) => Vec::new(),
             Err(found) => found.into_iter().map(|p| p.field).collect(),
         }
@@ -180,7 +181,7 @@
     #[test]
     fn a_good_manifest_is_taken_with_the_digest_of_its_bytes() {
         let bytes = good().to_string().into_bytes();
-        let (manifest, digest) = check_manifest("fare.json", &bytes, &rights()).unwrap();
+        let (manifest, digest) = check_manifest("fare.json", &bytes, Some(&rights())).unwrap();
         assert_eq!((manifest.lanes, digest), (2, Digest::of(&bytes)));
     }
 
@@ -197,7 +198,7 @@
         assert_eq!(with("engine", json!("0.2")), ["/engine"]);
         assert_eq!(with("layers", json!([{"digest": "sha256:12", "size": -1}])), ["/layers/0/size"]);
         assert_eq!(with("layers", json!([{"digest": "sha512:12", "size": 1}])), ["/layers"]);
-        let error = check_manifest("fare.json", b"{", &rights()).unwrap_err();
+        let error = check_manifest("fare.json", b"{", Some(&rights())).unwrap_err();
         assert!(error[0].to_string().starts_with("fare.json: /: not JSON"));
     }
 
--- a/crates/plugins/src/signature.rs
+++ b/crates/plugins/src/signature.rs
@@ -134,7 +134,7 @@
         let unlisted = other.sign("other", &digest);
         assert_eq!(keys.vouched(&digest, &[forged.clone(), unlisted, good.clone()]), Some("anna"));
         assert_eq!(keys.vouched(&digest, &[forged]), None);
-        assert_eq!(keys.vouched(&Digest::of(b"other rules"), &[good.clone()]), None);
+        assert_eq!(keys.vouched(&Digest::of(b"other rules"), std::slice::from_ref(&good)), None);
         assert_eq!(KeyList::default().vouched(&digest, &[good]), None);
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 mod broker;
 mod client;
 mod faults;
+mod registry;
 mod service;
 mod tap;
 mod worker;
@@ -15,6 +16,7 @@
 pub use broker::{run_broker, BrokerFault, BrokerFaultKind, BrokerPlan};
 pub use client::{Arrival, ClientPlan, ClientReport, Driver};
 pub use faults::{Fault, FaultKind};
+pub use registry::{run_registry, RegistryFault, RegistryFaultKind, RegistryPlan};
 pub use service::{CallBody, ServicePlan};
 pub use tap::{unix_micros, Tap};
 pub use worker::{run_worker, WorkerPlan};
