--- a/crates/gateway/src/badday/report.rs
+++ b/crates/gateway/src/badday/report.rs
@@ -41,6 +41,10 @@
     pub window: Option<(f64, f64, u64)>,
     /// Orders for copies that reached workers.
     pub orders: u64,
+    /// Loads that workers began, each a fetch from the store.
+    pub fetches: u64,
+    /// Orders and fetches within the script's window.
+    pub window_orders: Option<(u64, u64)>,
     /// Time from a call to its answer, where it was served.
     pub p50_us: u64,
     /// See `p50_us`.
@@ -68,7 +72,11 @@
             worth_asked: 0.0,
             worth_in_time: 0.0,
             window: None,
-            orders: orders(record),
+            orders: count(record, None, is_order),
+            fetches: count(record, None, is_fetch),
+            window_orders: record
+                .window
+                .map(|w| (count(record, Some(w), is_order), count(record, Some(w), is_fetch))),
             p50_us: 0,
             p99_us: 0,
         };
@@ -123,9 +131,17 @@
     (from..to).contains(&at_us)
 }
 
-fn orders(record: &Record) -> u64 {
-    record.lines.iter().filter(|l| matches!(l.seen, Seen::Ordered { copies, .. } if copies > 0)).count()
-        as u64
+fn is_order(seen: &Seen) -> bool {
+    matches!(seen, Seen::Ordered { copies, .. } if *copies > 0)
+}
+
+fn is_fetch(seen: &Seen) -> bool {
+    matches!(seen, Seen::Fetched { .. })
+}
+
+fn count(record: &Record, window: Option<(i64, i64)>, is: fn(&Seen) -> bool) -> u64 {
+    let in_time = |at_us| window.is_none_or(|w| within(w, at_us));
+    record.lines.iter().filter(|l| in_time(l.at_us) && is(&l.seen)).count() as u64
 }
 
 fn ran_twice(record: &Record) -> u64 {
@@ -157,7 +173,10 @@
         if let Some((asked, in_time, p99)) = self.window {
             writeln!(f, "  in the window: worth in time {in_time:.1} of {asked:.1}, {p99} us (99%)")?;
         }
-        writeln!(f, "  orders for copies: {}", self.orders)?;
+        writeln!(f, "  orders for copies: {}; fetches from the store: {}", self.orders, self.fetches)?;
+        if let Some((orders, fetches)) = self.window_orders {
+            writeln!(f, "  in the window: orders {orders}, fetches {fetches}")?;
+        }
         writeln!(f, "  charges that ran twice: {}; rules broken: {}", self.ran_twice, self.violations.len())?;
         if self.stopped_badly > 0 {
             writeln!(f, "  gateways that did not stop in order: {}", self.stopped_badly)?;
--- /dev/null
+++ b/crates/registry/src/client.rs
@@ -0,0 +1,622 @@
+//! The registry's client without I/O: what the follower, the registration and the caller want, as HTTP messages on two
+//! connections, and what comes back. One connection is the watch's, whose answer never ends; the other has one short request
+//! at a time. The gateway's shell, the stand-in worker and the commands open sockets as it says.
+//!
+//! It guards against members that accept and never answer (each request has a time; the watch is checked by looks), that
+//! fail (the next one is asked, see [`Endpoints`]), and tokens that end (a login, and what was refused goes out again).
+
+use crate::endpoints::{Endpoints, EndpointsSettings};
+use crate::follower::{Change, Follower, FollowerSettings, ListAsk, Trouble, Want};
+use crate::registration::{Registration, RegistrationSettings, Step};
+use crate::wire::*;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use slatevalve_http::{Limits, Part, PartReader, Side};
+use std::collections::VecDeque;
+
+/// Bytes of one answer, or of one line of a watch's.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// Who we are towards the registry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Login {
+    /// The user.
+    pub name: String,
+    /// The password.
+    pub password: String,
+}
+
+/// What a client is told at its start. Times in microseconds.
+#[derive(Clone, Debug)]
+pub struct ClientSettings {
+    /// `HOST:PORT` of each member.
+    pub endpoints: Vec<String>,
+    /// Prefix of all keys that are followed; ends with `/`.
+    pub prefix: String,
+    /// Who we are, where the registry wants to know.
+    pub login: Option<Login>,
+    /// Whether keys are followed.
+    pub follow: bool,
+    /// This process's own key and its value, where it registers itself.
+    pub own: Option<(String, Vec<u8>)>,
+    /// Of the follower.
+    pub follower: FollowerSettings,
+    /// Of the registration.
+    pub registration: RegistrationSettings,
+    /// Of the endpoints.
+    pub endpoint: EndpointsSettings,
+    /// A short request, and the beginning of a watch, are answered within this.
+    pub timeout_us: i64,
+    /// Seed of jitter.
+    pub seed: u64,
+}
+
+/// One of the two connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Channel {
+    /// The watch's.
+    Watch,
+    /// That of short requests.
+    Short,
+}
+
+/// What the owner of the sockets is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Do {
+    /// Connect to this endpoint, by its place in the settings.
+    Open(Channel, usize),
+    /// Write.
+    Write(Channel, Vec<u8>),
+    /// Close; nothing of it is told any more.
+    Close(Channel),
+}
+
+/// What the client's owner hears.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Changes, in order; those of one revision together.
+    Changes(Vec<Change>),
+    /// Something went wrong with the following.
+    Trouble(Trouble),
+    /// A member failed; the next one is asked.
+    Failed(String),
+    /// Our own entry stands.
+    Registered,
+    /// Our own lease was lost; it is had anew.
+    LeaseLost,
+    /// An answer to [`Client::ask`]: its ticket, and the body or the error.
+    Answered(u64, Result<Vec<u8>, String>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Purpose {
+    Watch,
+    Login,
+    List(ListAsk),
+    Look,
+    Step(Step),
+    Asked { ticket: u64, path: &'static str, body: Vec<u8> },
+}
+
+#[derive(Debug)]
+enum Link {
+    Closed,
+    /// Not connected yet: what goes out then.
+    Opening(Purpose),
+    Idle,
+    Busy(Purpose),
+}
+
+#[derive(Debug)]
+struct Connection {
+    link: Link,
+    reader: PartReader,
+    status: u16,
+    body: Vec<u8>,
+    /// When it was opened, or the request went out.
+    since_us: i64,
+    /// The peer closes it after this answer.
+    last: bool,
+}
+
+impl Connection {
+    fn new() -> Self {
+        let limits = Limits { body: usize::MAX, ..Limits::default() };
+        let reader = PartReader::new(Side::Response, limits);
+        Connection { link: Link::Closed, reader, status: 0, body: Vec::new(), since_us: 0, last: false }
+    }
+
+    fn purpose(&self) -> Option<&Purpose> {
+        match &self.link {
+            Link::Opening(p) | Link::Busy(p) => Some(p),
+            Link::Closed | Link::Idle => None,
+        }
+    }
+}
+
+/// See the module's documentation.
+pub struct Client {
+    settings: ClientSettings,
+    follower: Follower,
+    registration: Option<Registration>,
+    endpoints: Endpoints,
+    token: Option<String>,
+    watch: Connection,
+    short: Connection,
+    /// The watch has said that it began.
+    watching: bool,
+    asked: VecDeque<(u64, &'static str, Vec<u8>)>,
+    next_ticket: u64,
+    registered: bool,
+    leaving: bool,
+}
+
+impl Client {
+    /// A client that has heard nothing.
+    pub fn new(settings: ClientSettings) -> Self {
+        let count = settings.endpoints.len();
+        Client {
+            follower: Follower::new(settings.follower),
+            registration: settings.own.is_some().then(|| Registration::new(settings.registration)),
+            endpoints: Endpoints::new(settings.endpoint, count, settings.seed),
+            settings,
+            token: None,
+            watch: Connection::new(),
+            short: Connection::new(),
+            watching: false,
+            asked: VecDeque::new(),
+            next_ticket: 0,
+            registered: false,
+            leaving: false,
+        }
+    }
+
+    /// What is followed.
+    pub fn follower(&self) -> &Follower {
+        &self.follower
+    }
+
+    /// The same, to give it what an earlier process kept.
+    pub fn follower_mut(&mut self) -> &mut Follower {
+        &mut self.follower
+    }
+
+    /// Sends a request of the caller's once; gives its ticket. It is not sent again where its end is unknown.
+    pub fn ask(&mut self, path: &'static str, body: &impl Serialize) -> u64 {
+        self.next_ticket += 1;
+        let body = serde_json::to_vec(body).unwrap_or_default();
+        self.asked.push_back((self.next_ticket, path, body));
+        self.next_ticket
+    }
+
+    /// Changes this process's own value, such as to say that it drains; written at once under the lease that stands.
+    pub fn announce(&mut self, value: Vec<u8>) {
+        if let Some((_, own)) = &mut self.settings.own {
+            *own = value;
+        }
+        if let Some(registration) = &mut self.registration {
+            if let Some(lease) = registration.lease() {
+                registration.granted(lease);
+            }
+        }
+    }
+
+    /// An orderly end: the lease is given back, and with it the entry. Gives the ticket of that, if there is a lease.
+    pub fn leave(&mut self) -> Option<u64> {
+        let lease = self.registration.take()?.lease()?;
+        self.leaving = true;
+        Some(self.ask(REVOKE, &LeaseRequest { id: lease, ttl: 0 }))
+    }
+
+    fn connection(&mut self, channel: Channel) -> &mut Connection {
+        match channel {
+            Channel::Watch => &mut self.watch,
+            Channel::Short => &mut self.short,
+        }
+    }
+
+    /// When [`Client::advance`] is due by itself.
+    pub fn next_wake(&self, now_us: i64) -> i64 {
+        let mut due = now_us.saturating_add(1_000_000);
+        for connection in [&self.watch, &self.short] {
+            let waits = connection.purpose().is_some_and(|p| *p != Purpose::Watch || !self.watching);
+            if waits {
+                due = due.min(connection.since_us.saturating_add(self.settings.timeout_us));
+            }
+        }
+        let rest = self.endpoints.not_before_us();
+        if rest > now_us {
+            return due.min(rest);
+        }
+        let of_lease = self.registration.as_ref().and_then(Registration::due_us);
+        [self.follower.look_due_us(), of_lease].into_iter().flatten().fold(due, i64::min).max(now_us)
+    }
+
+    /// Lets time pass: what took too long is given up, and what is wanted goes out.
+    pub fn advance(&mut self, now_us: i64, out: &mut Vec<Do>, heard: &mut Vec<Heard>) {
+        for channel in [Channel::Watch, Channel::Short] {
+            let (timeout, watching) = (self.settings.timeout_us, self.watching);
+            let connection = self.connection(channel);
+            let waits = connection.purpose().is_some_and(|p| *p != Purpose::Watch || !watching);
+            if waits && now_us.saturating_sub(connection.since_us) >= timeout {
+                self.failed(now_us, "it does not answer", out, heard);
+            }
+        }
+        if now_us < self.endpoints.not_before_us() {
+            return;
+        }
+        // A list that begins anew ends the watch that stood.
+        if matches!(self.watch.link, Link::Busy(_)) && matches!(self.follower.want(), Want::List(_)) {
+            self.close(Channel::Watch, out);
+        }
+        if matches!(self.short.link, Link::Closed | Link::Idle) {
+            if let Some(purpose) = self.wanted(now_us) {
+                self.send(now_us, Channel::Short, purpose, out);
+            }
+        }
+        let ready = self.settings.login.is_none() || self.token.is_some();
+        if self.settings.follow && ready && matches!(self.watch.link, Link::Closed | Link::Idle) {
+            if let Want::Watch(_) = self.follower.want() {
+                self.send(now_us, Channel::Watch, Purpose::Watch, out);
+            }
+        }
+    }
+
+    /// The next short request. A list comes before our own entry: what is sent to a worker that drains is worse than
+    /// being counted late.
+    fn wanted(&mut self, now_us: i64) -> Option<Purpose> {
+        if self.settings.login.is_some() && self.token.is_none() {
+            return Some(Purpose::Login);
+        }
+        if let Some((ticket, path, body)) = self.asked.pop_front() {
+            return Some(Purpose::Asked { ticket, path, body });
+        }
+        if self.settings.follow && !self.leaving {
+            if let Want::List(ask) = self.follower.want() {
+                return Some(Purpose::List(ask));
+            }
+        }
+        if let Some(step) = self.registration.as_ref().and_then(|r| r.step(now_us)) {
+            return Some(Purpose::Step(step));
+        }
+        (self.settings.follow && self.follower.wants_look(now_us)).then_some(Purpose::Look)
+    }
+
+    fn send(&mut self, now_us: i64, channel: Channel, purpose: Purpose, out: &mut Vec<Do>) {
+        let endpoint = self.endpoints.current();
+        let connection = self.connection(channel);
+        connection.since_us = now_us;
+        if matches!(connection.link, Link::Closed) {
+            *connection = Connection { link: Link::Opening(purpose), since_us: now_us, ..Connection::new() };
+            out.push(Do::Open(channel, endpoint));
+            return;
+        }
+        let bytes = self.encode(&purpose);
+        match &purpose {
+            Purpose::Look => self.follower.looked(now_us),
+            Purpose::Step(_) => self.registration.iter_mut().for_each(|r| r.sent(now_us)),
+            Purpose::Watch => self.watching = false,
+            _ => {}
+        }
+        let connection = self.connection(channel);
+        connection.body.clear();
+        connection.link = Link::Busy(purpose);
+        out.push(Do::Write(channel, bytes));
+    }
+
+    fn encode(&self, purpose: &Purpose) -> Vec<u8> {
+        let (key, range_end) = self.range();
+        let json = |value: &dyn erased::Json| value.json();
+        let (path, body) = match purpose {
+            Purpose::Watch => {
+                let start_revision = match self.follower.want() {
+                    Want::Watch(revision) => revision,
+                    _ => 0,
+                };
+                let create =
+                    WatchCreate { key, range_end, start_revision, progress_notify: true, fragment: true };
+                (WATCH, json(&WatchRequest { create_request: Some(create) }))
+            }
+            Purpose::Login => {
+                let login = self.settings.login.clone();
+                let ask =
+                    login.map(|l| AuthRequest { name: l.name, password: l.password }).unwrap_or_default();
+                (AUTHENTICATE, json(&ask))
+            }
+            Purpose::List(ask) => {
+                let key = if ask.from.is_empty() { key } else { Bytes(ask.from.clone()) };
+                let (limit, revision) = (ask.limit, ask.revision);
+                (RANGE, json(&RangeRequest { key, range_end, limit, revision, ..Default::default() }))
+            }
+            Purpose::Look => (RANGE, json(&RangeRequest::changed_last(key, range_end))),
+            Purpose::Step(Step::Grant(ttl)) => (GRANT, json(&LeaseRequest { ttl: *ttl, id: 0 })),
+            Purpose::Step(Step::KeepAlive(id)) => (KEEP_ALIVE, json(&LeaseRequest { ttl: 0, id: *id })),
+            Purpose::Step(Step::Announce(lease)) => {
+                let (key, value) = self.settings.own.clone().unwrap_or_default();
+                (PUT, json(&PutRequest { key: Bytes::of(&key), value: Bytes(value), lease: *lease }))
+            }
+            Purpose::Asked { path, body, .. } => (*path, body.clone()),
+        };
+        let host = self.settings.endpoints.get(self.endpoints.current()).map_or("", String::as_str);
+        let token = self.token.as_ref().map(|t| format!("Authorization: {t}\r\n")).unwrap_or_default();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n{token}Content-Length: {}\r\n\r\n",
+            body.len()
+        );
+        [head.into_bytes(), body].concat()
+    }
+
+    fn range(&self) -> (Bytes, Bytes) {
+        let prefix = self.settings.prefix.as_bytes();
+        (Bytes(prefix.to_vec()), Bytes(prefix_end(prefix)))
+    }
+
+    fn close(&mut self, channel: Channel, out: &mut Vec<Do>) {
+        let connection = self.connection(channel);
+        if !matches!(connection.link, Link::Closed) {
+            *connection = Connection::new();
+            out.push(Do::Close(channel));
+        }
+        if channel == Channel::Watch {
+            self.watching = false;
+        }
+    }
+
+    /// The member is given up: both connections end, and the next one is asked.
+    fn failed(&mut self, now_us: i64, words: &str, out: &mut Vec<Do>, heard: &mut Vec<Heard>) {
+        let endpoint = self.settings.endpoints.get(self.endpoints.current()).cloned().unwrap_or_default();
+        heard.push(Heard::Failed(format!("{endpoint}: {words}")));
+        self.endpoints.failed(now_us);
+        if let Some(Purpose::Asked { ticket, .. }) = self.short.purpose() {
+            heard.push(Heard::Answered(*ticket, Err(format!("{endpoint}: {words}; it may have been done"))));
+        }
+        self.close(Channel::Watch, out);
+        self.close(Channel::Short, out);
+        self.follower.broke();
+    }
+
+    /// A connection stands.
+    pub fn connected(&mut self, now_us: i64, channel: Channel, out: &mut Vec<Do>) {
+        let connection = self.connection(channel);
+        if let Link::Opening(purpose) = std::mem::replace(&mut connection.link, Link::Idle) {
+            self.send(now_us, channel, purpose, out);
+        }
+    }
+
+    /// A connection ended, or never stood.
+    pub fn closed(&mut self, now_us: i64, channel: Channel, out: &mut Vec<Do>, heard: &mut Vec<Heard>) {
+        let connection = self.connection(channel);
+        let link = std::mem::replace(&mut connection.link, Link::Closed);
+        match link {
+            Link::Closed | Link::Idle => {}
+            Link::Opening(purpose) | Link::Busy(purpose) => {
+                // Put back, so that whoever asked hears of it.
+                connection.link = Link::Busy(purpose);
+                self.failed(now_us, "the connection ended", out, heard);
+            }
+        }
+    }
+
+    /// Bytes came.
+    pub fn received(
+        &mut self,
+        now_us: i64,
+        channel: Channel,
+        bytes: &[u8],
+        out: &mut Vec<Do>,
+        heard: &mut Vec<Heard>,
+    ) {
+        let mut parts = Vec::new();
+        let connection = self.connection(channel);
+        if connection.purpose().is_none() {
+            // Nothing was asked: whatever this answers, it is nobody's.
+            return self.close(channel, out);
+        }
+        let fed = connection.reader.feed(bytes, &mut parts);
+        for part in parts {
+            if self.connection(channel).purpose().is_none() {
+                return;
+            }
+            self.part(now_us, channel, part, out, heard);
+        }
+        if fed.is_err() && self.connection(channel).purpose().is_some() {
+            self.failed(now_us, "it does not answer in HTTP", out, heard);
+        }
+    }
+
+    fn part(&mut self, now_us: i64, channel: Channel, part: Part, out: &mut Vec<Do>, heard: &mut Vec<Heard>) {
+        let connection = self.connection(channel);
+        match part {
+            Part::Head(head) => (connection.status, connection.last) = (head.status, head.last),
+            Part::Body(piece) => {
+                connection.body.extend_from_slice(&piece);
+                if connection.body.len() > MAX_ANSWER {
+                    return self.failed(now_us, "its answer is too long", out, heard);
+                }
+                if channel == Channel::Watch && connection.status == 200 {
+                    self.watch_lines(now_us, out, heard);
+                }
+            }
+            Part::End => {
+                let (body, last) = (std::mem::take(&mut connection.body), connection.last);
+                let (status, link) = (connection.status, std::mem::replace(&mut connection.link, Link::Idle));
+                if last {
+                    self.close(channel, out);
+                }
+                match link {
+                    Link::Busy(Purpose::Watch) if status == 200 => {
+                        // A watch that ended without a word of why.
+                        self.watching = false;
+                        self.follower.broke();
+                    }
+                    Link::Busy(purpose) => self.answered(now_us, purpose, status, &body, out, heard),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Whole lines of the watch's answer.
+    fn watch_lines(&mut self, now_us: i64, out: &mut Vec<Do>, heard: &mut Vec<Heard>) {
+        while let Some(end) = self.watch.body.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = self.watch.body.drain(..=end).collect();
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            match serde_json::from_slice::<Streamed<WatchResponse>>(&line) {
+                Ok(Streamed { result: Some(answer), .. }) => {
+                    self.endpoints.good();
+                    self.watching |= answer.created;
+                    let ended = answer.canceled;
+                    let changes = self.follower.watched(now_us, answer);
+                    if !changes.is_empty() {
+                        heard.push(Heard::Changes(changes));
+                    }
+                    self.troubles(heard);
+                    if ended {
+                        return self.close(Channel::Watch, out);
+                    }
+                }
+                Ok(Streamed { error: Some(error), .. }) => {
+                    self.close(Channel::Watch, out);
+                    self.follower.broke();
+                    return self.refused(now_us, &error, out, heard);
+                }
+                Ok(_) | Err(_) => {
+                    return self.failed(now_us, "a line of its watch makes no sense", out, heard)
+                }
+            }
+        }
+    }
+
+    fn troubles(&mut self, heard: &mut Vec<Heard>) {
+        for trouble in self.follower.take_troubles() {
+            // Leases of another life of the registry are none.
+            if trouble == Trouble::Restored {
+                self.registration.iter_mut().for_each(Registration::lost);
+            }
+            heard.push(Heard::Trouble(trouble));
+        }
+    }
+
+    /// An error that is not the request's own.
+    fn refused(&mut self, now_us: i64, error: &ErrorBody, out: &mut Vec<Do>, heard: &mut Vec<Heard>) {
+        match error.code {
+            code::UNAUTHENTICATED => self.token = None,
+            _ => self.failed(now_us, &error.message, out, heard),
+        }
+    }
+
+    fn answered(
+        &mut self,
+        now_us: i64,
+        purpose: Purpose,
+        status: u16,
+        body: &[u8],
+        out: &mut Vec<Do>,
+        heard: &mut Vec<Heard>,
+    ) {
+        if status == 200 {
+            self.endpoints.good();
+            if self.understood(now_us, &purpose, body, heard).is_none() {
+                self.failed(now_us, "its answer makes no sense", out, heard);
+            }
+            return;
+        }
+        let error: ErrorBody = serde_json::from_slice(body).unwrap_or_default();
+        let told = || format!("{status}: {}", error.message);
+        match (&purpose, error.code) {
+            // A token that ended: a login, and the same again.
+            (Purpose::Login, _) => self.failed(now_us, &told(), out, heard),
+            (_, code::UNAUTHENTICATED) => {
+                self.token = None;
+                if let Purpose::Asked { ticket, path, body } = purpose {
+                    self.asked.push_front((ticket, path, body));
+                }
+            }
+            (Purpose::Asked { ticket, .. }, _) => heard.push(Heard::Answered(*ticket, Err(told()))),
+            (Purpose::List(_), code::OUT_OF_RANGE) => {
+                self.follower.list_compacted(now_us);
+                self.troubles(heard);
+            }
+            (Purpose::Step(_), code::NOT_FOUND) => self.lease_lost(heard),
+            _ => self.failed(now_us, &told(), out, heard),
+        }
+    }
+
+    fn lease_lost(&mut self, heard: &mut Vec<Heard>) {
+        self.registration.iter_mut().for_each(Registration::lost);
+        if std::mem::take(&mut self.registered) {
+            heard.push(Heard::LeaseLost);
+        }
+    }
+
+    /// A good answer; none where it is no answer to what was asked.
+    fn understood(
+        &mut self,
+        now_us: i64,
+        purpose: &Purpose,
+        body: &[u8],
+        heard: &mut Vec<Heard>,
+    ) -> Option<()> {
+        match purpose {
+            Purpose::Watch => {}
+            Purpose::Login => {
+                let token = read::<AuthResponse>(body)?.token;
+                // It becomes a header.
+                let good = !token.is_empty() && token.bytes().all(|b| b.is_ascii_graphic());
+                self.token = good.then_some(token);
+                self.token.as_ref()?;
+            }
+            Purpose::List(_) => {
+                let changes = self.follower.listed(now_us, read(body)?);
+                if !changes.is_empty() {
+                    heard.push(Heard::Changes(changes));
+                }
+                self.troubles(heard);
+            }
+            Purpose::Look => {
+                let seen: RangeResponse = read(body)?;
+                let changed_last = seen.kvs.first().map_or(0, |kv| kv.mod_revision);
+                self.follower.seen(now_us, &seen.header, seen.count, changed_last);
+                self.troubles(heard);
+            }
+            Purpose::Step(Step::Grant(_)) => {
+                let granted: LeaseResponse = read(body)?;
+                self.registration.iter_mut().for_each(|r| r.granted(granted.id));
+            }
+            Purpose::Step(Step::Announce(_)) => {
+                read::<PlainResponse>(body)?;
+                self.registration.iter_mut().for_each(Registration::announced);
+                if !std::mem::replace(&mut self.registered, true) {
+                    heard.push(Heard::Registered);
+                }
+            }
+            Purpose::Step(Step::KeepAlive(_)) => {
+                let kept = read::<Streamed<LeaseResponse>>(body)?.result?;
+                if self.registration.as_mut().is_some_and(|r| !r.kept(kept.ttl)) {
+                    self.lease_lost(heard);
+                }
+            }
+            Purpose::Asked { ticket, .. } => heard.push(Heard::Answered(*ticket, Ok(body.to_vec()))),
+        }
+        Some(())
+    }
+}
+
+fn read<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    serde_json::from_slice(body).ok()
+}
+
+/// Requests of different types as one thing that becomes JSON.
+mod erased {
+    pub(super) trait Json {
+        fn json(&self) -> Vec<u8>;
+    }
+
+    impl<T: serde::Serialize> Json for T {
+        fn json(&self) -> Vec<u8> {
+            serde_json::to_vec(self).unwrap_or_default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/registry/src/follower.rs
@@ -0,0 +1,443 @@
+//! Follows the keys below a prefix through breaks, compaction and restored backups.
+//!
+//! Invariant: what it holds is what some moment of the registry held, and the changes that it told lead there from what it
+//! held before, none left out: a key that went away in a gap is told as removed, one that went and came back as made anew.
+//! A decision module: answers and times in, wants and changes out. [`crate::Client`] calls it.
+
+use crate::wire::{EventType, Header, KeyValue, RangeResponse, WatchEvent, WatchResponse};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Limits of a [`Follower`]. Times in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FollowerSettings {
+    /// Keys asked for at a time.
+    pub page: i64,
+    /// How often the registry is asked whether the watch tells all, and so whether it is there.
+    pub look_us: i64,
+    /// A look that finds the watch behind gives it this long.
+    pub behind_us: i64,
+    /// Everything is listed and compared after this long a watch: a look cannot tell a change that was lost before a later
+    /// one that came. The protocol promises that none is; an operator's proxy may not keep that.
+    pub audit_us: i64,
+    /// Nothing heard for so long: the view is not to be trusted to be current.
+    pub silence_us: i64,
+}
+
+impl Default for FollowerSettings {
+    fn default() -> Self {
+        FollowerSettings {
+            page: 500,
+            look_us: 1_000_000,
+            behind_us: 500_000,
+            audit_us: 60_000_000,
+            silence_us: 5_000_000,
+        }
+    }
+}
+
+/// A change of a key, as it is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It has this value now.
+    Put {
+        /// The key.
+        key: Vec<u8>,
+        /// The value.
+        value: Vec<u8>,
+        /// It was not there before, or went and came back in between.
+        made: bool,
+    },
+    /// It is not there any more.
+    Gone {
+        /// The key.
+        key: Vec<u8>,
+    },
+}
+
+/// What a list is asked with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListAsk {
+    /// The first key; empty for the prefix itself.
+    pub from: Vec<u8>,
+    /// As of this revision; 0 for now.
+    pub revision: i64,
+    /// Keys at most.
+    pub limit: i64,
+}
+
+/// What the follower wants asked now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Want {
+    /// A list of keys.
+    List(ListAsk),
+    /// A watch from this revision.
+    Watch(i64),
+    /// Nothing but what is under way.
+    Nothing,
+}
+
+/// What went wrong; told, as an operator may have to act.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// The history that was needed is gone: everything is listed again.
+    Compacted {
+        /// The oldest revision that is left.
+        oldest: i64,
+    },
+    /// The registry is another one, or an earlier state of it.
+    Restored,
+    /// The watch told less than the registry holds.
+    Behind,
+    /// The watch was ended by the registry.
+    Ended(String),
+}
+
+/// How much the view is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum View {
+    /// Nothing is held.
+    None,
+    /// What was held once, not seen in the registry since this process began.
+    Remembered,
+    /// Followed, and heard of lately.
+    Current,
+    /// Followed once, and nothing heard for too long.
+    Silent,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Held {
+    value: Vec<u8>,
+    made: i64,
+    changed: i64,
+}
+
+enum State {
+    /// A list is wanted, or under way from a key on.
+    Listing { revision: i64, from: Vec<u8>, found: BTreeMap<Vec<u8>, Held> },
+    /// A watch is wanted.
+    Resuming,
+    /// A watch stands.
+    Watching,
+}
+
+/// See the module's documentation.
+pub struct Follower {
+    settings: FollowerSettings,
+    held: BTreeMap<Vec<u8>, Held>,
+    /// All changes up to this revision are told.
+    revision: i64,
+    /// Keys whose change at just that revision is told, removals included: an answer that comes twice, or in two parts.
+    at_revision: BTreeSet<Vec<u8>>,
+    cluster: i64,
+    state: State,
+    /// Fragments of an answer that is not whole.
+    fragments: Vec<WatchEvent>,
+    listed_once: bool,
+    heard_us: Option<i64>,
+    look_due_us: i64,
+    /// When all was listed last.
+    listed_us: i64,
+    /// Since when a look found the watch behind.
+    behind_since_us: Option<i64>,
+    troubles: Vec<Trouble>,
+}
+
+/// What a follower keeps over a restart.
+#[derive(Serialize, Deserialize)]
+struct Remembered {
+    keys: Vec<(Vec<u8>, Vec<u8>)>,
+}
+
+impl Follower {
+    /// A follower that holds nothing.
+    pub fn new(settings: FollowerSettings) -> Self {
+        Follower {
+            settings,
+            held: BTreeMap::new(),
+            revision: 0,
+            at_revision: BTreeSet::new(),
+            cluster: 0,
+            state: State::Listing { revision: 0, from: Vec::new(), found: BTreeMap::new() },
+            fragments: Vec::new(),
+            listed_once: false,
+            heard_us: None,
+            look_due_us: 0,
+            listed_us: 0,
+            behind_since_us: None,
+            troubles: Vec::new(),
+        }
+    }
+
+    /// Takes what an earlier process kept, before anything is heard; gives it as changes.
+    ///
+    /// # Errors
+    /// When it was not kept by [`Follower::keep`]; nothing is taken then.
+    pub fn remember(&mut self, kept: &[u8]) -> Result<Vec<Change>, serde_json::Error> {
+        let kept: Remembered = serde_json::from_slice(kept)?;
+        for (key, value) in &kept.keys {
+            // Revisions of another life of the registry would mean nothing: any listed one counts as newer.
+            self.held.insert(key.clone(), Held { value: value.clone(), made: 0, changed: 0 });
+        }
+        let told = kept.keys.into_iter().map(|(key, value)| Change::Put { key, value, made: true });
+        Ok(told.collect())
+    }
+
+    /// What the next process may begin with.
+    pub fn keep(&self) -> Vec<u8> {
+        let keys = self.held.iter().map(|(key, held)| (key.clone(), held.value.clone())).collect();
+        serde_json::to_vec(&Remembered { keys }).unwrap_or_default()
+    }
+
+    /// How much the view is worth now.
+    pub fn view(&self, now_us: i64) -> View {
+        match (self.listed_once, self.heard_us) {
+            (false, _) if self.held.is_empty() => View::None,
+            (false, _) => View::Remembered,
+            (true, Some(at)) if now_us.saturating_sub(at) < self.settings.silence_us => View::Current,
+            (true, _) => View::Silent,
+        }
+    }
+
+    /// How long ago the registry was heard of last.
+    pub fn silent_for_us(&self, now_us: i64) -> Option<i64> {
+        self.heard_us.map(|at| now_us.saturating_sub(at).max(0))
+    }
+
+    /// When [`Follower::view`] may be another one by itself.
+    pub fn silent_at_us(&self) -> Option<i64> {
+        self.heard_us.map(|at| at.saturating_add(self.settings.silence_us))
+    }
+
+    /// Keys that are held.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// The revision up to which all is told.
+    pub fn revision(&self) -> i64 {
+        self.revision
+    }
+
+    /// Troubles since the last time.
+    pub fn take_troubles(&mut self) -> Vec<Trouble> {
+        std::mem::take(&mut self.troubles)
+    }
+
+    /// What is to be asked, where nothing of it is under way.
+    pub fn want(&self) -> Want {
+        match &self.state {
+            State::Listing { revision, from, .. } => {
+                Want::List(ListAsk { from: from.clone(), revision: *revision, limit: self.settings.page })
+            }
+            State::Resuming => Want::Watch(self.revision + 1),
+            State::Watching => Want::Nothing,
+        }
+    }
+
+    /// Whether the registry is to be asked how many keys there are, beside the watch.
+    pub fn wants_look(&self, now_us: i64) -> bool {
+        matches!(self.state, State::Watching) && now_us >= self.look_due_us
+    }
+
+    /// When the next look is due.
+    pub fn look_due_us(&self) -> Option<i64> {
+        matches!(self.state, State::Watching).then_some(self.look_due_us)
+    }
+
+    /// A look went out; the next is due a while later, whatever comes of it.
+    pub fn looked(&mut self, now_us: i64) {
+        self.look_due_us = now_us.saturating_add(self.settings.look_us);
+    }
+
+    fn list_again(&mut self) {
+        self.state = State::Listing { revision: 0, from: Vec::new(), found: BTreeMap::new() };
+        self.fragments.clear();
+        self.behind_since_us = None;
+    }
+
+    /// Whether an answer comes from the registry that is followed; if not, everything is listed again.
+    fn same_registry(&mut self, header: &Header) -> bool {
+        let other = self.cluster != 0 && header.cluster_id != 0 && header.cluster_id != self.cluster;
+        if other {
+            self.troubles.push(Trouble::Restored);
+            // What is held stays, to be compared with what is listed; its revisions mean nothing any more.
+            self.held.values_mut().for_each(|h| h.changed = 0);
+            (self.cluster, self.revision) = (header.cluster_id, 0);
+            self.at_revision.clear();
+            self.list_again();
+        }
+        !other
+    }
+
+    /// A page of a list came.
+    pub fn listed(&mut self, now_us: i64, page: RangeResponse) -> Vec<Change> {
+        self.heard_us = Some(now_us);
+        if !matches!(self.state, State::Listing { .. }) || !self.same_registry(&page.header) {
+            return Vec::new();
+        }
+        let State::Listing { revision, from, found } = &mut self.state else { return Vec::new() };
+        if *revision == 0 {
+            *revision = page.header.revision;
+        }
+        self.cluster = page.header.cluster_id;
+        let last = page.kvs.last().map(|kv| kv.key.0.clone());
+        found.extend(page.kvs.into_iter().map(|kv| {
+            let KeyValue { key, value, create_revision, mod_revision, .. } = kv;
+            (key.0, Held { value: value.0, made: create_revision, changed: mod_revision })
+        }));
+        if let (true, Some(mut next)) = (page.more, last) {
+            // The smallest key behind the last one.
+            next.push(0);
+            *from = next;
+            return Vec::new();
+        }
+        let (revision, found) = (*revision, std::mem::take(found));
+        // An earlier state of the same cluster: its later revisions are other changes than those that were told.
+        if revision < self.revision {
+            self.troubles.push(Trouble::Restored);
+            self.held.values_mut().for_each(|h| h.changed = 0);
+        }
+        let told = self.compare(&found);
+        self.held = found;
+        self.revision = revision;
+        self.at_revision.clear();
+        self.listed_once = true;
+        self.listed_us = now_us;
+        self.state = State::Resuming;
+        self.looked(now_us);
+        told
+    }
+
+    /// Every difference between what is held and what was found, as changes.
+    fn compare(&self, found: &BTreeMap<Vec<u8>, Held>) -> Vec<Change> {
+        let gone = self.held.keys().filter(|key| !found.contains_key(*key));
+        let mut told: Vec<Change> = gone.map(|key| Change::Gone { key: key.clone() }).collect();
+        for (key, new) in found {
+            let old = self.held.get(key);
+            let made = old.is_none_or(|o| o.made != new.made && o.changed != 0);
+            if old.is_none_or(|o| o.value != new.value || (o.changed != 0 && o.changed != new.changed)) {
+                told.push(Change::Put { key: key.clone(), value: new.value.clone(), made });
+            }
+        }
+        told
+    }
+
+    /// A list could not be had as of the revision that its first page was of: it begins anew.
+    pub fn list_compacted(&mut self, now_us: i64) {
+        self.heard_us = Some(now_us);
+        self.troubles.push(Trouble::Compacted { oldest: 0 });
+        self.list_again();
+    }
+
+    /// A watch's answer came; changes of one revision come out together.
+    pub fn watched(&mut self, now_us: i64, answer: WatchResponse) -> Vec<Change> {
+        self.heard_us = Some(now_us);
+        // Bytes of a watch that was given up.
+        if matches!(self.state, State::Listing { .. }) || !self.same_registry(&answer.header) {
+            return Vec::new();
+        }
+        if answer.canceled || answer.compact_revision > 0 {
+            self.fragments.clear();
+            if answer.compact_revision > 0 {
+                self.troubles.push(Trouble::Compacted { oldest: answer.compact_revision });
+                self.list_again();
+            } else {
+                self.troubles.push(Trouble::Ended(answer.cancel_reason));
+                self.state = State::Resuming;
+            }
+            return Vec::new();
+        }
+        if answer.created {
+            self.state = State::Watching;
+            // A member that has less than was told already lags, or is of an earlier state: a list says which.
+            if answer.header.revision != 0 && answer.header.revision < self.revision {
+                self.troubles.push(Trouble::Behind);
+                self.list_again();
+                return Vec::new();
+            }
+        }
+        self.fragments.extend(answer.events);
+        if answer.fragment {
+            return Vec::new();
+        }
+        let events = std::mem::take(&mut self.fragments);
+        if events.is_empty() {
+            // Progress: nothing up to there is still to come. A `created` only says where the registry is.
+            if !answer.created && answer.header.revision > self.revision {
+                self.revision = answer.header.revision;
+                self.at_revision.clear();
+            }
+            return Vec::new();
+        }
+        events.into_iter().filter_map(|e| self.apply(e)).collect()
+    }
+
+    fn apply(&mut self, event: WatchEvent) -> Option<Change> {
+        let WatchEvent { kind, kv } = event;
+        let at = kv.mod_revision;
+        if at < self.revision || (at == self.revision && self.at_revision.contains(&kv.key.0)) {
+            return None;
+        }
+        if at > self.revision {
+            self.revision = at;
+            self.at_revision.clear();
+        }
+        self.at_revision.insert(kv.key.0.clone());
+        let old = self.held.get(&kv.key.0);
+        match kind {
+            EventType::Delete => {
+                self.held.remove(&kv.key.0)?;
+                Some(Change::Gone { key: kv.key.0 })
+            }
+            EventType::Put => {
+                // The list showed it already.
+                if old.is_some_and(|o| o.changed >= at) {
+                    return None;
+                }
+                let made = old.is_none_or(|o| o.made != kv.create_revision);
+                let held = Held { value: kv.value.0.clone(), made: kv.create_revision, changed: at };
+                self.held.insert(kv.key.0.clone(), held);
+                Some(Change::Put { key: kv.key.0, value: kv.value.0, made })
+            }
+        }
+    }
+
+    /// A look came back: how many keys there are, and the revision of the one that changed last.
+    pub fn seen(&mut self, now_us: i64, header: &Header, count: i64, changed_last: i64) {
+        self.heard_us = Some(now_us);
+        if !matches!(self.state, State::Watching) || !self.same_registry(header) {
+            return;
+        }
+        let known = changed_last <= self.revision && i64::try_from(self.held.len()) == Ok(count);
+        if known && header.revision >= self.revision {
+            self.behind_since_us = None;
+            if now_us.saturating_sub(self.listed_us) >= self.settings.audit_us {
+                self.list_again();
+            }
+            return;
+        }
+        // Changes on their way make it look behind for a moment. What stays behind is a watch that lost something.
+        let since = *self.behind_since_us.get_or_insert(now_us);
+        if now_us.saturating_sub(since) >= self.settings.behind_us {
+            self.troubles.push(Trouble::Behind);
+            self.list_again();
+        } else {
+            self.look_due_us = since.saturating_add(self.settings.behind_us);
+        }
+    }
+
+    /// The connection of the watch, or of a list, is gone. A list that had begun goes on from where it was.
+    pub fn broke(&mut self) {
+        self.fragments.clear();
+        if matches!(self.state, State::Watching) {
+            self.state = State::Resuming;
+        }
+    }
+}
--- /dev/null
+++ b/crates/registry/tests/follow.rs
@@ -0,0 +1,490 @@
+//! The client against the stand-in's store in simulated time: random walks over changes, breaks, compaction, lost and
+//! doubled answers, restored backups and forgotten tokens, with an oracle that knows the store at every revision.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use slatevalve_http::{Limits, MessageReader, Side};
+use slatevalve_registry::wire::*;
+use slatevalve_registry::*;
+use slatevalve_standins::KvStore;
+use std::collections::{BTreeMap, VecDeque};
+
+const PREFIX: &str = "/s/";
+const OWN: &str = "/s/routers/r";
+
+type Keys = BTreeMap<Vec<u8>, Vec<u8>>;
+
+/// What one connection has under way.
+#[derive(Default)]
+struct Pipe {
+    open: bool,
+    /// Answers on their way to the client.
+    inbox: VecDeque<Vec<u8>>,
+    /// The first revision that the watch on it was not told.
+    next: Option<i64>,
+}
+
+struct World {
+    store: KvStore,
+    client: Client,
+    pipes: BTreeMap<Channel, Pipe>,
+    now_us: i64,
+    /// What the client told, added up.
+    told: Keys,
+    /// The store at each revision of each life of the registry.
+    states: BTreeMap<(i64, i64), Keys>,
+    life: i64,
+    heard: Vec<Heard>,
+    lists: usize,
+    /// The watch lost something without a word: what is held may be a state that never was, until that is found out.
+    lossy: bool,
+}
+
+fn settings(login: bool) -> ClientSettings {
+    ClientSettings {
+        endpoints: vec!["a:1".into(), "b:2".into()],
+        prefix: PREFIX.into(),
+        login: login.then(|| Login { name: "u".into(), password: "p".into() }),
+        follow: true,
+        own: Some((OWN.into(), b"{}".to_vec())),
+        follower: FollowerSettings { page: 3, audit_us: 8_000_000, ..FollowerSettings::default() },
+        registration: RegistrationSettings { ttl_s: 10 },
+        endpoint: EndpointsSettings::default(),
+        timeout_us: 1_000_000,
+        seed: 1,
+    }
+}
+
+impl World {
+    fn new(login: bool) -> Self {
+        let of_store = login.then(|| ("u".to_string(), "p".to_string()));
+        let mut world = World {
+            store: KvStore::new(7, of_store),
+            client: Client::new(settings(login)),
+            pipes: [(Channel::Watch, Pipe::default()), (Channel::Short, Pipe::default())].into(),
+            now_us: 0,
+            told: Keys::new(),
+            states: BTreeMap::new(),
+            life: 0,
+            heard: Vec::new(),
+            lists: 0,
+            lossy: false,
+        };
+        world.note();
+        world
+    }
+
+    /// Notes what the store holds now.
+    fn note(&mut self) {
+        let ask = RangeRequest {
+            key: Bytes::of(PREFIX),
+            range_end: Bytes(prefix_end(PREFIX.as_bytes())),
+            ..Default::default()
+        };
+        let kvs = self.store.range(&ask).unwrap().kvs;
+        let keys = kvs.into_iter().map(|kv| (kv.key.0, kv.value.0)).collect();
+        self.states.insert((self.life, self.store.revision()), keys);
+    }
+
+    fn put(&mut self, name: u32, value: &str) {
+        let key = Bytes(worker_key(PREFIX, &format!("w{name}")).into_bytes());
+        self.store.put(self.now_us, &PutRequest { key, value: Bytes::of(value), lease: 0 }).unwrap();
+        self.note();
+    }
+
+    fn delete(&mut self, name: u32) {
+        let key = Bytes(worker_key(PREFIX, &format!("w{name}")).into_bytes());
+        self.store.delete(self.now_us, &DeleteRequest { key, range_end: Bytes::default() });
+        self.note();
+    }
+
+    fn carry_out(&mut self, todo: Vec<Do>) {
+        for what in todo {
+            match what {
+                Do::Open(channel, _) => {
+                    *self.pipes.get_mut(&channel).unwrap() = Pipe { open: true, ..Pipe::default() };
+                    let mut more = Vec::new();
+                    self.client.connected(self.now_us, channel, &mut more);
+                    self.carry_out(more);
+                }
+                Do::Close(channel) => *self.pipes.get_mut(&channel).unwrap() = Pipe::default(),
+                Do::Write(channel, bytes) => self.asked(channel, &bytes),
+            }
+        }
+    }
+
+    fn asked(&mut self, channel: Channel, bytes: &[u8]) {
+        let request = MessageReader::new(Side::Request, Limits::default()).feed(bytes).unwrap().unwrap();
+        let (path, body, now) = (request.head.target.as_str(), request.body.as_slice(), self.now_us);
+        let store = &mut self.store;
+        fn json<T: serde::Serialize>(
+            a: Result<T, (i64, &'static str)>,
+        ) -> Result<Vec<u8>, (i64, &'static str)> {
+            a.map(|a| serde_json::to_vec(&a).unwrap())
+        }
+        let answer = if path == AUTHENTICATE {
+            json(store.authenticate(&serde_json::from_slice(body).unwrap()))
+        } else if !store.admits(request.head.header("Authorization")) {
+            Err((code::UNAUTHENTICATED, "etcdserver: invalid auth token"))
+        } else {
+            match path {
+                WATCH => {
+                    let create =
+                        serde_json::from_slice::<WatchRequest>(body).unwrap().create_request.unwrap();
+                    let created =
+                        WatchResponse { header: store.header(), created: true, ..Default::default() };
+                    let pipe = self.pipes.get_mut(&channel).unwrap();
+                    pipe.next = Some(create.start_revision);
+                    pipe.inbox.push_back(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec());
+                    pipe.inbox.push_back(chunk(&created));
+                    return;
+                }
+                RANGE => {
+                    self.lists += 1;
+                    json(store.range(&serde_json::from_slice(body).unwrap()))
+                }
+                GRANT => {
+                    json(Ok(store.grant(now, serde_json::from_slice::<LeaseRequest>(body).unwrap().ttl)))
+                }
+                KEEP_ALIVE => {
+                    let result =
+                        Some(store.keep_alive(now, serde_json::from_slice::<LeaseRequest>(body).unwrap().id));
+                    json(Ok(Streamed { result, error: None }))
+                }
+                PUT => json(store.put(now, &serde_json::from_slice(body).unwrap())),
+                other => panic!("{other}"),
+            }
+        };
+        self.note();
+        let (status, body) = match answer {
+            Ok(body) => (200, body),
+            Err((code, words)) => {
+                (400, serde_json::to_vec(&ErrorBody { message: words.into(), code }).unwrap())
+            }
+        };
+        let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+        self.pipes.get_mut(&channel).unwrap().inbox.push_back([head.into_bytes(), body].concat());
+    }
+
+    /// Hands the next answer of a connection to the client, in pieces.
+    fn deliver(&mut self, channel: Channel) {
+        let Some(bytes) = self.pipes.get_mut(&channel).unwrap().inbox.pop_front() else { return };
+        for piece in bytes.chunks(61) {
+            if !self.pipes[&channel].open {
+                return;
+            }
+            let (mut todo, mut heard) = (Vec::new(), Vec::new());
+            self.client.received(self.now_us, channel, piece, &mut todo, &mut heard);
+            self.hear(heard);
+            self.carry_out(todo);
+        }
+        self.check();
+    }
+
+    /// Puts what the watch has not told on its way; `doubled` twice, `lost` not at all.
+    fn poll_watch(&mut self, doubled: bool, lost: bool) {
+        let Some(next) = self.pipes[&Channel::Watch].next else { return };
+        let header = self.store.header();
+        let end = prefix_end(PREFIX.as_bytes());
+        let mut lines = Vec::new();
+        match self.store.changes(next, PREFIX.as_bytes(), &end) {
+            Err(compact_revision) => {
+                lines.push(chunk(&WatchResponse {
+                    header,
+                    canceled: true,
+                    compact_revision,
+                    ..Default::default()
+                }));
+                self.pipes.get_mut(&Channel::Watch).unwrap().next = None;
+            }
+            Ok(changes) => {
+                for (_, events) in changes.into_iter().filter(|_| !lost) {
+                    let count = events.len();
+                    let fragments = events.into_iter().enumerate().map(|(n, event)| WatchResponse {
+                        header: header.clone(),
+                        events: vec![event],
+                        fragment: n + 1 < count,
+                        ..Default::default()
+                    });
+                    let one: Vec<Vec<u8>> = fragments.map(|f| chunk(&f)).collect();
+                    lines.extend(one.clone());
+                    lines.extend(one.into_iter().filter(|_| doubled));
+                }
+                self.pipes.get_mut(&Channel::Watch).unwrap().next = Some(self.store.revision() + 1);
+            }
+        }
+        self.pipes.get_mut(&Channel::Watch).unwrap().inbox.extend(lines);
+    }
+
+    fn break_off(&mut self, channel: Channel) {
+        if std::mem::take(self.pipes.get_mut(&channel).unwrap()).open {
+            let (mut todo, mut heard) = (Vec::new(), Vec::new());
+            self.client.closed(self.now_us, channel, &mut todo, &mut heard);
+            self.hear(heard);
+            self.carry_out(todo);
+        }
+    }
+
+    fn restore(&mut self, by: i64, other_cluster: bool) {
+        let to = self.store.revision() - by;
+        self.store.restore(to, other_cluster);
+        self.life += 1;
+        self.note();
+        self.break_off(Channel::Watch);
+        self.break_off(Channel::Short);
+    }
+
+    fn pass(&mut self, us: i64) {
+        self.now_us += us;
+        self.store.expire(self.now_us);
+        self.note();
+        let (mut todo, mut heard) = (Vec::new(), Vec::new());
+        self.client.advance(self.now_us, &mut todo, &mut heard);
+        self.hear(heard);
+        self.carry_out(todo);
+    }
+
+    fn hear(&mut self, heard: Vec<Heard>) {
+        for what in heard {
+            if let Heard::Changes(changes) = &what {
+                for change in changes {
+                    match change {
+                        Change::Put { key, value, .. } => self.told.insert(key.clone(), value.clone()),
+                        Change::Gone { key } => {
+                            let old = self.told.remove(key);
+                            assert!(old.is_some(), "told as gone what was not there");
+                            old
+                        }
+                    };
+                }
+            }
+            self.heard.push(what);
+        }
+    }
+
+    /// What was told, added up, is what the store held at the revision that the follower says it is at.
+    fn check(&self) {
+        let revision = self.client.follower().revision();
+        if revision == 0 || self.lossy {
+            return;
+        }
+        let lives = (0..=self.life).filter_map(|life| self.states.get(&(life, revision)));
+        let found = lives.into_iter().any(|state| *state == self.told);
+        assert!(found, "at revision {revision}: told {:?}", names(&self.told));
+    }
+
+    /// Lets everything arrive.
+    fn settle(&mut self) {
+        for _ in 0..400 {
+            self.poll_watch(false, false);
+            self.deliver(Channel::Watch);
+            self.deliver(Channel::Short);
+            self.pass(50_000);
+        }
+        let now = &self.states[&(self.life, self.store.revision())];
+        assert_eq!(names(&self.told), names(now), "revision {}", self.store.revision());
+        assert!(now.contains_key(OWN.as_bytes()), "our own entry is not there");
+        assert_eq!(self.client.follower().view(self.now_us), View::Current);
+    }
+}
+
+fn names(keys: &Keys) -> Vec<(String, String)> {
+    let text = |b: &Vec<u8>| String::from_utf8_lossy(b).into_owned();
+    keys.iter().map(|(k, v)| (text(k), text(v))).collect()
+}
+
+fn chunk(answer: &WatchResponse) -> Vec<u8> {
+    let mut line = serde_json::to_vec(&Streamed { result: Some(answer.clone()), error: None }).unwrap();
+    line.push(b'\n');
+    [format!("{:x}\r\n", line.len()).as_bytes(), &line, b"\r\n"].concat()
+}
+
+const READY: &str = r#"{"address":"127.0.0.1:1"}"#;
+const DRAINING: &str = r#"{"address":"127.0.0.1:1","state":"draining"}"#;
+
+fn walk(seed: u64, steps: usize, with_loss: bool) -> (usize, BTreeMap<String, usize>) {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut world = World::new(seed.is_multiple_of(3));
+    for _ in 0..steps {
+        let name = random.random_range(0..8);
+        match random.random_range(0..100) {
+            0..14 => world.put(name, READY),
+            14..26 => world.put(name, DRAINING),
+            26..34 => world.delete(name),
+            34..52 => world.poll_watch(random.random_bool(0.2), false),
+            52..66 => world.deliver(Channel::Watch),
+            66..80 => world.deliver(Channel::Short),
+            80..83 => world.break_off(Channel::Watch),
+            83..85 => world.break_off(Channel::Short),
+            85..88 => drop(world.store.compact(world.store.revision())),
+            88 => world.restore(random.random_range(0..4), true),
+            89 => world.store.forget_tokens(),
+            90 if with_loss => {
+                world.poll_watch(false, true);
+                world.lossy = true;
+            }
+            91 => world.store.expire_half(world.now_us),
+            _ => world.pass(random.random_range(1_000..400_000)),
+        }
+        world.note();
+        world.check();
+    }
+    world.settle();
+    let mut troubles = BTreeMap::new();
+    for heard in &world.heard {
+        if let Heard::Trouble(t) = heard {
+            let word = format!("{t:?}").split([' ', '(', '{']).next().unwrap_or_default().to_string();
+            *troubles.entry(word).or_default() += 1;
+        }
+    }
+    (world.states.len(), troubles)
+}
+
+#[test]
+fn no_interleaving_of_changes_breaks_and_compaction_loses_one() {
+    let (mut states, mut troubles) = (0, BTreeMap::new());
+    for seed in 0..150 {
+        let (seen, met) = walk(seed, 400, false);
+        states += seen;
+        met.into_iter().for_each(|(t, n)| *troubles.entry(t).or_insert(0) += n);
+    }
+    println!("{states} states of the store, troubles met: {troubles:?}");
+    assert!(states > 10_000);
+    assert!(
+        ["Compacted", "Restored"].iter().all(|t| troubles.get(*t).is_some_and(|n| *n > 20)),
+        "{troubles:?}"
+    );
+}
+
+#[test]
+fn a_watch_that_loses_changes_without_a_word_is_found_out() {
+    // By looks or, where a later change hid the loss from them, by the list that compares all: `walk` ends with both equal.
+    (1_000..1_040).for_each(|seed| drop(walk(seed, 300, true)));
+    let mut world = standing();
+    world.lossy = true;
+    world.put(1, DRAINING);
+    world.poll_watch(false, true);
+    for _ in 0..60 {
+        world.poll_watch(false, false);
+        world.deliver(Channel::Watch);
+        world.deliver(Channel::Short);
+        world.pass(50_000);
+    }
+    assert!(world.heard.contains(&Heard::Trouble(Trouble::Behind)), "{:?}", world.heard);
+    assert_eq!(world.told[&worker_key(PREFIX, "w1").into_bytes()], DRAINING.as_bytes());
+}
+
+/// A world with five workers that is followed, and what happened so far forgotten.
+fn standing() -> World {
+    let mut world = World::new(false);
+    (0..5).for_each(|n| world.put(n, READY));
+    world.settle();
+    world.heard.clear();
+    world
+}
+
+#[test]
+fn a_drain_within_a_break_is_told_after_it_whether_history_is_left_or_not() {
+    for compaction in [None, Some(false), Some(true)] {
+        let mut world = standing();
+        world.break_off(Channel::Watch);
+        let before = world.store.revision();
+        world.put(2, DRAINING);
+        world.put(3, DRAINING);
+        world.delete(3);
+        world.put(3, READY);
+        match compaction {
+            None => {}
+            // Just up to what was told, and beyond it.
+            Some(false) => drop(world.store.compact(before)),
+            Some(true) => drop(world.store.compact(world.store.revision())),
+        }
+        world.settle();
+        let changes: Vec<&Change> = world
+            .heard
+            .iter()
+            .filter_map(|h| if let Heard::Changes(c) = h { Some(c) } else { None })
+            .flatten()
+            .collect();
+        let of = |n: u32| worker_key(PREFIX, &format!("w{n}")).into_bytes();
+        let drained = |c: &&&Change| matches!(c, Change::Put { key, value, .. } if *key == of(2) && value == DRAINING.as_bytes());
+        assert_eq!(changes.iter().filter(drained).count(), 1, "{compaction:?}: {changes:?}");
+        // One that went and came back within the gap is told as made anew.
+        let anew = |c: &&Change| matches!(c, Change::Put { key, made: true, .. } if *key == of(3));
+        assert!(changes.iter().any(anew), "{compaction:?}: {changes:?}");
+        let listed_again = world.heard.iter().any(|h| matches!(h, Heard::Trouble(Trouble::Compacted { .. })));
+        assert_eq!(listed_again, compaction == Some(true));
+    }
+}
+
+#[test]
+fn compaction_within_a_list_of_several_pages_begins_it_anew() {
+    let mut world = World::new(false);
+    (0..8).for_each(|n| world.put(n, READY));
+    world.pass(0);
+    world.deliver(Channel::Short);
+    world.pass(1);
+    // The second page is asked for as of the first one's revision, which is gone when it arrives.
+    world.put(0, DRAINING);
+    world.pipes.get_mut(&Channel::Short).unwrap().inbox.clear();
+    world.break_off(Channel::Short);
+    world.store.compact(world.store.revision()).unwrap();
+    world.settle();
+    assert_eq!(world.told.len(), 9);
+    assert_eq!(world.told[&worker_key(PREFIX, "w0").into_bytes()], DRAINING.as_bytes());
+}
+
+#[test]
+fn a_registry_that_goes_back_and_calls_itself_the_same_is_followed_from_there() {
+    let mut world = standing();
+    world.put(1, DRAINING);
+    world.settle();
+    world.restore(1, false);
+    world.settle();
+    assert_eq!(world.told[&worker_key(PREFIX, "w1").into_bytes()], READY.as_bytes());
+}
+
+#[test]
+fn a_registry_that_accepts_and_never_answers_is_left_and_its_view_grows_old() {
+    let mut world = standing();
+    let mut views = Vec::new();
+    for _ in 0..200 {
+        world.pipes.values_mut().for_each(|p| p.inbox.clear());
+        world.pass(50_000);
+        views.push(world.client.follower().view(world.now_us));
+    }
+    views.dedup();
+    assert_eq!(views, [View::Current, View::Silent]);
+    assert!(world.heard.iter().any(|h| matches!(h, Heard::Failed(w) if w.contains("does not answer"))));
+    world.settle();
+}
+
+#[test]
+fn a_lost_lease_is_noticed_and_had_anew() {
+    let mut world = standing();
+    world.store.expire(i64::MAX);
+    world.note();
+    world.settle();
+    assert!(world.heard.contains(&Heard::LeaseLost) && world.heard.contains(&Heard::Registered));
+}
+
+#[test]
+fn what_was_kept_is_remembered_until_the_registry_is_heard() {
+    let world = standing();
+    let kept = world.client.follower().keep();
+    let mut client = Client::new(settings(false));
+    let told = client.follower_mut().remember(&kept).unwrap();
+    assert_eq!((told.len(), client.follower().view(0)), (world.told.len(), View::Remembered));
+    assert!(client.follower_mut().remember(b"{").is_err());
+    // Heard at last: only differences are told.
+    let mut again = World::new(false);
+    (0..5).filter(|n| *n != 2).for_each(|n| again.put(n, READY));
+    again.put(4, DRAINING);
+    again.told = world.told.clone();
+    again.client = client;
+    again.settle();
+    let changes =
+        again.heard.iter().filter_map(|h| if let Heard::Changes(c) = h { Some(c.len()) } else { None });
+    // Ours and w2 are gone, w4 drains, and ours is there again.
+    assert!(changes.sum::<usize>() <= 4, "{:?}", again.heard);
+}
--- a/crates/rules/src/trace.rs
+++ b/crates/rules/src/trace.rs
@@ -101,6 +101,11 @@
         /// The gateway that sent it.
         gateway: String,
     },
+    /// Worker: a load began, so its content is fetched from the store.
+    Fetched {
+        /// Which function.
+        function: String,
+    },
     /// List: a gateway was told a worker's state.
     Told {
         /// Which worker.
--- /dev/null
+++ b/crates/standins/src/kv/server.rs
@@ -0,0 +1,322 @@
+//! The process.
+
+use super::store::{KvStore, Refusal};
+use crate::tap::unix_micros;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use slatevalve_http::{Limits, Message, MessageReader, Side};
+use slatevalve_reactor::{Happening, Id, Reactor};
+use slatevalve_registry::wire::*;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What waits to be read by one watcher; a slower one is dropped.
+const MAX_BUFFERED: usize = 32 * 1024 * 1024;
+/// Events in one fragment of an answer.
+const FRAGMENT: usize = 100;
+/// Time between two looks at leases and faults.
+const TICK: Duration = Duration::from_millis(20);
+
+/// What goes wrong.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum KvFaultKind {
+    /// All connections end, and new ones end at once.
+    Break,
+    /// It takes connections and requests and answers nothing; watches hear nothing.
+    Stall,
+    /// Each answer of a watch comes twice.
+    Duplicate,
+    /// Answers of watches come in fragments, and each line in two pieces.
+    Split,
+    /// Watches lose their changes without a word.
+    Lose,
+    /// At the start of the time: history up to now is forgotten.
+    Compact,
+    /// At the start of the time: it goes back so many revisions, as another cluster.
+    Restore(i64),
+    /// At the start of the time: it goes back so many revisions and calls itself the same cluster.
+    GoBack(i64),
+    /// At the start of the time: no token holds any more.
+    ForgetTokens,
+    /// At the start of the time: every second lease ends.
+    ExpireHalf,
+}
+
+/// A fault and its time, in microseconds of the Unix clock.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvFault {
+    /// From then on.
+    pub from_us: i64,
+    /// Until then.
+    pub to_us: i64,
+    /// What.
+    pub kind: KvFaultKind,
+}
+
+/// All that the stand-in is told.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct KvPlan {
+    /// Where it listens; port 0 lets the kernel choose.
+    pub listen: SocketAddr,
+    /// Name and password, where it asks for them.
+    pub login: Option<(String, String)>,
+    /// History older than this is forgotten, in microseconds; 0 keeps it.
+    pub compact_after_us: i64,
+    /// What goes wrong.
+    pub faults: Vec<KvFault>,
+}
+
+impl Default for KvPlan {
+    fn default() -> Self {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        KvPlan { listen, login: None, compact_after_us: 0, faults: Vec::new() }
+    }
+}
+
+struct Watcher {
+    create: WatchCreate,
+    /// The first revision that was not told.
+    next: i64,
+}
+
+struct Peer {
+    reader: MessageReader,
+    watcher: Option<Watcher>,
+}
+
+struct Server {
+    plan: KvPlan,
+    store: KvStore,
+    reactor: Reactor,
+    peers: HashMap<Id, Peer>,
+    /// Faults of a moment that were carried out.
+    done: Vec<bool>,
+}
+
+/// Runs the stand-in until SIGTERM or SIGINT; `ready` is told where it listens.
+///
+/// # Errors
+/// When a socket cannot be had.
+pub fn run_kv(plan: KvPlan, ready: impl FnOnce(SocketAddr)) -> io::Result<()> {
+    let mut reactor = Reactor::new(MAX_BUFFERED)?;
+    for signal in [libc::SIGTERM, libc::SIGINT] {
+        reactor.signal(signal)?;
+    }
+    let (_, address) = reactor.listen(plan.listen)?;
+    let store = KvStore::new(7, plan.login.clone());
+    let done = vec![false; plan.faults.len()];
+    let mut server = Server { plan, store, reactor, peers: HashMap::new(), done };
+    ready(address);
+    let mut happened = Vec::new();
+    loop {
+        server.reactor.turn(Some(TICK), &mut happened)?;
+        server.act_faults();
+        for happening in happened.drain(..) {
+            if let Happening::Signal(_) = happening {
+                return Ok(());
+            }
+            server.happened(happening);
+        }
+        server.store.expire(unix_micros());
+        if server.plan.compact_after_us > 0 {
+            server.store.compact_before(unix_micros().saturating_sub(server.plan.compact_after_us));
+        }
+        server.tell_watchers();
+    }
+}
+
+impl Server {
+    fn acts(&self, kind: &KvFaultKind) -> bool {
+        let now = unix_micros();
+        self.plan.faults.iter().any(|f| f.kind == *kind && (f.from_us..f.to_us).contains(&now))
+    }
+
+    /// Faults of a moment, and the end of all connections in a break.
+    fn act_faults(&mut self) {
+        let now = unix_micros();
+        for n in 0..self.plan.faults.len() {
+            let fault = &self.plan.faults[n];
+            if self.done[n] || now < fault.from_us {
+                continue;
+            }
+            let back = |by: i64| self.store.revision().saturating_sub(by);
+            match &fault.kind {
+                KvFaultKind::Compact => drop(self.store.compact(self.store.revision())),
+                KvFaultKind::Restore(by) => self.store.restore(back(*by), true),
+                KvFaultKind::GoBack(by) => self.store.restore(back(*by), false),
+                KvFaultKind::ForgetTokens => self.store.forget_tokens(),
+                KvFaultKind::ExpireHalf => self.store.expire_half(now),
+                _ => continue,
+            }
+            self.done[n] = true;
+            // A member that was restored was started anew.
+            if matches!(self.plan.faults[n].kind, KvFaultKind::Restore(_) | KvFaultKind::GoBack(_)) {
+                self.close_all();
+            }
+        }
+        if self.acts(&KvFaultKind::Break) {
+            self.close_all();
+        }
+    }
+
+    fn close_all(&mut self) {
+        for (id, _) in std::mem::take(&mut self.peers) {
+            self.reactor.close(id);
+        }
+    }
+
+    fn happened(&mut self, happening: Happening) {
+        match happening {
+            Happening::Accepted { connection, .. } if self.acts(&KvFaultKind::Break) => {
+                self.reactor.close(connection);
+            }
+            Happening::Accepted { connection, .. } => {
+                let reader = MessageReader::new(Side::Request, Limits::default());
+                self.peers.insert(connection, Peer { reader, watcher: None });
+            }
+            Happening::Received(id, bytes) => match self.peers.get_mut(&id).map(|p| p.reader.feed(&bytes)) {
+                Some(Ok(Some(request))) if !self.acts(&KvFaultKind::Stall) => self.asked(id, &request),
+                Some(Err(_)) => self.reactor.finish(id),
+                _ => {}
+            },
+            Happening::Closed { id, .. } => drop(self.peers.remove(&id)),
+            Happening::AcceptFailed { listener, .. } => self.reactor.resume(listener),
+            Happening::Connected(_) | Happening::Drained(_) | Happening::Signal(_) | Happening::Woken => {}
+        }
+    }
+
+    fn asked(&mut self, id: Id, request: &Message) {
+        let path = request.head.target.as_str();
+        let answer = if path == AUTHENTICATE {
+            parse(&request.body).and_then(|ask| json(self.store.authenticate(&ask)))
+        } else if !self.store.admits(request.head.header("Authorization")) {
+            Err((code::UNAUTHENTICATED, "etcdserver: invalid auth token"))
+        } else if path == WATCH {
+            return self.watch(id, &request.body);
+        } else {
+            self.carry_out(path, &request.body)
+        };
+        let (status, body) = match answer {
+            Ok(body) => (200, body),
+            Err((code, words)) => {
+                let status = if code == code::UNAUTHENTICATED { 401 } else { 400 };
+                let body = ErrorBody { message: words.into(), code };
+                (status, serde_json::to_vec(&body).unwrap_or_default())
+            }
+        };
+        let head = format!(
+            "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        self.reactor.write(id, &[head.into_bytes(), body].concat());
+    }
+
+    fn carry_out(&mut self, path: &str, body: &[u8]) -> Result<Vec<u8>, Refusal> {
+        let now = unix_micros();
+        let store = &mut self.store;
+        match path {
+            RANGE => parse(body).and_then(|ask| json(store.range(&ask))),
+            PUT => parse(body).and_then(|ask| json(store.put(now, &ask))),
+            DELETE => parse(body).and_then(|ask| json(Ok(store.delete(now, &ask)))),
+            TXN => parse(body).and_then(|ask| json(store.transact(now, &ask))),
+            COMPACT => parse::<CompactRequest>(body).and_then(|ask| json(store.compact(ask.revision))),
+            GRANT => parse::<LeaseRequest>(body).and_then(|ask| json(Ok(store.grant(now, ask.ttl)))),
+            KEEP_ALIVE => parse::<LeaseRequest>(body).and_then(|ask| {
+                let result = Some(store.keep_alive(now, ask.id));
+                json(Ok(Streamed { result, error: None }))
+            }),
+            REVOKE => parse::<LeaseRequest>(body).and_then(|ask| match store.revoke(now, ask.id) {
+                true => json(Ok(PlainResponse { header: store.header(), ..PlainResponse::default() })),
+                false => Err((code::NOT_FOUND, "etcdserver: requested lease not found")),
+            }),
+            STATUS => json(Ok(PlainResponse { header: store.header(), ..PlainResponse::default() })),
+            _ => Err((code::NOT_FOUND, "no such path")),
+        }
+    }
+
+    fn watch(&mut self, id: Id, body: &[u8]) {
+        let create = serde_json::from_slice::<WatchRequest>(body).ok().and_then(|w| w.create_request);
+        let Some(create) = create else { return self.reactor.finish(id) };
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+        self.reactor.write(id, head.as_bytes());
+        let next = if create.start_revision > 0 { create.start_revision } else { self.store.revision() + 1 };
+        let created =
+            WatchResponse { header: self.store.header(), created: true, ..WatchResponse::default() };
+        self.line(id, &created);
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.watcher = Some(Watcher { create, next });
+        }
+    }
+
+    /// One line of a watch's answer, as a chunk or as two.
+    fn line(&mut self, id: Id, answer: &WatchResponse) {
+        let streamed = Streamed { result: Some(answer.clone()), error: None };
+        let mut line = serde_json::to_vec(&streamed).unwrap_or_default();
+        line.push(b'\n');
+        let half = if self.acts(&KvFaultKind::Split) { line.len() / 2 } else { 0 };
+        for piece in [&line[..half], &line[half..]].into_iter().filter(|p| !p.is_empty()) {
+            let chunk = [format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat();
+            self.reactor.write(id, &chunk);
+        }
+    }
+
+    fn tell_watchers(&mut self) {
+        if self.acts(&KvFaultKind::Stall) {
+            return;
+        }
+        let lost = self.acts(&KvFaultKind::Lose);
+        let ids: Vec<Id> = self.peers.iter().filter(|p| p.1.watcher.is_some()).map(|p| *p.0).collect();
+        for id in ids {
+            let Some(Watcher { create, next }) = self.peers.get_mut(&id).and_then(|p| p.watcher.take())
+            else {
+                continue;
+            };
+            let header = self.store.header();
+            match self.store.changes(next, &create.key.0, &create.range_end.0) {
+                Err(compact_revision) => {
+                    let canceled = true;
+                    self.line(
+                        id,
+                        &WatchResponse { header, canceled, compact_revision, ..WatchResponse::default() },
+                    );
+                    self.reactor.write(id, b"0\r\n\r\n");
+                    continue;
+                }
+                Ok(changes) => {
+                    for (_, events) in changes.into_iter().filter(|_| !lost) {
+                        self.tell(id, &header, events);
+                    }
+                }
+            }
+            let next = next.max(self.store.revision() + 1);
+            if let Some(peer) = self.peers.get_mut(&id) {
+                peer.watcher = Some(Watcher { create, next });
+            }
+        }
+    }
+
+    fn tell(&mut self, id: Id, header: &Header, events: Vec<WatchEvent>) {
+        let most = if self.acts(&KvFaultKind::Split) { 1 } else { FRAGMENT };
+        let times = if self.acts(&KvFaultKind::Duplicate) { 2 } else { 1 };
+        for _ in 0..times {
+            let count = events.len().div_ceil(most);
+            for (n, part) in events.chunks(most).enumerate() {
+                let (header, events) = (header.clone(), part.to_vec());
+                let fragment = n + 1 < count;
+                self.line(id, &WatchResponse { header, events, fragment, ..WatchResponse::default() });
+            }
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|_| (3, "the request makes no sense"))
+}
+
+fn json<T: Serialize>(answer: Result<T, Refusal>) -> Result<Vec<u8>, Refusal> {
+    answer.map(|a| serde_json::to_vec(&a).unwrap_or_default())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 mod broker;
 mod client;
 mod faults;
+mod kv;
 mod registry;
 mod service;
 mod tap;
@@ -16,6 +17,7 @@
 pub use broker::{run_broker, BrokerFault, BrokerFaultKind, BrokerPlan};
 pub use client::{Arrival, ClientPlan, ClientReport, Driver};
 pub use faults::{Fault, FaultKind};
+pub use kv::{run_kv, within, KvFault, KvFaultKind, KvPlan, KvStore, Refusal};
 pub use registry::{run_registry, RegistryFault, RegistryFaultKind, RegistryPlan};
 pub use service::{CallBody, ServicePlan};
 pub use tap::{unix_micros, Tap};
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -92,13 +92,16 @@
     waiting: VecDeque<(u64, String, i64)>,
     /// Copies by function, with when a load under way is done.
     copies: BTreeMap<String, (u32, i64)>,
+    /// Loads that began and were not noted yet.
+    fetched: Vec<String>,
 }
 
 impl Service {
     pub(crate) fn new(plan: ServicePlan, now_us: i64, cold: bool) -> Self {
         let preloaded = if cold { Vec::new() } else { plan.preloaded.clone() };
         let copies = preloaded.into_iter().map(|f| (f, (1, now_us))).collect();
-        Service { plan, started_us: now_us, cold, running: 0, waiting: VecDeque::new(), copies }
+        let waiting = VecDeque::new();
+        Service { plan, started_us: now_us, cold, running: 0, waiting, copies, fetched: Vec::new() }
     }
 
     pub(crate) fn plan(&self) -> &ServicePlan {
@@ -217,9 +220,15 @@
         }
         let ready = now_us + (self.plan.load_us as f64 * load) as i64;
         self.copies.insert(function.into(), (copies, ready));
+        self.fetched.push(function.into());
         Some(ready)
     }
 
+    /// Functions whose load began since the last time.
+    pub(crate) fn take_fetched(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.fetched)
+    }
+
     pub(crate) fn unload(&mut self, function: &str) {
         self.copies.remove(function);
     }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -137,6 +137,9 @@
                 }
             }
             self.fire();
+            for function in self.service.take_fetched() {
+                self.tap.saw(Seen::Fetched { function });
+            }
         }
     }
 
