Workers and routers from the registry in the running gateway; the module hears of routers

A source of news is one trait (registry, recorded file); drains and departures of a batch reach the module first; silence of the registry is the module's Refused, the last list from the disk its Remembered. The module knows Event::Routers, by which a router decides from then on as one that was started so (tests/routers.rs); a census lets a rise count at once and a fall in steps.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -446,6 +446,12 @@
         self.tell(Event::Listed(listing), out);
     }
 
+    /// The number of routers is another one now, this one included.
+    pub fn routers(&mut self, now: Micros, routers: usize, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        self.tell(Event::Routers(routers), out);
+    }
+
     /// A probe ended.
     pub fn probed(
         &mut self,
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -26,6 +26,11 @@
         Micros(ORIGIN.saturating_add(i64::try_from(self.start.elapsed().as_micros()).unwrap_or(i64::MAX)))
     }
 
+    /// The Unix clock at the start, in milliseconds.
+    pub fn unix_ms(&self) -> i64 {
+        self.unix_start_us / 1_000
+    }
+
     /// A time of the Unix clock, in milliseconds, as this clock shows it; never 0, which means unknown.
     pub fn at_unix_ms(&self, millis: f64) -> Micros {
         let since_start = (millis * 1_000.0) as i64 - self.unix_start_us;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod commands;
 mod fleet;
+pub mod members;
 pub mod plugins;
 pub mod settings;
 pub mod shell;
--- /dev/null
+++ b/crates/gateway/src/members/registry.rs
@@ -0,0 +1,219 @@
+//! The registry as a source: the client on the loop's sockets, what it follows as news, the number of routers by the
+//! census, and what the next process is to begin with.
+
+use super::{News, Source};
+use slatevalve::Micros;
+use slatevalve_reactor::{Happening, Reactor};
+use slatevalve_registry::{
+    Census, CensusSettings, ClientSettings, Heard, MemberChange, Members, RouterRecord, View, WorkerRecord,
+};
+use slatevalve_registry_link::Link;
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{self, Sender};
+use std::thread;
+use tracing::{error, info, warn};
+
+/// The `members` form.
+#[derive(Clone, Debug)]
+pub struct MemberSettings {
+    /// Of the client; its own entry is filled in by the source.
+    pub client: ClientSettings,
+    /// The endpoints' addresses, in the client's order.
+    pub addresses: Vec<SocketAddr>,
+    /// Of the census.
+    pub census: CensusSettings,
+    /// The file that the next process begins with.
+    pub remember: Option<PathBuf>,
+    /// The file that news are recorded in.
+    pub record: Option<PathBuf>,
+}
+
+/// See the module's documentation.
+pub struct RegistrySource {
+    link: Link,
+    members: Members,
+    census: Census,
+    news: Vec<News>,
+    /// The module was told the whole list since it was last told that nothing is heard.
+    told_full: bool,
+    told_refused: bool,
+    keeper: Option<Sender<Vec<u8>>>,
+    leaving: Option<u64>,
+    left: bool,
+}
+
+impl RegistrySource {
+    /// A source that registers this router under a name. `routers` are believed in before anything is heard.
+    pub fn new(settings: MemberSettings, name: &str, record: &RouterRecord, routers: usize) -> Self {
+        let mut client = settings.client;
+        let value = serde_json::to_vec(record).unwrap_or_default();
+        client.own = Some((slatevalve_registry::router_key(&client.prefix, name), value));
+        let members = Members::new(&client.prefix);
+        let mut source = RegistrySource {
+            link: Link::new(client, settings.addresses),
+            members,
+            census: Census::new(settings.census, routers),
+            news: Vec::new(),
+            told_full: false,
+            told_refused: false,
+            keeper: None,
+            leaving: None,
+            left: false,
+        };
+        if let Some(path) = settings.remember {
+            source.remember(&path);
+            source.keeper = Some(keeper(path));
+        }
+        source
+    }
+
+    /// Begins with what an earlier process kept, until the registry is heard.
+    fn remember(&mut self, path: &Path) {
+        let kept = match fs::read(path) {
+            Ok(kept) => kept,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return,
+            Err(error) => {
+                return warn!(path = %path.display(), %error, "the last list of workers is not read")
+            }
+        };
+        match self.link.client_mut().follower_mut().remember(&kept) {
+            Ok(changes) => {
+                let (_, errors) = self.members.take(changes);
+                errors.iter().for_each(|error| warn!(%error, "a record is not taken"));
+                info!(workers = self.members.workers().len(), "the last list of workers, from the disk");
+                self.news.push(News::Remembered(self.members.workers().clone()));
+            }
+            Err(error) => warn!(path = %path.display(), %error, "the last list of workers is not read"),
+        }
+    }
+
+    fn workers(&self) -> BTreeMap<String, WorkerRecord> {
+        self.members.workers().clone()
+    }
+
+    /// Makes news of what the client heard.
+    fn digest(&mut self, now: Micros) {
+        let mut changed = false;
+        for heard in self.link.take_heard() {
+            match heard {
+                Heard::Changes(changes) => {
+                    let (told, errors) = self.members.take(changes);
+                    errors
+                        .iter()
+                        .for_each(|error| warn!(%error, "a record is not taken; what was known stays"));
+                    changed = true;
+                    if self.told_full {
+                        let changes = told.into_iter().filter_map(|change| match change {
+                            MemberChange::Worker(name, record) => Some((name, Some(record))),
+                            MemberChange::WorkerGone(name) => Some((name, None)),
+                            MemberChange::Routers(_) => None,
+                        });
+                        let changes: Vec<_> = changes.collect();
+                        if !changes.is_empty() {
+                            self.news.push(News::Changes(changes));
+                        }
+                    }
+                }
+                Heard::Trouble(trouble) => {
+                    warn!(?trouble, "registry: the list is compared anew, or the watch begun again")
+                }
+                Heard::Failed(words) => warn!("registry: {words}"),
+                Heard::Registered => info!("registered"),
+                Heard::LeaseLost => warn!("registry: our lease was lost; it is had anew"),
+                Heard::Answered(ticket, _) => self.left |= self.leaving == Some(ticket),
+            }
+        }
+        let view = self.link.client().follower().view(now.0);
+        match view {
+            View::Current if !self.told_full => {
+                (self.told_full, self.told_refused) = (true, false);
+                self.news.push(News::Full(self.workers()));
+            }
+            // Also at a start without a list of any kind: the module asks nothing of a list that it has not.
+            View::Silent if !self.told_refused => {
+                (self.told_full, self.told_refused) = (false, true);
+                error!("nothing is heard of the registry; the workers that were known are used on");
+                self.news.push(News::Refused);
+            }
+            _ => {}
+        }
+        let current = view == View::Current;
+        if let Some(routers) = self.census.listed(now.0, self.members.routers().len(), current) {
+            info!(routers, "routers");
+            self.news.push(News::Routers(routers));
+        }
+        if changed {
+            self.keeper.iter().for_each(|k| drop(k.send(self.link.client().follower().keep())));
+        }
+    }
+}
+
+impl Source for RegistrySource {
+    fn happened(&mut self, now: Micros, reactor: &mut Reactor, happening: &Happening) -> bool {
+        let mine = self.link.happened(now.0, reactor, happening);
+        if mine {
+            self.digest(now);
+        }
+        mine
+    }
+
+    fn advance(&mut self, now: Micros, reactor: &mut Reactor) {
+        self.link.advance(now.0, reactor);
+        self.digest(now);
+    }
+
+    fn next_wake(&self, now: Micros) -> Micros {
+        let follower = self.link.client().follower();
+        let mut due = self.link.next_wake(now.0);
+        for at in
+            [follower.silent_at_us().filter(|_| self.told_full), self.census.due_us()].into_iter().flatten()
+        {
+            due = due.min(at);
+        }
+        Micros(due.max(now.0))
+    }
+
+    fn take_news(&mut self) -> Vec<News> {
+        std::mem::take(&mut self.news)
+    }
+
+    fn leave(&mut self, now: Micros, reactor: &mut Reactor) -> bool {
+        self.leaving = self.link.client_mut().leave();
+        self.left = self.leaving.is_none();
+        self.link.advance(now.0, reactor);
+        !self.left
+    }
+
+    fn has_left(&self) -> bool {
+        self.left
+    }
+}
+
+/// A thread that writes the last list to a file: beside it, synced, renamed. Of several that wait the last counts.
+fn keeper(path: PathBuf) -> Sender<Vec<u8>> {
+    let (send, receive) = mpsc::channel::<Vec<u8>>();
+    let write = move || {
+        while let Ok(first) = receive.recv() {
+            let content = receive.try_iter().last().unwrap_or(first);
+            if let Err(error) = write_beside(&path, &content) {
+                warn!(path = %path.display(), %error, "the list of workers is not kept for the next start");
+            }
+        }
+    };
+    let _ = thread::Builder::new().name("list".into()).spawn(write);
+    send
+}
+
+fn write_beside(path: &Path, content: &[u8]) -> io::Result<()> {
+    let mut name = path.as_os_str().to_os_string();
+    name.push(".new");
+    let beside = PathBuf::from(name);
+    let mut file = fs::File::create(&beside)?;
+    file.write_all(content)?;
+    file.sync_all()?;
+    fs::rename(&beside, path)
+}
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -5,9 +5,11 @@
 
 mod classes;
 pub mod form;
+mod members;
 mod plugins;
 mod workers;
 
+pub use members::MemberSource;
 pub use plugins::PluginSettings;
 pub use workers::WorkerLine;
 
@@ -58,12 +60,16 @@
     pub rights: ClassRights,
     /// The worker list.
     pub workers: Vec<WorkerLine>,
+    /// Where further workers come from while it runs.
+    pub members: Option<MemberSource>,
     /// Connections to workers.
     pub pool: PoolSettings,
     /// Where plug-ins are kept, where there are any.
     pub plugins: Option<PluginSettings>,
     /// How long an orderly stop may take.
     pub stop_within: Micros,
+    /// The gateway's own zone.
+    pub zone: String,
     /// The zones and kinds that the file names.
     pub named: Named,
 }
@@ -118,8 +124,8 @@
         let Named { mut zones, mut kinds } = named;
         let mut gateway = top.need("gateway")?.fields()?;
         let name = gateway.or("name", "gateway".to_string(), header_text)?;
-        let zone = gateway.or("zone", "default".to_string(), Form::text)?;
-        let zone = ZoneId(zones.of(&zone));
+        let zone_name = gateway.or("zone", "default".to_string(), Form::text)?;
+        let zone = ZoneId(zones.of(&zone_name));
         let classes = classes::classes(&mut top)?;
         let tenants = classes::tenants(&mut top, &classes)?;
         let (loading, rules) = (loading(&mut top, &mut kinds)?, rules(&mut top)?);
@@ -162,6 +168,12 @@
         let (listen, front) = mqtt(&mut top, routes)?;
         let rights = class_rights(&classes, &tenants);
         let (pool, plugins) = (pool(&mut top)?, plugins::plugins(&mut top, rights.clone(), engine.seed)?);
+        let members = members::members(&mut top, engine.seed)?;
+        if members.is_some() && !workers.is_empty() {
+            return Err(
+                top.error("(members ...) and (worker ...) do not stand together: the list has one source")
+            );
+        }
         top.finish()?;
         let classes = classes.into_iter().map(|c| c.name).collect();
         let named = Named { zones, kinds };
@@ -174,9 +186,11 @@
             classes,
             rights,
             workers,
+            members,
             pool,
             plugins,
             stop_within,
+            zone: zone_name,
             named,
         })
     }
--- a/crates/gateway/src/settings/workers.rs
+++ b/crates/gateway/src/settings/workers.rs
@@ -1,10 +1,11 @@
 //! The worker list.
 
 use super::form::{Fields, Form, SettingsError};
-use super::{address, Places};
+use super::{address, Named, Places};
 use crate::clock::Clock;
 use slatevalve::{CellId, KindId, WorkerEntry, WorkerState, ZoneId};
 use slatevalve_engine::worker_id;
+use slatevalve_registry::{MemberState, WorkerRecord};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -21,6 +22,26 @@
     pub entry: WorkerEntry,
 }
 
+impl WorkerLine {
+    /// The line of a worker that the registry lists.
+    pub(crate) fn of(name: &str, record: &WorkerRecord, named: &mut Named, clock: &Clock) -> Self {
+        let state = match record.state {
+            MemberState::Ready => WorkerState::Ready,
+            MemberState::Draining => WorkerState::Draining,
+        };
+        let entry = WorkerEntry {
+            id: worker_id(name),
+            zone: ZoneId(named.zones.of(&record.zone)),
+            kind: KindId(named.kinds.of(&record.kind)),
+            cell: CellId(record.cell),
+            state,
+            weight: record.weight,
+            up_since: record.up_since_unix_ms.map(|ms| clock.at_unix_ms(ms)),
+        };
+        WorkerLine { name: name.into(), address: record.address, entry }
+    }
+}
+
 pub(crate) fn workers(
     top: &mut Fields<'_>,
     zones: &mut Places,
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -4,10 +4,12 @@
 //! a gateway that stood still finds the answers that were there in time before it finds that time is up.
 
 mod admin;
+mod members;
 mod plugins;
 mod pool;
 
 use crate::clock::Clock;
+use crate::members::{Recorder, Source};
 use crate::plugins::folder::FolderError;
 use crate::settings::form::SettingsError;
 use crate::settings::{Site, WorkerLine};
@@ -43,6 +45,8 @@
     Listen(SocketAddr, io::Error),
     /// The admin socket could not be had.
     Admin(PathBuf, io::Error),
+    /// A recorded list cannot be read, or none be written.
+    Record(PathBuf, io::Error),
     /// The folder of plug-ins cannot be read.
     Plugins(FolderError),
     /// The poller or a signal failed.
@@ -54,6 +58,7 @@
         match self {
             ShellError::Listen(address, e) => write!(f, "cannot listen on {address}: {e}"),
             ShellError::Admin(path, e) => write!(f, "admin socket {}: {e}", path.display()),
+            ShellError::Record(path, e) => write!(f, "{}: {e}", path.display()),
             ShellError::Plugins(e) => write!(f, "plug-ins: {e}"),
             ShellError::Loop(e) => write!(f, "the loop failed: {e}"),
         }
@@ -73,6 +78,11 @@
     bridge: Option<BridgeLink>,
     plugins: Option<PluginHost>,
     admin: Option<Admin>,
+    /// Where the list of workers comes from, where that is not the settings file.
+    source: Option<Box<dyn Source>>,
+    recorder: Option<Recorder>,
+    /// Names by id, as two names may have one id.
+    names: HashMap<WorkerId, String>,
     pool: Pool,
     listener: Id,
     address: SocketAddr,
@@ -122,6 +132,7 @@
             let host = PluginHost::open(settings, &site, clock, waker);
             plugins = Some(host.map_err(ShellError::Plugins)?);
         }
+        let (source, recorder) = members::open(&site, clock.unix_ms())?;
         let mut shell = Shell {
             clock,
             settings_file,
@@ -135,6 +146,9 @@
             }),
             plugins,
             admin,
+            source,
+            recorder,
+            names: HashMap::new(),
             pool: Pool::new(site.pool, &site.name, order_timeout),
             listener,
             address,
@@ -150,8 +164,11 @@
             to_bridge: Vec::new(),
             site,
         };
-        let workers = shell.site.workers.clone();
-        shell.take_list(&workers);
+        if shell.source.is_none() {
+            let workers = shell.site.workers.clone();
+            shell.take_list(Scope::Full, &workers);
+        }
+        shell.take_news(clock.now());
         Ok(shell)
     }
 
@@ -184,6 +201,10 @@
             if let Some(link) = &mut self.bridge {
                 link.bridge.advance(now, &mut self.to_bridge);
             }
+            if let Some(source) = &mut self.source {
+                source.advance(now, &mut self.reactor);
+                self.take_news(now);
+            }
             for end in self.pool.advance(now, &mut self.reactor) {
                 self.ended(now, end);
             }
@@ -206,8 +227,9 @@
 
     fn wait_from(&self, now: Micros) -> Duration {
         let bridge = self.bridge.as_ref().and_then(|l| l.bridge.next_wake());
-        let due =
-            [self.engine.next_wake(), self.front.next_wake(), self.pool.next_wake(), self.resume_at, bridge];
+        let source = self.source.as_ref().map(|s| s.next_wake(now));
+        let (engine, front, pool) = (self.engine.next_wake(), self.front.next_wake(), self.pool.next_wake());
+        let due = [engine, front, pool, self.resume_at, bridge, source];
         match due.into_iter().flatten().min() {
             Some(at) => Duration::from_micros(at.0.saturating_sub(now.0).max(0) as u64).min(LONGEST_WAIT),
             None => LONGEST_WAIT,
@@ -215,6 +237,9 @@
     }
 
     fn happened(&mut self, now: Micros, happening: Happening) {
+        if self.source.as_mut().is_some_and(|s| s.happened(now, &mut self.reactor, &happening)) {
+            return self.take_news(now);
+        }
         match happening {
             Happening::Accepted { listener, connection, .. } if listener != self.listener => {
                 self.admin.iter_mut().for_each(|a| a.accepted(&mut self.reactor, connection));
@@ -447,7 +472,7 @@
     }
 
     /// Takes a whole worker list. Workers that it no longer names are gone.
-    fn take_list(&mut self, workers: &[WorkerLine]) {
+    fn take_list(&mut self, scope: Scope, workers: &[WorkerLine]) {
         let now = self.clock.now();
         let mut named = BTreeSet::new();
         for line in workers.iter().filter(|w| w.entry.state != WorkerState::Gone) {
@@ -460,7 +485,7 @@
         }
         self.listed = named;
         let entries = workers.iter().map(|w| w.entry.clone()).collect();
-        let listing = Listing { scope: Scope::Full, entries };
+        let listing = Listing { scope, entries };
         self.engine.listed(now, listing, &mut self.to_engine);
         self.settle(now);
     }
@@ -479,7 +504,9 @@
                 }
                 self.site.named = site.named;
                 self.site.workers = site.workers.clone();
-                self.take_list(&site.workers);
+                if self.source.is_none() {
+                    self.take_list(Scope::Full, &site.workers);
+                }
             }
         }
     }
@@ -496,6 +523,7 @@
             link.bridge.hold();
         }
         self.engine.stop(now, Micros(now.0 + self.site.stop_within.0));
+        self.source.iter_mut().for_each(|s| s.leave(now, &mut self.reactor));
     }
 
     /// All is answered: says goodbye to the clients and writes out what waits, for a bounded time.
@@ -504,8 +532,9 @@
         self.settle(now);
         let until = Micros(now.0 + 1_000_000);
         let mut happened = Vec::new();
+        let staying = |s: &Self| s.source.as_ref().is_some_and(|source| !source.has_left());
         let unsent = |s: &Self| s.bridge.as_ref().is_some_and(|l| l.bridge.is_up() && l.bridge.unsent() > 0);
-        while (self.reactor.has_pending() || unsent(self)) && self.clock.now() < until {
+        while (self.reactor.has_pending() || unsent(self) || staying(self)) && self.clock.now() < until {
             self.reactor.turn(Some(Duration::from_millis(10)), &mut happened).map_err(ShellError::Loop)?;
             let now = self.clock.now();
             for happening in happened.drain(..) {
--- a/src/api.rs
+++ b/src/api.rs
@@ -481,6 +481,8 @@
         /// Time since the order.
         latency: Micros,
     },
+    /// The number of routers of this tier is another one now, this one included.
+    Routers(usize),
     /// Calls of one function are about to take over from those of another.
     Expected {
         /// The function that calls will ask for.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -136,6 +136,13 @@
             Event::Loaded { worker, function, outcome, copies, latency } => {
                 self.loaded(worker, function, outcome, copies, latency)
             }
+            Event::Routers(n) => {
+                // The first other one keeps copies alive that this one does not see; the last one gone does not.
+                if (n > 1) != (self.s.routers > 1) {
+                    self.blind = BLIND * f64::from(u8::from(n > 1));
+                }
+                self.s.routers = n.max(1);
+            }
             Event::Expected { function, like, most } => self.expect(function, like, most, out),
             Event::Wake { token: 0 } => {
                 self.tick_at = None;
