--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: one sub-command each for running, checking, rehearsing and the stand-ins.
 
 mod demo;
+mod members;
 mod plugin;
 mod registry;
 
@@ -11,7 +12,9 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use serde_json::json;
 use slatevalve_rules::{check, trace, Terms};
-use slatevalve_standins::{run_broker, run_worker, BrokerPlan, ServicePlan, WorkerPlan};
+use slatevalve_standins::{
+    run_broker, run_kv, run_worker, BrokerPlan, KvPlan, RegisterPlan, ServicePlan, WorkerPlan,
+};
 use std::error::Error;
 use std::fs;
 use std::io::{self, IsTerminal, Write};
@@ -113,6 +116,22 @@
     /// With --socket a running gateway does it and the change counts at once; with --folder it is done on the folder, and
     /// the gateway reads it again on SIGHUP.
     Plugin(plugin::PluginArguments),
+    /// Who is in the key-value registry: list, watch, drain a worker
+    Members(members::MembersArguments),
+    /// Run a stand-in key-value registry that speaks etcd's JSON mapping, for trying things out
+    ///
+    /// Prints "ready ADDRESS" on standard output. Nothing is kept on disk.
+    Kv {
+        /// Where it listens; port 0 takes a free one
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// Forget history older than this
+        #[arg(long, default_value_t = 0)]
+        compact_after_ms: u32,
+        /// Everything as JSON, with faults
+        #[arg(long, hide = true)]
+        plan: Option<String>,
+    },
     /// Run a registry of plug-ins over a folder, by the OCI distribution protocol
     ///
     /// Prints "ready ADDRESS" on standard output. `plugin publish` sends to it, `plugin pull` and gateways take from it.
@@ -147,6 +166,15 @@
     /// Milliseconds that a load takes
     #[arg(long, default_value_t = 100)]
     load_ms: u32,
+    /// Register with this member of a key-value registry, HOST:PORT; SIGUSR1 lets it drain, SIGTERM drain and leave
+    #[arg(long)]
+    registry: Vec<SocketAddr>,
+    /// What its key begins with
+    #[arg(long, default_value = "/slatevalve/")]
+    prefix: String,
+    /// Its cell
+    #[arg(long, default_value_t = 0)]
+    cell: u64,
     /// Load a function when a call for it comes; else such a call is answered as a miss
     #[arg(long)]
     load_on_call: bool,
@@ -226,6 +254,21 @@
         Command::Demo { seconds, listen, json } => demo::demo(seconds, listen, json),
         Command::Badday { script, seed, keep, json } => bad_day(script, seed, keep, json, cli.log_level),
         Command::Plugin(arguments) => plugin::plugin(arguments),
+        Command::Members(arguments) => members::members(arguments),
+        Command::Kv { listen, compact_after_ms, plan } => {
+            let plan = match plan {
+                Some(plan) => serde_json::from_str(&plan)?,
+                None => {
+                    let compact_after_us = i64::from(compact_after_ms) * 1_000;
+                    KvPlan { listen, compact_after_us, ..KvPlan::default() }
+                }
+            };
+            run_kv(plan, |address| {
+                // Whoever started it may not listen any more; it works all the same.
+                let _ = say_ready(address);
+            })?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Registry(arguments) => registry::registry(arguments),
         Command::Rules { directory, json } => rules(directory, json),
     }
@@ -252,6 +295,12 @@
                 ..ServicePlan::default()
             },
             trace: arguments.trace,
+            register: (!arguments.registry.is_empty()).then(|| RegisterPlan {
+                endpoints: arguments.registry,
+                prefix: arguments.prefix,
+                cell: arguments.cell,
+                ..RegisterPlan::default()
+            }),
             ..WorkerPlan::default()
         },
     };
--- a/crates/gateway/src/members/mod.rs
+++ b/crates/gateway/src/members/mod.rs
@@ -39,8 +39,8 @@
     fn next_wake(&self, now: Micros) -> Micros;
     /// News since the last time.
     fn take_news(&mut self) -> Vec<News>;
-    /// An orderly stop begins; whether something is to be sent for it.
-    fn leave(&mut self, now: Micros, reactor: &mut Reactor) -> bool;
+    /// An orderly stop begins: whatever is to be sent for it is sent.
+    fn leave(&mut self, now: Micros, reactor: &mut Reactor);
     /// Whether what was to be sent for the stop is over.
     fn has_left(&self) -> bool;
 }
--- a/crates/gateway/src/members/registry.rs
+++ b/crates/gateway/src/members/registry.rs
@@ -181,11 +181,10 @@
         std::mem::take(&mut self.news)
     }
 
-    fn leave(&mut self, now: Micros, reactor: &mut Reactor) -> bool {
+    fn leave(&mut self, now: Micros, reactor: &mut Reactor) {
         self.leaving = self.link.client_mut().leave();
         self.left = self.leaving.is_none();
         self.link.advance(now.0, reactor);
-        !self.left
     }
 
     fn has_left(&self) -> bool {
--- a/crates/gateway/src/members/replay.rs
+++ b/crates/gateway/src/members/replay.rs
@@ -87,9 +87,7 @@
         std::mem::take(&mut self.news)
     }
 
-    fn leave(&mut self, _: Micros, _: &mut Reactor) -> bool {
-        false
-    }
+    fn leave(&mut self, _: Micros, _: &mut Reactor) {}
 
     fn has_left(&self) -> bool {
         true
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod broker;
 mod client;
+mod entry;
 mod faults;
 mod kv;
 mod registry;
@@ -21,4 +22,4 @@
 pub use registry::{run_registry, RegistryFault, RegistryFaultKind, RegistryPlan};
 pub use service::{CallBody, ServicePlan};
 pub use tap::{unix_micros, Tap};
-pub use worker::{run_worker, WorkerPlan};
+pub use worker::{run_worker, RegisterPlan, WorkerPlan};
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -1,5 +1,6 @@
 //! The stand-in worker's process: sockets around a [`Service`], and its faults.
 
+use crate::entry::Entry;
 use crate::faults::{Fault, FaultKind, Faults};
 use crate::service::{CallBody, Service, ServicePlan, Taken};
 use crate::tap::{unix_micros, Tap};
@@ -34,6 +35,39 @@
     pub cold: bool,
     /// Seed of its chances.
     pub seed: u64,
+    /// Where it registers itself, if it does.
+    pub register: Option<RegisterPlan>,
+}
+
+/// How a stand-in worker registers itself. On SIGUSR1 it drains; on SIGTERM it drains, ends what it has, gives its lease
+/// back and leaves.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RegisterPlan {
+    /// Members of the registry.
+    pub endpoints: Vec<SocketAddr>,
+    /// What its key begins with.
+    pub prefix: String,
+    /// Seconds that its entry lives without it.
+    pub ttl_s: i64,
+    /// Its zone.
+    pub zone: String,
+    /// Its cell.
+    pub cell: u64,
+    /// How long it waits for its calls' ends when it leaves, in microseconds.
+    pub leave_within_us: i64,
+}
+
+impl Default for RegisterPlan {
+    fn default() -> Self {
+        RegisterPlan {
+            endpoints: Vec::new(),
+            prefix: "/slatevalve/".into(),
+            ttl_s: 5,
+            zone: "default".into(),
+            cell: 0,
+            leave_within_us: 2_000_000,
+        }
+    }
 }
 
 impl Default for WorkerPlan {
@@ -46,6 +80,7 @@
             trace: None,
             cold: false,
             seed: 1,
+            register: None,
         }
     }
 }
@@ -81,6 +116,8 @@
     due: BTreeSet<(i64, Due)>,
     reports: VecDeque<(i64, LoadReport)>,
     next: u64,
+    /// Its own entry in the registry.
+    entry: Option<Entry>,
 }
 
 /// Runs a stand-in worker until SIGTERM or a fault ends it. `ready` is told the address that was bound.
@@ -90,6 +127,7 @@
 pub fn run_worker(plan: WorkerPlan, ready: impl FnOnce(SocketAddr)) -> io::Result<()> {
     let mut reactor = Reactor::new(16 * 1024 * 1024)?;
     reactor.signal(libc::SIGTERM)?;
+    reactor.signal(libc::SIGUSR1)?;
     let (_, address) = reactor.listen(plan.listen)?;
     let mut tap = Tap::open(&plan.name, plan.trace.as_deref())?;
     let now = unix_micros();
@@ -108,6 +146,7 @@
         due: BTreeSet::new(),
         reports: VecDeque::new(),
         next: 0,
+        entry: plan.register.map(|register| Entry::new(&plan.name, address, register, plan.seed)),
     };
     worker.run()
 }
@@ -122,14 +161,28 @@
         let mut happened = Vec::new();
         loop {
             let now = unix_micros();
-            let next = [self.due.first().map(|d| d.0), self.faults.next_us(now)].into_iter().flatten().min();
+            let entry = self.entry.as_ref().map(|e| e.next_wake(now));
+            let next = [self.due.first().map(|d| d.0), self.faults.next_us(now), entry];
+            let next = next.into_iter().flatten().min();
             let wait = next.map_or(1_000_000, |at| (at - now).clamp(0, 1_000_000));
             self.reactor.turn(Some(Duration::from_micros(wait as u64)), &mut happened)?;
             let now = unix_micros();
             self.act_faults(now);
+            if let Some(entry) = &mut self.entry {
+                entry.advance(now, &mut self.reactor);
+                if entry.has_left(now, self.running.is_empty()) {
+                    return Ok(());
+                }
+            }
             for happening in happened.drain(..) {
+                if self.entry.as_mut().is_some_and(|e| e.happened(now, &mut self.reactor, &happening)) {
+                    continue;
+                }
                 match happening {
-                    Happening::Signal(_) => return Ok(()),
+                    Happening::Signal(signal) => match &mut self.entry {
+                        Some(entry) => entry.drain(now, signal == libc::SIGTERM),
+                        None => return Ok(()),
+                    },
                     Happening::Accepted { connection, .. } => self.accepted(connection),
                     Happening::Received(id, bytes) => self.received(id, &bytes),
                     Happening::Closed { id, .. } => self.gone(id),
