--- a/crates/registry/src/client.rs
+++ b/crates/registry/src/client.rs
@@ -228,6 +228,9 @@
         if rest > now_us {
             return due.min(rest);
         }
+        if self.short_is_free() && self.wants_short(now_us) || self.wants_watch() {
+            return now_us;
+        }
         let of_lease = self.registration.as_ref().and_then(Registration::due_us);
         [self.follower.look_due_us(), of_lease].into_iter().flatten().fold(due, i64::min).max(now_us)
     }
@@ -249,23 +252,42 @@
         if matches!(self.watch.link, Link::Busy(_)) && matches!(self.follower.want(), Want::List(_)) {
             self.close(Channel::Watch, out);
         }
-        if matches!(self.short.link, Link::Closed | Link::Idle) {
+        if self.short_is_free() {
             if let Some(purpose) = self.wanted(now_us) {
                 self.send(now_us, Channel::Short, purpose, out);
             }
         }
-        let ready = self.settings.login.is_none() || self.token.is_some();
-        if self.settings.follow && ready && matches!(self.watch.link, Link::Closed | Link::Idle) {
-            if let Want::Watch(_) = self.follower.want() {
-                self.send(now_us, Channel::Watch, Purpose::Watch, out);
-            }
+        if self.wants_watch() {
+            self.send(now_us, Channel::Watch, Purpose::Watch, out);
         }
     }
 
+    fn short_is_free(&self) -> bool {
+        matches!(self.short.link, Link::Closed | Link::Idle)
+    }
+
+    fn needs_login(&self) -> bool {
+        self.settings.login.is_some() && self.token.is_none()
+    }
+
+    /// Whether a watch is to be begun and could be.
+    fn wants_watch(&self) -> bool {
+        let free = matches!(self.watch.link, Link::Closed | Link::Idle);
+        free && self.settings.follow && !self.needs_login() && matches!(self.follower.want(), Want::Watch(_))
+    }
+
+    /// Whether [`Client::wanted`] would give something.
+    fn wants_short(&self, now_us: i64) -> bool {
+        let list = !self.leaving && matches!(self.follower.want(), Want::List(_));
+        let follow = self.settings.follow && (list || self.follower.wants_look(now_us));
+        let step = self.registration.as_ref().is_some_and(|r| r.step(now_us).is_some());
+        self.needs_login() || !self.asked.is_empty() || follow || step
+    }
+
     /// The next short request. A list comes before our own entry: what is sent to a worker that drains is worse than
     /// being counted late.
     fn wanted(&mut self, now_us: i64) -> Option<Purpose> {
-        if self.settings.login.is_some() && self.token.is_none() {
+        if self.needs_login() {
             return Some(Purpose::Login);
         }
         if let Some((ticket, path, body)) = self.asked.pop_front() {
--- a/crates/registry/src/follower.rs
+++ b/crates/registry/src/follower.rs
@@ -139,8 +139,8 @@
     look_due_us: i64,
     /// When all was listed last.
     listed_us: i64,
-    /// Since when a look found the watch behind.
-    behind_since_us: Option<i64>,
+    /// Since when looks find the watch behind, and the revision that it is stuck at.
+    behind: Option<(i64, i64)>,
     troubles: Vec<Trouble>,
 }
 
@@ -165,7 +165,7 @@
             heard_us: None,
             look_due_us: 0,
             listed_us: 0,
-            behind_since_us: None,
+            behind: None,
             troubles: Vec::new(),
         }
     }
@@ -259,7 +259,7 @@
     fn list_again(&mut self) {
         self.state = State::Listing { revision: 0, from: Vec::new(), found: BTreeMap::new() };
         self.fragments.clear();
-        self.behind_since_us = None;
+        self.behind = None;
     }
 
     /// Whether an answer comes from the registry that is followed; if not, everything is listed again.
@@ -417,14 +417,16 @@
         }
         let known = changed_last <= self.revision && i64::try_from(self.held.len()) == Ok(count);
         if known && header.revision >= self.revision {
-            self.behind_since_us = None;
+            self.behind = None;
             if now_us.saturating_sub(self.listed_us) >= self.settings.audit_us {
                 self.list_again();
             }
             return;
         }
-        // Changes on their way make it look behind for a moment. What stays behind is a watch that lost something.
-        let since = *self.behind_since_us.get_or_insert(now_us);
+        // Changes on their way make it look behind for a moment, and in a flood at every look. What does not move meanwhile is
+        // a watch that lost something.
+        let stuck = self.behind.filter(|(_, at)| *at == self.revision);
+        let (since, _) = *self.behind.insert(stuck.unwrap_or((now_us, self.revision)));
         if now_us.saturating_sub(since) >= self.settings.behind_us {
             self.troubles.push(Trouble::Behind);
             self.list_again();
