--- a/crates/gateway/src/members/mod.rs
+++ b/crates/gateway/src/members/mod.rs
@@ -3,9 +3,11 @@
 
 mod registry;
 mod replay;
+mod starts;
 
 pub use registry::{MemberSettings, RegistrySource};
 pub use replay::{Recorder, ReplaySource};
+pub use starts::Starts;
 
 use serde::{Deserialize, Serialize};
 use slatevalve::Micros;
--- a/crates/gateway/src/shell/members.rs
+++ b/crates/gateway/src/shell/members.rs
@@ -57,17 +57,22 @@
 
     /// The line of a worker; none where another worker has its id.
     fn line(&mut self, name: &str, record: &WorkerRecord) -> Option<WorkerLine> {
-        let line = WorkerLine::of(name, record, &mut self.site.named, &self.clock);
+        let mut line = WorkerLine::of(name, record, &mut self.site.named, &self.clock);
         let known = self.names.entry(line.entry.id).or_insert_with(|| name.into());
         if known != name {
             warn!(name, other = known.as_str(), "a worker has the same id as another one; it is not used");
             return None;
         }
+        if let (Some(said), Some(ours)) = (record.up_since_unix_ms, line.entry.up_since) {
+            line.entry.up_since = Some(self.starts.of(self.clock.now(), line.entry.id, said, ours));
+        }
         Some(line)
     }
 
     fn take_records(&mut self, scope: Scope, workers: &BTreeMap<String, WorkerRecord>) {
         self.names.retain(|_, name| workers.contains_key(name));
+        let names = &self.names;
+        self.starts.keep(|id| names.contains_key(id));
         let lines: Vec<WorkerLine> = workers.iter().filter_map(|(n, r)| self.line(n, r)).collect();
         info!(workers = lines.len(), ?scope, "the list of workers");
         self.take_list(scope, &lines);
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -9,7 +9,7 @@
 mod pool;
 
 use crate::clock::Clock;
-use crate::members::{Recorder, Source};
+use crate::members::{Recorder, Source, Starts};
 use crate::plugins::folder::FolderError;
 use crate::settings::form::SettingsError;
 use crate::settings::{Site, WorkerLine};
@@ -83,6 +83,7 @@
     recorder: Option<Recorder>,
     /// Names by id, as two names may have one id.
     names: HashMap<WorkerId, String>,
+    starts: Starts,
     pool: Pool,
     listener: Id,
     address: SocketAddr,
@@ -149,6 +150,7 @@
             source,
             recorder,
             names: HashMap::new(),
+            starts: Starts::default(),
             pool: Pool::new(site.pool, &site.name, order_timeout),
             listener,
             address,
--- /dev/null
+++ b/crates/registry/benches/catch_up.rs
@@ -0,0 +1,87 @@
+//! What catching up after a break longer than the history costs: bytes of the list, memory of the follower, and the time to
+//! read and compare it, beside reading the JSON alone. `cargo bench -p slatevalve-registry`
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use slatevalve_registry::wire::{Bytes, Header, KeyValue, RangeResponse};
+use slatevalve_registry::{worker_key, Follower, FollowerSettings};
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Counts bytes that are in use.
+struct Counting;
+
+static IN_USE: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call goes on to the system's allocator with what it was given.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        IN_USE.fetch_add(layout.size(), Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        IN_USE.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// The answer to a list of so many workers, of which each tenth drains where `later`.
+fn list(workers: usize, later: bool) -> Vec<u8> {
+    let kvs = (0..workers).map(|n| {
+        let drains = later && n % 10 == 0;
+        let state = if drains { "draining" } else { "ready" };
+        let value = format!(
+            r#"{{"address":"10.0.{}.{}:8000","zone":"zone-{}","kind":"large","cell":{},"weight":1.0,"state":"{state}","up-since-unix-ms":1796131200000.0}}"#,
+            n / 250,
+            n % 250,
+            n % 3,
+            n % 16
+        );
+        let key = Bytes::of(&worker_key("/slatevalve/", &format!("worker-{n}")));
+        let changed = n as i64 + 2 + if drains { 100_000 } else { 0 };
+        KeyValue { key, value: Bytes::of(&value), create_revision: n as i64 + 2, mod_revision: changed, version: 1, lease: 7 }
+    });
+    let header = Header { cluster_id: 1, member_id: 1, revision: 200_000 + i64::from(later) };
+    let answer = RangeResponse { header, kvs: kvs.collect(), more: false, count: workers as i64 };
+    serde_json::to_vec(&answer).unwrap()
+}
+
+fn catch_up(c: &mut Criterion) {
+    let mut group = c.benchmark_group("a list after a break");
+    group.sample_size(30);
+    for workers in [85, 1_000] {
+        let (before, after) = (list(workers, false), list(workers, true));
+        let read = |bytes: &[u8]| serde_json::from_slice::<RangeResponse>(bytes).unwrap();
+        let settings = FollowerSettings { page: 10_000, ..FollowerSettings::default() };
+        let empty = IN_USE.load(Ordering::Relaxed);
+        let mut follower = Follower::new(settings);
+        assert_eq!(follower.listed(0, read(&before)).len(), workers);
+        let memory = IN_USE.load(Ordering::Relaxed) - empty;
+        println!("{workers} workers: a list of {} bytes, {memory} bytes held by the follower", after.len());
+        drop(follower);
+        group.bench_function(BenchmarkId::new("read and compared", workers), |b| {
+            b.iter_batched(
+                || {
+                    let mut follower = Follower::new(settings);
+                    follower.listed(0, read(&before));
+                    follower.list_compacted(1);
+                    follower
+                },
+                |mut follower| {
+                    let changes = follower.listed(2, read(&after));
+                    assert_eq!(changes.len(), workers.div_ceil(10));
+                    follower
+                },
+                criterion::BatchSize::SmallInput,
+            );
+        });
+        group.bench_function(BenchmarkId::new("read alone", workers), |b| b.iter(|| read(&after).kvs.len()));
+    }
+    group.finish();
+}
+
+criterion_group!(benches, catch_up);
+criterion_main!(benches);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -93,9 +93,15 @@
     fn record(&self, class: usize, now: Micros) -> Record {
         let own = self.classes.get(class).copied().unwrap_or_default();
         let rests = |r: &&Record| r.times > 0 && (now < r.until || self.own > 0);
-        let mut all: Vec<Record> = self.classes.iter().filter(rests).copied().collect();
-        all.sort_by_key(|r| std::cmp::Reverse(r.times));
-        let shared = all.get(1).copied().unwrap_or_default();
+        // The worst class and the next to it, the earlier one where they are even.
+        let (mut first, mut shared) = (Record::default(), Record::default());
+        for r in self.classes.iter().filter(rests) {
+            if r.times > first.times {
+                (first, shared) = (*r, first);
+            } else if r.times > shared.times {
+                shared = *r;
+            }
+        }
         let worst = [self.link, own, shared].into_iter().filter(|r| rests(&r)).max_by_key(|r| r.times);
         worst.unwrap_or_default()
     }
@@ -120,6 +126,9 @@
         if self.tick_at.is_some_and(|t| since(self.now, t) > STALL) {
             self.resume();
         }
+        if self.all_warm.is_none() && self.now >= self.warm_at {
+            self.all_warm = Some(self.warm_weight());
+        }
         match event {
             Event::Request(r) => self.request(r, out),
             Event::Answer(a) => self.answer(a, out),
@@ -190,12 +199,18 @@
         if l.scope == Scope::Refused {
             return;
         }
+        // What the ring is made of, to see which arcs change.
+        let mut changed: BTreeMap<WorkerId, Option<f64>> = BTreeMap::new();
         if l.scope != Scope::Changes {
             let named: BTreeSet<WorkerId> = l.entries.iter().map(|e| e.id).collect();
+            let gone = self.workers.iter().filter(|(id, _)| !named.contains(id));
+            changed.extend(gone.map(|(id, w)| (*id, self.ring_weight(w))));
             self.workers.retain(|id, _| named.contains(id));
         }
         let classes = self.s.classes.len();
         for e in l.entries {
+            let before = self.workers.get(&e.id).and_then(|w| self.ring_weight(w));
+            changed.entry(e.id).or_insert(before);
             if e.state == WorkerState::Gone {
                 self.workers.remove(&e.id);
                 continue;
@@ -213,23 +228,44 @@
         let workers = &self.workers;
         self.functions.values_mut().for_each(|f| f.places.retain(|id, _| workers.contains_key(id)));
         self.workers.values_mut().for_each(|w| w.own = 0);
+        self.own = 0;
         for a in self.open.values().flat_map(|o| &o.attempts).filter(|a| a.outcome.is_none() && !a.loading) {
-            self.workers.get_mut(&a.worker).into_iter().for_each(|w| w.own += 1);
+            if let Some(w) = self.workers.get_mut(&a.worker) {
+                w.own += 1;
+                self.own += 1;
+            }
         }
+        let warm_within = self.s.rules.warm_within;
+        let started = self.workers.values().filter_map(|w| w.started);
+        (self.all_warm, self.warm_at) =
+            (None, started.map(|t| after(t, warm_within)).max().unwrap_or(self.now));
         self.zones = self.workers.values().map(|w| w.entry.zone.0).collect::<BTreeSet<_>>().len();
-        self.build_ring();
+        changed.retain(|id, before| self.workers.get(id).and_then(|w| self.ring_weight(w)) != *before);
+        self.build_ring(&changed);
         self.offer();
     }
 
+    /// What a worker has on the ring, if anything.
+    fn ring_weight(&self, w: &Worker) -> Option<f64> {
+        w.ready().then(|| self.weight(w))
+    }
+
     /// Points in proportion to weight, in units of a power of two near the median weight, so that one
-    /// worker's coming or leaving does not change the count of another's.
-    fn build_ring(&mut self) {
+    /// worker's coming or leaving does not change the count of another's. A few workers that changed are taken out and
+    /// put in where they are; another unit, or many of them, make the ring anew.
+    fn build_ring(&mut self, changed: &BTreeMap<WorkerId, Option<f64>>) {
         let mut weights: Vec<f64> = self.workers.values().map(|w| self.weight(w)).collect();
         weights.sort_by(f64::total_cmp);
         let middle = weights.get(weights.len() / 2).copied().unwrap_or(1.0);
         let unit = 2f64.powi(middle.log2().round() as i32);
-        let mut ring = Vec::new();
-        for (id, w) in self.workers.iter().filter(|(_, w)| w.ready()) {
+        let anew = unit != self.ring_unit || changed.len() * 8 > self.workers.len();
+        self.ring_unit = unit;
+        if !anew && changed.is_empty() {
+            return;
+        }
+        let mut ring = std::mem::take(&mut self.ring);
+        ring.retain(|p| !anew && !changed.contains_key(&p.1));
+        for (id, w) in self.workers.iter().filter(|(id, w)| w.ready() && (anew || changed.contains_key(id))) {
             let points = (POINTS * self.weight(w) / unit).round().clamp(8.0, 4.0 * POINTS) as u64;
             ring.extend((0..points).map(|i| (mix(mix(id.0) ^ i), *id, i as f64 / points as f64)));
         }
@@ -268,6 +304,11 @@
         order
     }
 
+    /// All weight, as warm as it is. It stays as it is once all are warm: from then on it is not added up for each call.
+    fn warm_weight(&self) -> f64 {
+        self.all_warm.unwrap_or_else(|| self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum())
+    }
+
     /// The load that a function brings, in units of a mean worker's: its share of this router's calls, times
     /// the workers. The share is the same at all routers, whatever their number, but for chance.
     fn load_of(&self, f: &Function) -> f64 {
@@ -364,7 +405,7 @@
         let sent: f64 = w.sent.iter().filter(recent).map(|t| t.1).sum();
         // What all routers together would send it is thinned to what it can take: more where most are cold or
         // attempts fail, and for calls that spill to `reach` workers, as an idle one draws them all.
-        let warm: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
+        let warm = self.warm_weight();
         let offered = w.offered.max(warmth * total / warm.max(1e-9)) * reach.max(1) as f64;
         let lately = |f: &Fading| f.at(self.now, SHARE_OVER) + 2.0;
         let served = (lately(&self.ok) / lately(&self.attempts)).min(1.0);
@@ -483,8 +524,7 @@
     fn pick(&self, o: &Open) -> Option<WorkerId> {
         let f = self.functions.get(&o.req.function)?;
         let (class, aim) = (o.req.class.0, secs(self.class(o).aim));
-        let total: usize = self.workers.values().map(|w| w.own).sum();
-        let weight: f64 = self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum();
+        let (total, weight) = (self.own, self.warm_weight());
         let width = self.width(f);
         let mut order = self.order_of(o, width);
         if !order.iter().any(|id| self.may_send(o, *id, order.len())) {
@@ -601,14 +641,18 @@
             return true;
         }
         let patience = self.patience(o) * if over { REFUSE.0 } else { 1.0 };
+        let age = self.born.map_or(0.0, |t| secs(since(self.now, t)));
+        let pace =
+            self.answers.at(self.now, PACE_OVER) / PACE_OVER / (1.0 - (-age / PACE_OVER).exp()).max(0.1);
+        // All calls out are at least those at sound workers: where they are few, nobody need be looked at.
+        if age <= PACE_OVER || (self.own + 1) as f64 <= patience * aim * pace {
+            return false;
+        }
         // Calls stuck at workers in doubt are no queue for the rest: a silent zone must not stop them.
         let stuck = |w: &Worker| w.record(o.req.class.0, self.now);
         let sound = || self.workers.values().filter(|w| stuck(w).times < 2 || stuck(w).full);
         let total: usize = sound().map(|w| w.own).sum();
-        let age = self.born.map_or(0.0, |t| secs(since(self.now, t)));
-        let pace =
-            self.answers.at(self.now, PACE_OVER) / PACE_OVER / (1.0 - (-age / PACE_OVER).exp()).max(0.1);
-        age > PACE_OVER && total > sound().count() && (total + 1) as f64 > patience * aim * pace
+        total > sound().count() && (total + 1) as f64 > patience * aim * pace
     }
 
     /// Sends an open request on, holds it for a moment, or leaves it for the next tick.
@@ -694,6 +738,7 @@
             }
         }
         w.own += usize::from(!loading);
+        self.own += usize::from(!loading);
         w.sent.push_back((self.now, work));
         // They stand in the order of time, the old ones in front. At thousands of calls a second a look at
         // each cost more than all else that a call costs.
@@ -780,7 +825,10 @@
     fn learn_place(&mut self, f: FunctionId, a: &Answer, t: &Attempt) {
         let (id, blind, loading, judged) = (t.worker, t.blind, t.loading, t.sent >= self.awake);
         let mut w = self.workers.get_mut(&id);
-        w.iter_mut().for_each(|w| w.own = w.own.saturating_sub(usize::from(!loading)));
+        for w in w.iter_mut().filter(|w| !loading && w.own > 0) {
+            w.own -= 1;
+            self.own -= 1;
+        }
         let Some(f) = self.functions.get_mut(&f) else { return };
         let p = f.places.entry(id).or_default();
         let taken = secs(a.latency).max(1e-4);
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,6 +172,13 @@
     pub(crate) born: Option<Micros>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) ring: Vec<(u64, WorkerId, f64)>,
+    /// The unit of weight that the ring's points are counted in.
+    pub(crate) ring_unit: f64,
+    /// Calls out at all workers together, those that wait for loads left out: the sum of their `own`.
+    pub(crate) own: usize,
+    /// From when on all workers are warm, and what all weigh then, once that was added up.
+    pub(crate) warm_at: Micros,
+    pub(crate) all_warm: Option<f64>,
     pub(crate) zones: usize,
     pub(crate) open: BTreeMap<RequestId, Open>,
     pub(crate) functions: BTreeMap<FunctionId, Function>,
--- a/tests/routers.rs
+++ b/tests/routers.rs
@@ -50,3 +50,47 @@
     assert_eq!(actions(1, &[3, 20, 8]), among);
     assert_eq!(actions(8, &[0]), alone, "nobody at all is this one alone");
 }
+
+/// What a router does with calls, once it knows a fleet by the list's events given.
+fn after(listings: Vec<Listing>) -> Vec<String> {
+    let class = Class { effect: Effect::Safe, ..Class::default() };
+    let settings = Settings { classes: vec![class], weights: Weights::Size, ..Settings::default() };
+    let (mut brain, mut out) = (Brain::new(settings, 1), Vec::new());
+    listings.into_iter().for_each(|l| brain.handle(Micros(1_000), Event::Listed(l), &mut out));
+    out.clear();
+    for n in 0..200u64 {
+        let request = Request { id: RequestId(n + 1), function: FunctionId(n), ..Request::default() };
+        brain.handle(Micros(2_000), Event::Request(request), &mut out);
+    }
+    out.iter().map(|a| format!("{a:?}")).collect()
+}
+
+#[test]
+fn a_fleet_that_came_about_change_by_change_is_the_same_as_one_told_at_once() {
+    let entry = |id: u64, state: WorkerState, weight: f64| WorkerEntry {
+        id: WorkerId(id * 7_919),
+        state,
+        weight,
+        ..WorkerEntry::default()
+    };
+    let ready = |id, weight| entry(id, WorkerState::Ready, weight);
+    let changes = |entries| Listing { scope: Scope::Changes, entries };
+    let full = |entries| Listing { scope: Scope::Full, entries };
+    let begun = full((1..=40).map(|id| ready(id, 1.0)).collect());
+    let steps = vec![
+        begun,
+        changes(vec![entry(3, WorkerState::Draining, 1.0)]),
+        changes(vec![entry(4, WorkerState::Gone, 1.0)]),
+        changes(vec![ready(5, 1.5), ready(41, 1.0)]),
+        // The same twice, and one that comes back.
+        changes(vec![ready(41, 1.0)]),
+        changes(vec![ready(3, 1.0), entry(6, WorkerState::Draining, 1.0)]),
+    ];
+    let mut end: Vec<WorkerEntry> = (1..=41).filter(|id| *id != 4).map(|id| ready(id, 1.0)).collect();
+    end.iter_mut().for_each(|e| match e.id.0 / 7_919 {
+        5 => e.weight = 1.5,
+        6 => e.state = WorkerState::Draining,
+        _ => {}
+    });
+    assert_eq!(after(steps), after(vec![full(end)]));
+}
