--- a/crates/registry/tests/follow.rs
+++ b/crates/registry/tests/follow.rs
@@ -57,10 +57,14 @@
 
 impl World {
     fn new(login: bool) -> Self {
+        World::with(settings(login), login)
+    }
+
+    fn with(settings: ClientSettings, login: bool) -> Self {
         let of_store = login.then(|| ("u".to_string(), "p".to_string()));
         let mut world = World {
             store: KvStore::new(7, of_store),
-            client: Client::new(settings(login)),
+            client: Client::new(settings),
             pipes: [(Channel::Watch, Pipe::default()), (Channel::Short, Pipe::default())].into(),
             now_us: 0,
             told: Keys::new(),
@@ -488,3 +492,46 @@
     // Ours and w2 are gone, w4 drains, and ours is there again.
     assert!(changes.sum::<usize>() <= 4, "{:?}", again.heard);
 }
+
+#[test]
+fn a_rolling_deploy_of_most_workers_is_followed_change_by_change() {
+    // 81 of 85 workers drain, go and are succeeded within 5 s, among changes of others: 5,000 in all.
+    let follower = FollowerSettings::default();
+    let mut world = World::with(ClientSettings { follower, ..settings(false) }, false);
+    (0..85).for_each(|n| world.put(n, READY));
+    world.settle();
+    let (lists, before) = (world.lists, world.store.revision());
+    world.heard.clear();
+    let mut asked = BTreeMap::new();
+    for step in 0..500u32 {
+        let deployed = step / 6;
+        if step % 6 == 0 && deployed < 81 {
+            world.put(deployed, DRAINING);
+            asked.insert(deployed, world.now_us);
+        } else if step % 6 == 3 && deployed < 81 {
+            world.delete(deployed);
+            world.put(200 + deployed, READY);
+        }
+        (0..9).for_each(|n| {
+            world.put(1_000 + (step * 9 + n) % 300, if step % 2 == 0 { READY } else { DRAINING })
+        });
+        world.poll_watch(step % 7 == 0, false);
+        while !world.pipes[&Channel::Watch].inbox.is_empty() {
+            world.deliver(Channel::Watch);
+        }
+        world.deliver(Channel::Short);
+        // What was asked for in this step was told in it.
+        let told = |n: &u32| world.told.get(&worker_key(PREFIX, &format!("w{n}")).into_bytes());
+        assert!(asked.keys().all(|n| told(n).is_none_or(|v| v == DRAINING.as_bytes())));
+        world.pass(10_000);
+    }
+    assert!(world.store.revision() - before >= 4_700, "{}", world.store.revision() - before);
+    let drained = |h: &Heard| {
+        matches!(h, Heard::Changes(c) if c.iter().any(|c| matches!(c, Change::Put { key, value, .. }
+        if asked.keys().any(|n| *key == worker_key(PREFIX, &format!("w{n}")).into_bytes()) && value == DRAINING.as_bytes())))
+    };
+    assert_eq!(world.heard.iter().filter(|h| drained(h)).count(), 81);
+    // Looks are lists of one key; the whole list was not asked for again.
+    assert!(world.lists - lists < 20, "{} lists", world.lists - lists);
+    world.settle();
+}
