--- a/src/brain.rs
+++ b/src/brain.rs
@@ -146,7 +146,7 @@
                 self.loaded(worker, function, outcome, copies, latency)
             }
             Event::Routers(n) => {
-                // The first other one keeps copies alive that this one does not see; the last one gone does not.
+                // Another one keeps copies alive that this one does not see; a router alone has nobody.
                 if (n > 1) != (self.s.routers > 1) {
                     self.blind = BLIND * f64::from(u8::from(n > 1));
                 }
@@ -251,8 +251,8 @@
     }
 
     /// Points in proportion to weight, in units of a power of two near the median weight, so that one
-    /// worker's coming or leaving does not change the count of another's. A few workers that changed are taken out and
-    /// put in where they are; another unit, or many of them, make the ring anew.
+    /// worker's coming or leaving does not change the count of another's. A few workers that changed are
+    /// taken out and put in where they are; another unit, or many of them, make the ring anew.
     fn build_ring(&mut self, changed: &BTreeMap<WorkerId, Option<f64>>) {
         let mut weights: Vec<f64> = self.workers.values().map(|w| self.weight(w)).collect();
         weights.sort_by(f64::total_cmp);
@@ -304,7 +304,7 @@
         order
     }
 
-    /// All weight, as warm as it is. It stays as it is once all are warm: from then on it is not added up for each call.
+    /// All weight, as warm as it is. Once all are warm it stays, and is not added up for each call any more.
     fn warm_weight(&self) -> f64 {
         self.all_warm.unwrap_or_else(|| self.workers.values().map(|w| self.weight(w) * self.warmth(w)).sum())
     }
@@ -339,7 +339,7 @@
         let near = |id: &WorkerId| self.workers.get(id).is_some_and(|w| w.entry.zone == self.s.zone);
         let mine = order[..serve].iter().filter(|id| near(id)).count();
         let stay = part(draw(0)) < (mine * self.zones) as f64 / serve.max(1) as f64;
-        // Each looked up once: at many workers the look-ups of a sort cost more than all else that a call costs.
+        // Each looked up once: before many workers the look-ups of a sort cost more than all else.
         order[..serve].sort_by_cached_key(|id| (near(id) != stay, draw(id.0)));
         order
     }
