--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -381,7 +381,7 @@
                     }
                     FrontOutput::Call(mut call) => {
                         call.age = self.age;
-                        self.engine.call(now, call, &mut self.to_engine);
+                        self.engine.call(now, *call, &mut self.to_engine);
                     }
                     FrontOutput::Left(ticket) => self.engine.left(now, ticket, &mut self.to_engine),
                     FrontOutput::Unusable(link, why) => {
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -334,7 +334,7 @@
                             self.reactor.finish(id);
                         }
                     }
-                    FrontOutput::Call(call) => self.take(now, call),
+                    FrontOutput::Call(call) => self.take(now, *call),
                     FrontOutput::Left(ticket) => {
                         self.plugins.iter_mut().for_each(|p| p.gone(now, ticket));
                         self.engine.left(now, ticket, &mut self.to_engine);
@@ -364,7 +364,7 @@
                     self.reactor.finish(id);
                 }
             }
-            BridgeOutput::Call(call) => self.take(now, call),
+            BridgeOutput::Call(call) => self.take(now, *call),
         }
     }
 
--- a/crates/mqtt/src/bridge.rs
+++ b/crates/mqtt/src/bridge.rs
@@ -35,7 +35,7 @@
     /// Close it once all is written. The bridge counts it as closed already.
     Finish,
     /// Hand a call to the engine.
-    Call(Call),
+    Call(Box<Call>),
 }
 
 /// What the bridge is told when it starts.
@@ -438,7 +438,7 @@
         };
         self.waiting.insert(ticket, waiting);
         let covered_since = self.opened.1;
-        out.push(BridgeOutput::Call(asked.call(ticket, client, publish.payload, covered_since)));
+        out.push(BridgeOutput::Call(Box::new(asked.call(ticket, client, publish.payload, covered_since))));
     }
 
     fn note(&mut self, publish: &Inbound, ticket: Ticket) {
--- a/crates/mqtt/src/front.rs
+++ b/crates/mqtt/src/front.rs
@@ -40,7 +40,7 @@
     /// Close a connection once all is written. The front has forgotten it.
     Finish(LinkId),
     /// Hand a call to the engine.
-    Call(Call),
+    Call(Box<Call>),
     /// Tell the engine that a ticket's client left for good.
     Left(Ticket),
 }
--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -63,7 +63,7 @@
         session.waiting.insert(ticket, waiting);
         self.tickets.insert(ticket, client);
         let covered_since = session.covered_since;
-        out.push(FrontOutput::Call(asked.call(ticket, client, publish.payload, covered_since)));
+        out.push(FrontOutput::Call(Box::new(asked.call(ticket, client, publish.payload, covered_since))));
     }
 
     /// Answers a publish that makes no call.
--- a/crates/mqtt/tests/bridge.rs
+++ b/crates/mqtt/tests/bridge.rs
@@ -57,7 +57,7 @@
             match output {
                 BridgeOutput::Connect => self.connects += 1,
                 BridgeOutput::Finish => self.finished += 1,
-                BridgeOutput::Call(call) => self.calls.push(call),
+                BridgeOutput::Call(call) => self.calls.push(*call),
                 // Acknowledgements are read here: the broker's library did not send what they are for.
                 BridgeOutput::Write(bytes) if bytes[0] == 0x40 => {
                     self.sent.push(u16::from_be_bytes([bytes[2], bytes[3]]).to_string());
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -45,7 +45,7 @@
     /// Close a connection when all is written.
     Finish(LinkId),
     /// Hand a call to the engine.
-    Call(Call),
+    Call(Box<Call>),
     /// The client of a call left.
     Left(Ticket),
     /// Something could not be used, for the log.
@@ -301,7 +301,7 @@
         link.open.insert(number, ticket);
         self.ids.insert(asked.id.clone(), id);
         self.open.insert(ticket, Open { link: id, number, id: asked.id.clone() });
-        out.push(FrontOutput::Call(Call {
+        out.push(FrontOutput::Call(Box::new(Call {
             ticket,
             client: ClientRef(id.0),
             class,
@@ -315,7 +315,7 @@
             budget: asked.timeout,
             age: Micros(0),
             repeat: if asked.resent { Repeat::Marked { covered_since: None } } else { Repeat::Unmarked },
-        }));
+        })));
     }
 
     fn interrupt(&mut self, now: Micros, id: LinkId, numbers: &[u32], out: &mut Vec<FrontOutput>) {
