--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -22,7 +22,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 /// Bytes buffered for one connection at most; a client that reads more slowly is closed.
 const MAX_BUFFERED: usize = 512 * 1024;
@@ -194,6 +194,14 @@
         self.address
     }
 
+    /// Sizes of all tables that grow with traffic: the front's connections, open requests and ids; the pool's workers,
+    /// connections, attempts and timers. For tests of bounds and the log.
+    pub fn sizes(&self) -> [usize; 7] {
+        let (links, open, ids) = self.front.sizes();
+        let [workers, connections, attempts, timers] = self.pool.sizes();
+        [links, open, ids, workers, connections, attempts, timers]
+    }
+
     /// Runs until an orderly stop is done.
     ///
     /// # Errors
@@ -351,6 +359,7 @@
             self.workers.remove(id);
             held_back.push(*id);
         }
+        debug!(now = now.0, seq = self.follower.seq(), ?change, "change");
         // The module first: what is taken back is decided anew with the drain known.
         self.engine.listed(now, change.listing(), &mut self.to_engine);
         for id in held_back {
@@ -381,9 +390,21 @@
                     }
                     FrontOutput::Call(mut call) => {
                         call.age = self.age;
+                        debug!(
+                            now = now.0,
+                            ticket = call.ticket.0,
+                            class = call.class.0,
+                            function = &*call.function,
+                            budget = call.budget.0,
+                            age = call.age.0,
+                            "call"
+                        );
                         self.engine.call(now, *call, &mut self.to_engine);
                     }
-                    FrontOutput::Left(ticket) => self.engine.left(now, ticket, &mut self.to_engine),
+                    FrontOutput::Left(ticket) => {
+                        debug!(now = now.0, ticket = ticket.0, "left");
+                        self.engine.left(now, ticket, &mut self.to_engine);
+                    }
                     FrontOutput::Unusable(link, why) => {
                         self.unusable += 1;
                         if self.unusable <= LOGGED {
@@ -401,12 +422,21 @@
     fn carry_out(&mut self, now: Micros, output: Output) {
         match output {
             Output::Send { attempt, worker, body, time_left } => {
+                debug!(
+                    now = now.0,
+                    request = attempt.request.0,
+                    attempt = attempt.attempt,
+                    worker = self.pool.name(worker),
+                    left = time_left.0,
+                    "send"
+                );
                 let order = Order::Infer(self.call(attempt, &body, time_left));
                 self.submit(now, worker, Purpose::Attempt(attempt), order);
             }
             Output::Cancel(attempt) => self.call_off(now, attempt, Outcome::Cancelled),
             Output::Expire(attempt) => self.call_off(now, attempt, Outcome::TimedOut),
             Output::Load { worker, function, name, copies } => {
+                debug!(now = now.0, worker = self.pool.name(worker), function = &*name, copies, "load");
                 let function_name = name.to_string();
                 let order = match copies {
                     0 => Order::Count { function: function_name },
@@ -418,7 +448,11 @@
                 self.submit(now, worker, Purpose::Unload, Order::Unload { function: name.to_string() });
             }
             Output::Probe(worker) => self.submit(now, worker, Purpose::Probe, Order::Ready),
-            Output::Answer(ticket, answer) => self.front.answer(now, ticket, &answer, &mut self.to_front),
+            Output::Answer(ticket, answer) => {
+                debug!(now = now.0, ticket = ticket.0, verdict = answer.verdict.word(), reason = ?answer.verdict.reason(),
+                    attempts = answer.attempts, "answer");
+                self.front.answer(now, ticket, &answer, &mut self.to_front);
+            }
             // The list comes by itself, and neither versions nor keys are kept here.
             Output::Subscribe | Output::RanOther { .. } | Output::Superseded(_) => {}
         }
@@ -455,6 +489,9 @@
 
     /// A request to a worker ended: the engine is told.
     fn ended(&mut self, now: Micros, end: TaskEnd) {
+        debug!(now = now.0, worker = self.pool.name(end.worker), purpose = ?end.purpose, latency = end.latency.0,
+            outcome = ?end.understood.outcome, crowd = end.understood.crowd, copies = end.understood.copies,
+            report = ?end.understood.report, "end");
         end.tell(now, &mut self.engine, &mut self.to_engine);
     }
 
@@ -492,6 +529,7 @@
         if done || over {
             let counts = self.engine.statistics();
             info!(
+                sizes = ?self.sizes(),
                 calls = counts.calls,
                 served = counts.served,
                 refused = counts.refused,
--- a/crates/gateway/src/shell/pool.rs
+++ b/crates/gateway/src/shell/pool.rs
@@ -223,14 +223,9 @@
         self.peers.get(&worker).map_or("?", |p| &p.name)
     }
 
-    /// Connections that stand or are to stand.
-    pub fn connections(&self) -> usize {
-        self.connections.len()
-    }
-
-    /// Workers known, attempts out and timers set, for tests of bounds.
-    pub fn sizes(&self) -> (usize, usize, usize) {
-        (self.peers.len(), self.attempts.len(), self.timers.len())
+    /// Workers known, connections, attempts out and timers set, for tests of bounds.
+    pub fn sizes(&self) -> [usize; 4] {
+        [self.peers.len(), self.connections.len(), self.attempts.len(), self.timers.len()]
     }
 
     /// Sends a request. Where that cannot even begin, its end is given at once.
