Bad evidence needs two in a row at a worker that serves; poison requests are none

Traced: each EIO, spoilt answer or reset rested a worker's class (or the whole worker) for 1.5 s and more, its functions were then loaded elsewhere, and the store slowed under the loads. Bad clients' functions, which no worker knows, fail wherever they are tried (Outcome::Error at three workers each) and rested three workers a request; a reset also made the module forget the copy (learn_place). Ruled out: descriptors (no ConnectFailed in the trace), misread answers (raw lines logged: EIO as sent).

Change (Record::bad, Brain::bad, answer, learn_place, again): at a worker that served within a second the first error, time-out or reset is noted and the second in a row counts; an error of a function that no worker ever served says nothing of the worker; a reset leaves the belief in copies; repeats after breaks and errors take a fifth of the retry budget.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,6 +51,8 @@
 const BUSY_CORES: (f64, f64) = (0.85, 20.0);
 /// Further attempts allowed for each request taken, and how many may be saved up.
 const RETRIES: (f64, f64) = (0.05, 3.0);
+/// The part of one that an attempt after a broken connection or an error takes: these are no sign of overload.
+const BROKEN_PRICE: f64 = 0.2;
 /// The part of the cold budget that is used by own counts, and in chances, in a mean worker's load.
 const COLD_USE: f64 = 0.7;
 const COLD_CHANCE: f64 = 0.2;
@@ -71,8 +73,12 @@
 const FUNCTIONS: usize = 4096;
 
 impl Record {
-    fn bad(&mut self, now: Micros, full: bool) {
-        if now >= self.until {
+    /// A worker that serves others meanwhile is doubted only from the second piece in a row on: one spoilt answer
+    /// or one reset on the way says little of it, and each rest sends its functions to be loaded elsewhere.
+    fn bad(&mut self, now: Micros, full: bool, lively: bool) {
+        if now >= self.until
+            && (full || !lively || self.times > 0 || std::mem::replace(&mut self.struck, true))
+        {
             let first = if full { FULL } else { SUSPECT };
             self.times = (self.times + 1).min(4);
             self.until = after(now, Micros(first.0 << (self.times - 1)));
@@ -789,6 +795,7 @@
         let (worker, loading, sent, judged) = (t.worker, t.loading, t.sent, t.sent >= self.awake);
         let silent = judged && !loading && !t.cancelled;
         self.learn_place(function, &a, &t);
+        let known = self.functions.get(&function).is_some_and(|f| f.good.is_some());
         let taken = secs(a.latency).max(1e-4);
         if let (Outcome::Ok, Some(mean)) = (a.outcome, self.class_work.get_mut(class)) {
             if !hinted && !loading {
@@ -808,7 +815,8 @@
         match a.outcome {
             Outcome::Ok => self.good(worker, class, sent),
             Outcome::Full if !loading => self.bad(worker, Some(class), true),
-            Outcome::Error if !a.load_failed => self.bad(worker, Some(class), false),
+            // What no worker ever served may fail by the request's own fault.
+            Outcome::Error if !a.load_failed && known => self.bad(worker, Some(class), false),
             Outcome::TimedOut if silent => self.bad(worker, Some(class), false),
             Outcome::ConnectFailed | Outcome::Reset => self.bad(worker, None, false),
             _ => {}
@@ -837,6 +845,7 @@
         match a.outcome {
             Outcome::Ok => {
                 (p.stood, p.copies, p.due) = (Some(self.now), p.copies.max(1), None);
+                f.good = Some(self.now);
                 self.spread = (self.spread * SPREAD.0).min(1.0);
                 if blind {
                     // Where calls load by themselves only the time tells.
@@ -864,7 +873,8 @@
             }
             // No room for a copy: that speaks of the function, not of the worker.
             Outcome::Full if loading => (p.due, p.rest) = (None, after(self.now, Micros(FULL.0 * 2))),
-            Outcome::ConnectFailed | Outcome::Reset => *p = Place { own: p.own, ..Place::default() },
+            // A reset alone need not be a crash, and a worker that did crash answers with a miss.
+            Outcome::ConnectFailed => *p = Place { own: p.own, ..Place::default() },
             _ => {}
         }
     }
@@ -874,11 +884,15 @@
         let Some(o) = self.open.get(&id).filter(|o| !o.done) else { return };
         let spent = o.attempts.len() >= self.s.limits.max_attempts;
         let possible = self.workers.values().any(|w| self.effect_allows(o, w));
-        let cheap = o.attempts.last().is_none_or(|t| t.outcome == Some(Outcome::Miss));
-        if spent || !possible || self.now >= o.until || (!cheap && self.retries < 1.0) {
+        let price = match o.attempts.last().and_then(|t| t.outcome) {
+            None | Some(Outcome::Miss) => 0.0,
+            Some(Outcome::Full | Outcome::TimedOut | Outcome::Cancelled) => 1.0,
+            Some(_) => BROKEN_PRICE,
+        };
+        if spent || !possible || self.now >= o.until || self.retries < price {
             return self.give_up(id, out);
         }
-        self.retries -= f64::from(u8::from(!cheap));
+        self.retries -= price;
         self.dispatch(id, out);
     }
 
@@ -894,9 +908,10 @@
     /// Bad evidence on a class, or on the connection where none is named.
     fn bad(&mut self, worker: WorkerId, class: Option<usize>, full: bool) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
+        let lively = since(self.now, w.last_good) < FRESH;
         w.heard = if full { Some(self.now) } else { w.heard };
         let record = class.map_or(Some(&mut w.link), |c| w.classes.get_mut(c));
-        record.into_iter().for_each(|r| r.bad(self.now, full));
+        record.into_iter().for_each(|r| r.bad(self.now, full, lively));
     }
 
     fn report(&mut self, worker: WorkerId, r: Report) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,6 +58,8 @@
     pub(crate) times: u32,
     pub(crate) until: Micros,
     pub(crate) full: bool,
+    /// One piece of bad evidence while the worker served others: a second in a row counts.
+    pub(crate) struck: bool,
 }
 
 #[derive(Default)]
@@ -116,6 +118,8 @@
     pub(crate) load: f64,
     pub(crate) svc: f64,
     pub(crate) calls: Fading,
+    /// When a worker last served it.
+    pub(crate) good: Option<Micros>,
     pub(crate) places: BTreeMap<WorkerId, Place>,
 }
 
