A load that is overdue counts as long again, and a slow store is noticed by all functions

Seen on the sockets' trace of rude+fleet: of 411 time-outs 200 went to a worker whose load was overdue while a copy stood elsewhere. Line at fault: pick() took an overdue load for one that is done in 0.05 s; and each function learned of a slow store alone. Change: an overdue load is taken to last as long again as it is late; the ratio of loads' times to the usual, of those done and those out, weighs on every load's cost.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,6 +21,9 @@
 /// Loads' times that a load away from home costs, as it pushes others out and queues at the store; more by
 /// the loads begun for each request, so that storms die down; and more where there was no room lately.
 const COLD_COST: (f64, f64, f64) = (3.0, 10.0, 4.0);
+/// How many times the usual a load may be taken to last, and orders out that are too few to tell of it.
+const SLOWEST: f64 = 20.0;
+const STORE_ORDERS: usize = 3;
 /// A call follows its order to load after this, so as not to overtake it.
 const BEHIND_ORDER: Micros = Micros(4_000);
 /// Calls sent on the belief that others keep a copy alive must have found it at least this often lately.
@@ -121,7 +124,7 @@
         let (retries, probes) = (RETRIES.1, PROBES.1);
         // A router alone has nobody else to keep copies alive.
         let blind = BLIND * settings.routers.saturating_sub(1).min(1) as f64;
-        let start = Brain { salt: seed, blind, spread: 1.0, retries, probes, ..Brain::default() };
+        let start = Brain { salt: seed, blind, spread: 1.0, store: 1.0, retries, probes, ..Brain::default() };
         Brain { class_work, tenants, s: settings, ..start }
     }
 
@@ -450,7 +453,7 @@
         self.orders_out.insert((id, f));
         place.ordered = Some(self.now);
         if place.due.is_none() {
-            place.due = Some(after(self.now, micros(fun.load)));
+            place.due = Some(after(self.now, micros(fun.load * self.store)));
             self.cold_rate += 0.01;
         }
         out.push(Action::Load { worker: id, function: f, copies: copies.clamp(1, 16) });
@@ -549,12 +552,13 @@
             let load =
                 match (if step < width && !missed { self.believed(&p) } else { self.stands(&p) }, p.due) {
                     (true, _) => 0.0,
-                    (_, Some(due)) => secs(since(due, self.now)).max(0.05),
+                    // One that is overdue takes as long again, as far as anybody can tell.
+                    (_, Some(due)) => secs(since(due, self.now)).abs().max(0.05),
                     _ if self.now < p.rest => {
-                        f.load * (COLD_COST.2 + COLD_COST.0 + COLD_COST.1 * self.cold_rate)
+                        f.load * self.store * (COLD_COST.2 + COLD_COST.0 + COLD_COST.1 * self.cold_rate)
                     }
-                    _ if first => f.load,
-                    _ => f.load * (COLD_COST.0 + COLD_COST.1 * self.cold_rate),
+                    _ if first => f.load * self.store,
+                    _ => f.load * self.store * (COLD_COST.0 + COLD_COST.1 * self.cold_rate),
                 };
             first = false;
             let record = w.record(class, self.now);
@@ -946,6 +950,10 @@
         match outcome {
             Outcome::Ok => {
                 if p.stood.is_none() {
+                    if secs(latency) > QUICK {
+                        let times = (secs(latency) / f.load).clamp(1.0, SLOWEST);
+                        blend(&mut self.store, times, 0.2);
+                    }
                     blend(&mut self.blind, f64::from(u8::from(secs(latency) < QUICK)), 0.05);
                     blend(&mut f.load, secs(latency).clamp(0.05, 5.0), 0.2);
                 }
@@ -964,6 +972,14 @@
     // ---- housekeeping ----
 
     fn tick(&mut self, out: &mut Vec<Action>) {
+        // Loads that are out for longer than usual tell of a slow store before the first of them is done.
+        let out_for = |(w, f): &(WorkerId, FunctionId)| {
+            let f = self.functions.get(f)?;
+            Some(secs(since(self.now, f.places.get(w)?.ordered?)) / f.load)
+        };
+        let times: Vec<f64> = self.orders_out.iter().filter_map(out_for).collect();
+        let mean = times.iter().sum::<f64>() / times.len().max(STORE_ORDERS) as f64;
+        self.store = self.store.max(mean.min(SLOWEST));
         let (mut silent, mut again, mut over) = (Vec::new(), Vec::new(), Vec::new());
         for (id, o) in self.open.iter().filter(|(_, o)| o.undecided()) {
             let Some(t) = o.attempts.iter().rfind(|t| t.outcome.is_none()) else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -196,6 +196,8 @@
     pub(crate) ok: Fading,
     /// Loads begun for each request, smoothed.
     pub(crate) cold_rate: f64,
+    /// How many times the usual loads take at present.
+    pub(crate) store: f64,
     /// How often calls lately found a copy that only others could have kept alive.
     pub(crate) blind: f64,
     /// How far functions are spread, beside the most: less while copies are found gone.
