Loads quicker than usual lower the store's ratio; variants of admission that did not help

The ratio of loads' times could only rise above 1 by chance of the hints' noise; it is now a mean from 0.5 on.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -951,7 +951,7 @@
             Outcome::Ok => {
                 if p.stood.is_none() {
                     if secs(latency) > QUICK {
-                        let times = (secs(latency) / f.load).clamp(1.0, SLOWEST);
+                        let times = (secs(latency) / f.load).clamp(0.5, SLOWEST);
                         blend(&mut self.store, times, 0.2);
                     }
                     blend(&mut self.blind, f64::from(u8::from(secs(latency) < QUICK)), 0.05);
