--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -4,6 +4,7 @@
 use proptest::test_runner::RngSeed;
 use slatevalve::{
     Class, ClassId, Effect, Group, Limits, Listing, Loading, Micros, Outcome, Scope, Settings, WorkerEntry,
+    WorkerId,
 };
 use slatevalve_engine::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -475,3 +476,52 @@
         prop_assert!(b.engine.is_idle(), "something is left behind");
     }
 }
+
+/// On a platform whose workers drop repeats, nothing but the module decides: each call begins a run, an unsafe one needs
+/// no key, a keyed one's key is passed on, and a call whose client left is left to the module.
+#[test]
+fn without_a_table_every_call_runs_and_keys_pass() {
+    let mut without = settings(Micros(1_000_000));
+    without.duplicates = None;
+    let mut engine = Engine::new(without);
+    let mut out = Vec::new();
+    let worker = WorkerEntry { id: WorkerId(1), ..WorkerEntry::default() };
+    let listing = Listing { scope: Scope::Full, entries: vec![worker] };
+    engine.listed(Micros(1_000), listing, &mut out);
+    let call = |ticket: u64, key: Option<&[u8]>| Call {
+        ticket: Ticket(ticket),
+        client: ClientRef(1),
+        class: UNSAFE,
+        tenant: None,
+        function: "f".into(),
+        version: Ok(None),
+        traits: None,
+        request_id: Some(format!("id-{ticket}").into()),
+        key: key.map(Into::into),
+        payload: Arc::from(&b"p"[..]),
+        budget: Micros(1_000_000),
+        age: Micros(0),
+        repeat: Repeat::Marked { covered_since: None },
+    };
+    let keys: [Option<&[u8]>; 3] = [None, Some(b"k"), Some(b"k")];
+    for (n, key) in keys.into_iter().enumerate() {
+        engine.call(Micros(2_000), call(n as u64 + 1, key), &mut out);
+    }
+    for n in 1..200 {
+        engine.advance(Micros(2_000 + n * 1_000), &mut out);
+    }
+    let bodies: Vec<_> = out
+        .iter()
+        .filter_map(|o| match o {
+            Output::Send { body, .. } => Some((body.request_id.as_deref(), body.key.as_deref())),
+            _ => None,
+        })
+        .collect();
+    let wanted: Vec<(Option<&str>, Option<&[u8]>)> =
+        vec![(Some("id-1"), None), (Some("id-2"), Some(b"k")), (Some("id-3"), Some(b"k"))];
+    assert_eq!(bodies, wanted);
+    assert_eq!(engine.keys(), 0);
+    out.clear();
+    engine.left(Micros(300_000), Ticket(1), &mut out);
+    assert!(out.iter().any(|o| matches!(o, Output::Cancel(_))), "what nobody waits for is called off");
+}
--- /dev/null
+++ b/crates/platform/tests/changes.rs
@@ -0,0 +1,182 @@
+//! The change log through breaks, silence and moves: no event is missed, none half applied.
+
+use serde_json::{json, Value};
+use slatevalve::{Micros, Scope, WorkerState};
+use slatevalve_engine::worker_id;
+use slatevalve_platform::changes::{Change, Follower, Wanted};
+use slatevalve_site::Names;
+use std::net::SocketAddr;
+
+struct Log {
+    follower: Follower,
+    now: Micros,
+    address: SocketAddr,
+}
+
+/// What the follower wanted: connections, questions, closes, events.
+#[derive(Default)]
+struct Seen {
+    connects: Vec<SocketAddr>,
+    asked: Vec<String>,
+    closes: usize,
+    changes: Vec<Change>,
+    unread: usize,
+}
+
+fn fleet(seq: u64, complete: bool, members: &[(&str, &str)]) -> Value {
+    let member = |(n, (id, phase)): (usize, &(&str, &str))| {
+        json!({"id": id, "host_port": format!("127.0.0.1:{}", 9000 + n), "locality": "hall-b", "flavor": "duo",
+            "cell": 2, "phase": phase, "size": 4, "up_since_ms": 0})
+    };
+    let members: Vec<Value> = members.iter().enumerate().map(member).collect();
+    json!({"seq": seq, "fleet": {"revision": seq, "complete": complete, "members": members}})
+}
+
+fn answer(seq: u64, results: &[Value]) -> Vec<u8> {
+    let body = json!({"seq": seq, "results": results}).to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+impl Log {
+    fn new(known: Value) -> (Self, Vec<Change>) {
+        let names = Names {
+            zones: vec!["hall-a".into(), "hall-b".into()],
+            kinds: vec!["duo".into()],
+            ..Names::default()
+        };
+        let address = "127.0.0.1:4222".parse().unwrap();
+        let at = Box::new(|ms: f64| Micros((ms * 1000.0) as i64));
+        let (follower, changes) =
+            Follower::new(names, at, address, known.as_object().unwrap()).expect("the known events");
+        (Log { follower, now: Micros(10_000_000), address }, changes)
+    }
+
+    /// One that stands at event 3 and has asked.
+    fn asked() -> Self {
+        let (mut log, _) = Log::new(json!({"seq": 3, "results": [fleet(3, true, &[("a", "active")])]}));
+        assert_eq!(log.tick(0).connects, [log.address]);
+        let seen = log.with(|f, now, out| f.connected(now, out));
+        assert_eq!(seen.asked.len(), 1);
+        assert!(seen.asked[0].starts_with("GET /changes?since=3&timeout="), "{}", seen.asked[0]);
+        log
+    }
+
+    fn with(&mut self, act: impl FnOnce(&mut Follower, Micros, &mut Vec<Wanted>)) -> Seen {
+        let mut out = Vec::new();
+        act(&mut self.follower, self.now, &mut out);
+        let mut seen = Seen::default();
+        for wanted in out {
+            match wanted {
+                Wanted::Connect(address) => seen.connects.push(address),
+                Wanted::Write(bytes) => seen.asked.push(String::from_utf8(bytes).unwrap()),
+                Wanted::Close => seen.closes += 1,
+                Wanted::Change(change) => seen.changes.push(change),
+                Wanted::Unread(_) => seen.unread += 1,
+            }
+        }
+        seen
+    }
+
+    fn tick(&mut self, ms: i64) -> Seen {
+        self.now.0 += ms * 1000;
+        self.with(|f, now, out| f.advance(now, out))
+    }
+
+    fn bytes(&mut self, bytes: &[u8]) -> Seen {
+        self.with(|f, now, out| f.received(now, bytes, out))
+    }
+}
+
+#[test]
+fn the_events_of_the_start_are_the_first_list() {
+    let (log, changes) = Log::new(json!({"seq": 2, "results": [
+        fleet(1, true, &[("a", "active"), ("b", "active")]), fleet(2, false, &[("b", "leaving")])]}));
+    assert_eq!((log.follower.seq(), changes.len()), (2, 2));
+    let listing = changes[0].listing();
+    assert_eq!((listing.scope, listing.entries.len()), (Scope::Full, 2));
+    assert_eq!(listing.entries[0].id, worker_id("a"));
+    assert_eq!((listing.entries[0].zone.0, listing.entries[0].cell.0), (1, 2));
+    assert_eq!(changes[1].lines[0].entry.state, WorkerState::Draining);
+    assert_eq!(changes[1].listing().scope, Scope::Changes);
+}
+
+#[test]
+fn news_are_told_and_the_next_question_goes_on_from_them() {
+    let mut log = Log::asked();
+    let seen = log.bytes(&answer(5, &[fleet(4, false, &[("a", "leaving")]), json!({"seq": 5, "other": {}})]));
+    assert_eq!((seen.changes.len(), seen.closes), (1, 0));
+    assert!(seen.asked[0].contains("since=5&"));
+    // Told again, it is not news.
+    let seen = log.bytes(&answer(5, &[fleet(4, false, &[("a", "active")])]));
+    assert_eq!((seen.changes.len(), seen.asked.len()), (0, 1));
+}
+
+#[test]
+fn an_event_cut_in_the_middle_counts_for_nothing_and_is_asked_for_again_at_once() {
+    let whole = answer(4, &[fleet(4, false, &[("a", "leaving")])]);
+    for cut in [1, 40, whole.len() - 1] {
+        let mut log = Log::asked();
+        assert!(log.bytes(&whole[..cut]).changes.is_empty());
+        let seen = log.with(|f, now, out| f.closed(now, out));
+        assert!(seen.changes.is_empty());
+        assert_eq!(log.tick(0).connects.len(), 1, "at once");
+        let seen = log.with(|f, now, out| f.connected(now, out));
+        assert!(seen.asked[0].contains("since=3&"), "from the last that came whole");
+        assert_eq!(log.bytes(&whole).changes.len(), 1);
+    }
+}
+
+#[test]
+fn a_log_that_stops_and_stays_open_is_left_just_beyond_the_wait() {
+    let mut log = Log::asked();
+    let whole = answer(4, &[fleet(4, false, &[("a", "leaving")])]);
+    log.bytes(&whole[..60]);
+    let mut waited = 0;
+    let seen = loop {
+        waited += 50;
+        let seen = log.tick(50);
+        if seen.closes + seen.connects.len() > 0 {
+            break seen;
+        }
+        assert!(waited < 2_000, "never left");
+    };
+    assert!(seen.closes == 1 && waited > 1_000, "{waited}");
+    assert_eq!(log.tick(0).connects.len(), 1);
+}
+
+#[test]
+fn a_log_that_cannot_be_reached_is_tried_again_with_pauses() {
+    let mut log = Log::asked();
+    let mut tries = 0;
+    log.with(|f, now, out| f.closed(now, out));
+    for _ in 0..1_000 {
+        if !log.tick(10).connects.is_empty() {
+            tries += 1;
+            log.with(|f, now, out| f.closed(now, out));
+        }
+    }
+    assert!((45..=100).contains(&tries), "{tries} tries in 10 s");
+}
+
+#[test]
+fn answers_that_cannot_be_read_change_nothing() {
+    let bad = fleet(4, false, &[("a", "leaving"), ("b", "asleep")]);
+    for bytes in
+        [answer(4, &[bad]), b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".to_vec(), b"???".to_vec()]
+    {
+        let mut log = Log::asked();
+        let seen = log.bytes(&bytes);
+        assert_eq!((seen.changes.len(), seen.closes, log.follower.seq()), (0, 1, 3));
+    }
+}
+
+#[test]
+fn a_log_that_moves_is_asked_at_its_new_address_from_the_same_number() {
+    let mut log = Log::asked();
+    let address: SocketAddr = "127.0.0.2:4222".parse().unwrap();
+    let seen = log.with(|f, now, out| f.moved(now, address, out));
+    assert_eq!(seen.closes, 1);
+    assert_eq!(log.tick(0).connects, [address]);
+    assert!(log.with(|f, now, out| f.connected(now, out)).asked[0].contains("since=3&"));
+    assert_eq!(log.with(|f, now, out| f.moved(now, address, out)).closes, 0, "the same is no move");
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,7 +21,7 @@
 /// Loads' times that a load away from home costs, as it pushes others out and queues at the store; more by
 /// the loads begun for each request, so that storms die down; and more where there was no room lately.
 const COLD_COST: (f64, f64, f64) = (3.0, 10.0, 4.0);
-/// How many times the usual a load may be taken to last, and orders out that are too few to tell of it.
+/// How many times the usual a load may be taken to last, and workers with orders out that are too few to tell of it.
 const SLOWEST: f64 = 20.0;
 const STORE_ORDERS: usize = 3;
 /// A call follows its order to load after this, so as not to overtake it.
@@ -972,13 +972,16 @@
     // ---- housekeeping ----
 
     fn tick(&mut self, out: &mut Vec<Action>) {
-        // Loads that are out for longer than usual tell of a slow store before the first of them is done.
-        let out_for = |(w, f): &(WorkerId, FunctionId)| {
-            let f = self.functions.get(f)?;
-            Some(secs(since(self.now, f.places.get(w)?.ordered?)) / f.load)
-        };
-        let times: Vec<f64> = self.orders_out.iter().filter_map(out_for).collect();
-        let mean = times.iter().sum::<f64>() / times.len().max(STORE_ORDERS) as f64;
+        // Loads that are out for longer than usual tell of a slow store before the first of them is done; those of
+        // one worker together tell no more than one, as it may be the worker that hangs.
+        let mut out_for: BTreeMap<WorkerId, f64> = BTreeMap::new();
+        for (w, f) in &self.orders_out {
+            let Some(f) = self.functions.get(f) else { continue };
+            let Some(since_order) = f.places.get(w).and_then(|p| p.ordered) else { continue };
+            let times = secs(since(self.now, since_order)) / f.load;
+            out_for.entry(*w).and_modify(|t| *t = t.min(times)).or_insert(times);
+        }
+        let mean = out_for.values().sum::<f64>() / out_for.len().max(STORE_ORDERS) as f64;
         self.store = self.store.max(mean.min(SLOWEST));
         let (mut silent, mut again, mut over) = (Vec::new(), Vec::new(), Vec::new());
         for (id, o) in self.open.iter().filter(|(_, o)| o.undecided()) {
