Calls out for longer than their aim are no queue when a new one is judged

Traced: a tenth of the answers of all workers never come in that window; each such call stayed in the count of calls out until its deadline; too_late() compared that count with the pace of answers, refused, the pace fell, and more was refused. Ruled out: workers (latency as usual, no errors), probes (none waited), descriptors. Change: calls out for longer than their aim do not count.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -663,6 +663,12 @@
         let stuck = |w: &Worker| w.record(o.req.class.0, self.now);
         let sound = || self.workers.values().filter(|w| stuck(w).times < 2 || stuck(w).full);
         let total: usize = sound().map(|w| w.own).sum();
+        // Nor are calls out for longer than their aim: where answers are lost they never end, and counted as a queue
+        // they lead to refusals, a lower pace and more refusals.
+        let old = |o: &Open, t: &Attempt| secs(since(self.now, t.sent)) > secs(self.class(o).aim);
+        let out = self.open.values().flat_map(|o| o.attempts.iter().map(move |t| (o, t)));
+        let lost = out.filter(|(o, t)| t.outcome.is_none() && !t.loading && old(o, t)).count();
+        let total = total.saturating_sub(lost);
         total > sound().count() && (total + 1) as f64 > patience * aim * pace
     }
 
