--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -6,16 +6,15 @@
 
 use crate::clock::Clock;
 use crate::settings::PoolSettings;
-use crate::shell::pool::{Pool, Purpose, TaskEnd};
-use slatevalve::{Micros, Outcome, WorkerId, WorkerState};
-use slatevalve_engine::{AttemptEnd, AttemptRef, Engine, EngineSettings, FunctionTraits, Output, RunBody};
+use crate::shell::pool::{Pool, TaskEnd};
+use slatevalve::{Micros, WorkerId, WorkerState};
+use slatevalve_engine::{Engine, EngineSettings, FunctionTraits, Output};
 use slatevalve_platform::changes::{Change, Follower, Wanted};
 use slatevalve_platform::config::{Config, ConfigError};
 use slatevalve_platform::front::{Front, FrontOutput, FrontSettings, LinkId};
 use slatevalve_platform::workers::{Lines, MAX_BODY};
 use slatevalve_reactor::{Happening, Id, Reactor};
 use slatevalve_site::FieldError;
-use slatevalve_worker_wire::{Call, Order};
 use std::collections::HashMap;
 use std::fmt;
 use std::io;
@@ -420,79 +419,26 @@
     }
 
     fn carry_out(&mut self, now: Micros, output: Output) {
-        match output {
-            Output::Send { attempt, worker, body, time_left } => {
-                debug!(
-                    now = now.0,
-                    request = attempt.request.0,
-                    attempt = attempt.attempt,
-                    worker = self.pool.name(worker),
-                    left = time_left.0,
-                    "send"
-                );
-                let order = Order::Infer(self.call(attempt, &body, time_left));
-                self.submit(now, worker, Purpose::Attempt(attempt), order);
-            }
-            Output::Cancel(attempt) => self.call_off(now, attempt, Outcome::Cancelled),
-            Output::Expire(attempt) => self.call_off(now, attempt, Outcome::TimedOut),
-            Output::Load { worker, function, name, copies } => {
-                debug!(now = now.0, worker = self.pool.name(worker), function = &*name, copies, "load");
-                let function_name = name.to_string();
-                let order = match copies {
-                    0 => Order::Count { function: function_name },
-                    _ => Order::Load { function: function_name, copies },
-                };
-                self.submit(now, worker, Purpose::Load(function), order);
-            }
-            Output::Unload { worker, name } => {
-                self.submit(now, worker, Purpose::Unload, Order::Unload { function: name.to_string() });
-            }
-            Output::Probe(worker) => self.submit(now, worker, Purpose::Probe, Order::Ready),
-            Output::Answer(ticket, answer) => {
-                debug!(now = now.0, ticket = ticket.0, verdict = answer.verdict.word(), reason = ?answer.verdict.reason(),
-                    attempts = answer.attempts, "answer");
-                self.front.answer(now, ticket, &answer, &mut self.to_front);
-            }
-            // The list comes by itself, and neither versions nor keys are kept here.
-            Output::Subscribe | Output::RanOther { .. } | Output::Superseded(_) => {}
-        }
-    }
-
-    fn call(&self, attempt: AttemptRef, body: &RunBody, time_left: Micros) -> Call {
-        Call {
-            function: body.function.to_string(),
-            version: None,
-            payload: body.payload.to_vec(),
-            key: body.key.as_ref().map(|k| k.to_vec()),
-            request_id: body.request_id.as_deref().unwrap_or_default().to_string(),
-            attempt: attempt.attempt,
-            time_left_ms: (time_left.0 / 1_000).max(0) as u64,
-            class: self.classes.get(body.class.0).cloned().unwrap_or_default(),
-        }
-    }
-
-    fn submit(&mut self, now: Micros, worker: WorkerId, purpose: Purpose, order: Order) {
-        if let Some(end) = self.pool.submit(now, &mut self.reactor, worker, purpose, order) {
-            self.ended(now, end);
-        }
-    }
-
-    fn call_off(&mut self, now: Micros, attempt: AttemptRef, outcome: Outcome) {
-        match self.pool.call_off(now, &mut self.reactor, attempt, outcome) {
-            Some(end) => self.ended(now, end),
-            // The pool has no such attempt any more; the engine passes by what it has heard already.
-            None => {
-                self.engine.attempt_ended(now, attempt, AttemptEnd::bare(outcome), &mut self.to_engine);
-            }
+        let (reactor, engine, out) = (&mut self.reactor, &mut self.engine, &mut self.to_engine);
+        // What is not of workers is an answer: the list comes by itself, and neither versions nor keys are kept here.
+        if let Some(Output::Answer(ticket, answer)) =
+            self.pool.carry_out(now, reactor, engine, output, &self.classes, out)
+        {
+            debug!(
+                now = now.0,
+                ticket = ticket.0,
+                verdict = answer.verdict.word(),
+                reason = ?answer.verdict.reason(),
+                attempts = answer.attempts,
+                "answer"
+            );
+            self.front.answer(now, ticket, &answer, &mut self.to_front);
         }
     }
 
     /// A request to a worker ended: the engine is told.
     fn ended(&mut self, now: Micros, end: TaskEnd) {
-        debug!(now = now.0, worker = self.pool.name(end.worker), purpose = ?end.purpose, latency = end.latency.0,
-            outcome = ?end.understood.outcome, crowd = end.understood.crowd, copies = end.understood.copies,
-            report = ?end.understood.report, "end");
-        end.tell(now, &mut self.engine, &mut self.to_engine);
+        self.pool.tell(now, end, &mut self.engine, &mut self.to_engine);
     }
 
     /// SIGHUP: the file is read again; what it tells of the change log counts from now on.
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -15,12 +15,12 @@
 use crate::settings::{Site, WorkerLine};
 use admin::Admin;
 use plugins::PluginHost;
-pub(crate) use pool::{Pool, Purpose, TaskEnd};
-use slatevalve::{Listing, Micros, Outcome, Scope, WorkerId, WorkerState};
-use slatevalve_engine::{AttemptEnd, AttemptRef, Call as EngineCall, Engine, Output, RunBody, Ticket};
+use pool::{Pool, TaskEnd};
+use slatevalve::{Listing, Micros, Scope, WorkerId, WorkerState};
+use slatevalve_engine::{Call, Engine, Output, Ticket};
 use slatevalve_mqtt::{Bridge, BridgeOutput, Front, FrontOutput, LinkId, TicketSource};
 use slatevalve_reactor::{Happening, Id, Reactor};
-use slatevalve_worker_wire::{Call, Http, Limits, Order};
+use slatevalve_worker_wire::{Http, Limits};
 use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 use std::io;
@@ -369,7 +369,7 @@
     }
 
     /// Hands a call to the engine, with what its function's name means now.
-    fn take(&mut self, now: Micros, mut call: EngineCall) {
+    fn take(&mut self, now: Micros, mut call: Call) {
         call.age = self.age;
         if let Some(plugins) = &mut self.plugins {
             plugins.resolve(now, &mut call);
@@ -378,27 +378,11 @@
     }
 
     fn carry_out(&mut self, now: Micros, output: Output) {
+        let (reactor, engine, out) = (&mut self.reactor, &mut self.engine, &mut self.to_engine);
+        let Some(output) = self.pool.carry_out(now, reactor, engine, output, &self.site.classes, out) else {
+            return;
+        };
         match output {
-            Output::Send { attempt, worker, body, time_left } => {
-                let order = Order::Infer(self.call(attempt, &body, time_left));
-                self.submit(now, worker, Purpose::Attempt(attempt), order);
-            }
-            Output::Cancel(attempt) => self.call_off(now, attempt, Outcome::Cancelled),
-            Output::Expire(attempt) => self.call_off(now, attempt, Outcome::TimedOut),
-            Output::Load { worker, function, name, copies } => {
-                let function_name = name.to_string();
-                let order = match copies {
-                    0 => Order::Count { function: function_name },
-                    _ => Order::Load { function: function_name, copies },
-                };
-                self.submit(now, worker, Purpose::Load(function), order);
-            }
-            Output::Unload { worker, name } => {
-                self.submit(now, worker, Purpose::Unload, Order::Unload { function: name.to_string() });
-            }
-            Output::Probe(worker) => self.submit(now, worker, Purpose::Probe, Order::Ready),
-            // The list comes from the settings file, whole, at the start and on SIGHUP.
-            Output::Subscribe => {}
             Output::RanOther { worker, version, ran } => {
                 let worker = self.pool.name(worker);
                 error!(worker, digest = %version.digest, ran = ran.as_deref().unwrap_or("nothing named"),
@@ -418,41 +402,14 @@
                     None => self.front.superseded(ticket),
                 }
             }
-        }
-    }
-
-    fn call(&self, attempt: AttemptRef, body: &RunBody, time_left: Micros) -> Call {
-        Call {
-            function: body.function.to_string(),
-            version: None,
-            payload: body.payload.to_vec(),
-            key: body.key.as_ref().map(|k| k.to_vec()),
-            request_id: attempt.request.0.to_string(),
-            attempt: attempt.attempt,
-            time_left_ms: (time_left.0 / 1_000).max(0) as u64,
-            class: self.site.classes.get(body.class.0).cloned().unwrap_or_default(),
-        }
-    }
-
-    fn submit(&mut self, now: Micros, worker: WorkerId, purpose: Purpose, order: Order) {
-        if let Some(end) = self.pool.submit(now, &mut self.reactor, worker, purpose, order) {
-            self.ended(now, end);
-        }
-    }
-
-    fn call_off(&mut self, now: Micros, attempt: AttemptRef, outcome: Outcome) {
-        match self.pool.call_off(now, &mut self.reactor, attempt, outcome) {
-            Some(end) => self.ended(now, end),
-            // The pool has no such attempt any more; the engine passes by what it has heard already.
-            None => {
-                self.engine.attempt_ended(now, attempt, AttemptEnd::bare(outcome), &mut self.to_engine);
-            }
+            // The list comes from the settings file, whole, at the start and on SIGHUP; all else is the pool's.
+            _ => {}
         }
     }
 
     /// A request to a worker ended: the engine is told.
     fn ended(&mut self, now: Micros, end: TaskEnd) {
-        end.tell(now, &mut self.engine, &mut self.to_engine);
+        self.pool.tell(now, end, &mut self.engine, &mut self.to_engine);
     }
 
     /// Takes a whole worker list. Workers that it no longer names are gone.
--- a/crates/gateway/src/shell/pool.rs
+++ b/crates/gateway/src/shell/pool.rs
@@ -9,12 +9,13 @@
 
 use crate::settings::PoolSettings;
 use slatevalve::{FunctionId, Micros, Outcome, WorkerId};
-use slatevalve_engine::{AttemptEnd, AttemptRef, Engine, Output, Timers};
+use slatevalve_engine::{AttemptEnd, AttemptRef, Engine, Output, RunBody, Timers};
 use slatevalve_reactor::{Id, Reactor};
 use slatevalve_worker_wire::reply::Understood;
-use slatevalve_worker_wire::{Heard, Order, Reader, Tag, Wire};
+use slatevalve_worker_wire::{Call, Heard, Order, Reader, Tag, Wire};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use tracing::debug;
 
 /// What a request is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -49,32 +50,6 @@
     pub understood: Understood,
 }
 
-impl TaskEnd {
-    /// Tells the engine.
-    pub fn tell(self, now: Micros, engine: &mut Engine, out: &mut Vec<Output>) {
-        let TaskEnd { worker, purpose, latency, understood } = self;
-        match purpose {
-            Purpose::Attempt(attempt) => {
-                let end = AttemptEnd {
-                    outcome: understood.outcome,
-                    payload: understood.payload.into(),
-                    ran: understood.ran.map(Into::into),
-                    crowd: understood.crowd,
-                    load_failed: understood.load_failed,
-                    report: understood.report,
-                };
-                engine.attempt_ended(now, attempt, end, out);
-            }
-            Purpose::Probe => engine.probed(now, worker, understood.outcome, latency, understood.report, out),
-            Purpose::Load(function) => {
-                let (outcome, copies) = (understood.outcome, understood.copies);
-                engine.loaded(now, worker, function, outcome, copies, latency, out);
-            }
-            Purpose::Unload => {}
-        }
-    }
-}
-
 struct Task {
     purpose: Purpose,
     order: Order,
@@ -228,8 +203,107 @@
         [self.peers.len(), self.connections.len(), self.attempts.len(), self.timers.len()]
     }
 
+    /// Carries out what the engine wants of workers, and gives back what it wants of others. `classes` are the classes'
+    /// names, in the order of their ids.
+    pub fn carry_out(
+        &mut self,
+        now: Micros,
+        reactor: &mut Reactor,
+        engine: &mut Engine,
+        output: Output,
+        classes: &[String],
+        out: &mut Vec<Output>,
+    ) -> Option<Output> {
+        let (worker, purpose, order) = match output {
+            Output::Send { attempt, worker, body, time_left } => {
+                debug!(
+                    now = now.0,
+                    request = attempt.request.0,
+                    attempt = attempt.attempt,
+                    worker = self.name(worker),
+                    left = time_left.0,
+                    "send"
+                );
+                (
+                    worker,
+                    Purpose::Attempt(attempt),
+                    Order::Infer(worker_call(classes, attempt, &body, time_left)),
+                )
+            }
+            Output::Load { worker, function, name, copies } => {
+                debug!(now = now.0, worker = self.name(worker), function = &*name, copies, "load");
+                let name = name.to_string();
+                let order = match copies {
+                    0 => Order::Count { function: name },
+                    _ => Order::Load { function: name, copies },
+                };
+                (worker, Purpose::Load(function), order)
+            }
+            Output::Unload { worker, name } => {
+                (worker, Purpose::Unload, Order::Unload { function: name.to_string() })
+            }
+            Output::Probe(worker) => (worker, Purpose::Probe, Order::Ready),
+            Output::Cancel(attempt) => {
+                self.end_attempt(now, reactor, engine, attempt, Outcome::Cancelled, out);
+                return None;
+            }
+            Output::Expire(attempt) => {
+                self.end_attempt(now, reactor, engine, attempt, Outcome::TimedOut, out);
+                return None;
+            }
+            other => return Some(other),
+        };
+        if let Some(end) = self.submit(now, reactor, worker, purpose, order) {
+            self.tell(now, end, engine, out);
+        }
+        None
+    }
+
+    fn end_attempt(
+        &mut self,
+        now: Micros,
+        reactor: &mut Reactor,
+        engine: &mut Engine,
+        attempt: AttemptRef,
+        outcome: Outcome,
+        out: &mut Vec<Output>,
+    ) {
+        match self.call_off(now, reactor, attempt, outcome) {
+            Some(end) => self.tell(now, end, engine, out),
+            // There is no such attempt any more; the engine passes by what it has heard already.
+            None => engine.attempt_ended(now, attempt, AttemptEnd::bare(outcome), out),
+        }
+    }
+
+    /// Tells the engine that a request ended.
+    pub fn tell(&self, now: Micros, end: TaskEnd, engine: &mut Engine, out: &mut Vec<Output>) {
+        let TaskEnd { worker, purpose, latency, understood } = end;
+        debug!(now = now.0, worker = self.name(worker), ?purpose, latency = latency.0,
+            outcome = ?understood.outcome, crowd = understood.crowd, copies = understood.copies,
+            report = ?understood.report, "end");
+        match purpose {
+            Purpose::Attempt(attempt) => {
+                let end = AttemptEnd {
+                    outcome: understood.outcome,
+                    payload: understood.payload.into(),
+                    ran: understood.ran.map(Into::into),
+                    crowd: understood.crowd,
+                    load_failed: understood.load_failed,
+                    report: understood.report,
+                };
+                engine.attempt_ended(now, attempt, end, out);
+            }
+            Purpose::Probe => engine.probed(now, worker, understood.outcome, latency, understood.report, out),
+            Purpose::Load(function) => {
+                let (outcome, copies) = (understood.outcome, understood.copies);
+                engine.loaded(now, worker, function, outcome, copies, latency, out);
+            }
+            Purpose::Unload => {}
+        }
+    }
+
     /// Sends a request. Where that cannot even begin, its end is given at once.
-    pub fn submit(
+    fn submit(
         &mut self,
         now: Micros,
         reactor: &mut Reactor,
@@ -349,7 +423,7 @@
     }
 
     /// Ends an attempt from our side: as `outcome`, or as never sent where too little of it left.
-    pub fn call_off(
+    fn call_off(
         &mut self,
         now: Micros,
         reactor: &mut Reactor,
@@ -522,3 +596,18 @@
 fn after(now: Micros, time: Micros) -> Micros {
     Micros(now.0.saturating_add(time.0))
 }
+
+/// A call in the workers' terms, under the client's own id where it has one.
+fn worker_call(classes: &[String], attempt: AttemptRef, body: &RunBody, time_left: Micros) -> Call {
+    let id = body.request_id.as_deref();
+    Call {
+        function: body.function.to_string(),
+        version: None,
+        payload: body.payload.to_vec(),
+        key: body.key.as_ref().map(|k| k.to_vec()),
+        request_id: id.map_or_else(|| attempt.request.0.to_string(), String::from),
+        attempt: attempt.attempt,
+        time_left_ms: (time_left.0 / 1_000).max(0) as u64,
+        class: classes.get(body.class.0).cloned().unwrap_or_default(),
+    }
+}
