Errors of unknown functions count at a worker that serves nothing else

Seen: the clean check failed in a test of the gateway: a worker that answers garbage to everything was tried three times for each new function and the call refused, since errors of functions that no worker ever served were no evidence at all. They count now where the worker served nothing within a second.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,7 +21,7 @@
 /// Loads' times that a load away from home costs, as it pushes others out and queues at the store; more by
 /// the loads begun for each request, so that storms die down; and more where there was no room lately.
 const COLD_COST: (f64, f64, f64) = (3.0, 10.0, 4.0);
-/// How many times the usual a load may be taken to last, and workers with orders out that are too few to tell of it.
+/// How many times the usual a load may be taken to last; workers with orders out, too few to tell of it.
 const SLOWEST: f64 = 20.0;
 const STORE_ORDERS: usize = 3;
 /// A call follows its order to load after this, so as not to overtake it.
@@ -56,7 +56,7 @@
 const BUSY_CORES: (f64, f64) = (0.85, 20.0);
 /// Further attempts allowed for each request taken, and how many may be saved up.
 const RETRIES: (f64, f64) = (0.05, 3.0);
-/// The part of one that an attempt after a broken connection or an error takes: these are no sign of overload.
+/// The part of one that an attempt after a broken connection or an error takes: no signs of overload.
 const BROKEN_PRICE: f64 = 0.2;
 /// The part of the cold budget that is used by own counts, and in chances, in a mean worker's load.
 const COLD_USE: f64 = 0.7;
@@ -78,8 +78,8 @@
 const FUNCTIONS: usize = 4096;
 
 impl Record {
-    /// A worker that serves others meanwhile is doubted only from the second piece in a row on: one spoilt answer
-    /// or one reset on the way says little of it, and each rest sends its functions to be loaded elsewhere.
+    /// A worker that serves others meanwhile is doubted only from the second piece in a row on: one spoilt
+    /// answer or reset says little of it, and each rest sends its functions to be loaded elsewhere.
     fn bad(&mut self, now: Micros, full: bool, lively: bool) {
         if now >= self.until
             && (full || !lively || self.times > 0 || std::mem::replace(&mut self.struck, true))
@@ -665,8 +665,8 @@
         let stuck = |w: &Worker| w.record(o.req.class.0, self.now);
         let sound = || self.workers.values().filter(|w| stuck(w).times < 2 || stuck(w).full);
         let total: usize = sound().map(|w| w.own).sum();
-        // Nor are calls out for far longer than their aim: where answers are lost they never end, and counted as a queue
-        // they lead to refusals, a lower pace and more refusals.
+        // Nor are calls out for longer than their aim: where answers are lost they never end, and counted as
+        // a queue they lead to refusals, a lower pace and more refusals.
         let old = |o: &Open, t: &Attempt| secs(since(self.now, t.sent)) > STUCK * secs(self.class(o).aim);
         let out = self.open.values().flat_map(|o| o.attempts.iter().map(move |t| (o, t)));
         let lost = out.filter(|(o, t)| t.outcome.is_none() && !t.loading && old(o, t)).count();
@@ -807,7 +807,8 @@
         let (worker, loading, sent, judged) = (t.worker, t.loading, t.sent, t.sent >= self.awake);
         let silent = judged && !loading && !t.cancelled;
         self.learn_place(function, &a, &t);
-        let known = self.functions.get(&function).is_some_and(|f| f.good.is_some());
+        let lively = self.workers.get(&worker).is_some_and(|w| since(self.now, w.last_good) < FRESH);
+        let known = !lively || self.functions.get(&function).is_some_and(|f| f.good.is_some());
         let taken = secs(a.latency).max(1e-4);
         if let (Outcome::Ok, Some(mean)) = (a.outcome, self.class_work.get_mut(class)) {
             if !hinted && !loading {
@@ -827,7 +828,7 @@
         match a.outcome {
             Outcome::Ok => self.good(worker, class, sent),
             Outcome::Full if !loading => self.bad(worker, Some(class), true),
-            // What no worker ever served may fail by the request's own fault.
+            // What no worker ever served may fail by the request's own fault, at a worker that serves others.
             Outcome::Error if !a.load_failed && known => self.bad(worker, Some(class), false),
             Outcome::TimedOut if silent => self.bad(worker, Some(class), false),
             Outcome::ConnectFailed | Outcome::Reset => self.bad(worker, None, false),
@@ -980,8 +981,8 @@
     // ---- housekeeping ----
 
     fn tick(&mut self, out: &mut Vec<Action>) {
-        // Loads that are out for longer than usual tell of a slow store before the first of them is done; those of
-        // one worker together tell no more than one, as it may be the worker that hangs.
+        // Loads that are out for longer than usual tell of a slow store before the first of them is done;
+        // those of one worker together tell no more than one, as it may be the worker that hangs.
         let mut out_for: BTreeMap<WorkerId, f64> = BTreeMap::new();
         for (w, f) in &self.orders_out {
             let Some(f) = self.functions.get(f) else { continue };
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -686,3 +686,17 @@
     }
     assert!(refusals < 60, "{refusals} of 600 refused");
 }
+
+/// Found by a test of the gateway: a worker that fails all it gets was never doubted, as no function was known yet.
+#[test]
+fn a_worker_that_serves_nothing_is_doubted_by_unknown_functions_too() {
+    let mut r = Router::new(site(Effect::Safe, true), &[1, 2]);
+    for id in 0..20 {
+        let mut worker = r.ask(id, id);
+        while worker == Some(1) {
+            worker = sent(&r.answer(id, 1, Outcome::Error));
+        }
+        assert_eq!(worker, Some(2), "call {id} is served by the other");
+        r.answer(id, 2, Outcome::Ok);
+    }
+}
