--- a/src/brain.rs
+++ b/src/brain.rs
@@ -60,7 +60,7 @@
 const BROKEN_PRICE: f64 = 0.2;
 /// The part of the cold budget that is used by own counts, and in chances, in a mean worker's load.
 const COLD_USE: f64 = 0.7;
-const COLD_CHANCE: f64 = 0.2;
+const COLD_CHANCE: f64 = 0.12;
 /// How far back shares, work and answers are counted, in seconds, and calls taken to come before the first.
 const SHARE_OVER: f64 = 20.0;
 const WORK_OVER: f64 = 4.0;
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -437,8 +437,9 @@
             cold += usize::from(r.ask(1_000 + id, (id * 11 + n as u64 * 17) % 30) == Some(4));
         }
     }
-    // 333 calls a second are served, 33 by a worker, a fifth of that by a cold one; three times that is the limit.
-    assert!(cold <= 20, "{cold} of 800 calls in one moment to a cold worker");
+    // 333 calls a second are served, 33 by a worker, a fifth of that by a cold one; three times that is the limit, 20.
+    // Half of it is left for what clients of an overloaded fleet ask again, which no router sees as load.
+    assert!(cold <= 9, "{cold} of 800 calls in one moment to a cold worker");
 }
 
 /// Probes follow requests, whatever the number of workers; an idle router sends nothing and asks for no wake.
