--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -269,12 +269,14 @@
         let remember = self.settings.classes.get(call.class.0).map_or(Micros(0), |c| c.remember);
         let remembers = self.settings.duplicates.is_some();
         let own_key = call.key.as_ref().filter(|_| remembers);
-        let mut key = own_key.map(|k| KeyDigest::new(call.tenant, call.class, k));
+        let mut key = own_key.map(|k| {
+            let fingerprint = Fingerprint::new(&call.function, &call.payload);
+            (KeyDigest::new(call.tenant, call.class, k), fingerprint)
+        });
         if remembers && key.is_none() && !safe {
             return Err(Reason::KeyMissing);
         }
-        let fingerprint = key.map(|_| Fingerprint::new(&call.function, &call.payload));
-        if let Some((digest, fingerprint)) = key.zip(fingerprint) {
+        if let Some((digest, fingerprint)) = key {
             match self.keys.look(self.now, digest, fingerprint) {
                 Seen::Running(id) => {
                     self.statistics.repeats += 1;
@@ -314,10 +316,10 @@
         let function = self.names.open(run_name).map_err(|_| Reason::FunctionName)?;
         let id = RequestId(self.next);
         self.next += 1;
-        if let Some((key, fingerprint)) = key.zip(fingerprint) {
+        if let Some((key, fingerprint)) = key {
             self.keys.begin(key, fingerprint, id, remember);
         }
-        self.begin(id, call, (function, version), key, budget, out);
+        self.begin(id, call, (function, version), key.map(|k| k.0), budget, out);
         Ok(())
     }
 
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -12,7 +12,7 @@
 use slatevalve_platform::changes::{Change, Follower, Wanted};
 use slatevalve_platform::config::{Config, ConfigError};
 use slatevalve_platform::front::{Front, FrontOutput, FrontSettings, LinkId};
-use slatevalve_platform::workers::{Lines, MAX_BODY};
+use slatevalve_platform::workers::Lines;
 use slatevalve_reactor::{Happening, Id, Reactor};
 use slatevalve_site::FieldError;
 use std::collections::HashMap;
@@ -137,7 +137,6 @@
             most: usize::MAX,
             total: free - clients,
             probe_timeout: connections.connect_timeout,
-            max_response: MAX_BODY,
         };
         let lines = Lines { streams: connections.streams, tells_crowd: site.names.crowd };
         let order_timeout = module.loading.order_timeout;
@@ -218,16 +217,15 @@
             let overslept = (now.0 - before.0 - wait.as_micros() as i64).max(0);
             self.age = Micros(worked.0 + overslept);
             // What the change log tells comes before anything else in the turn: a drain that is known is kept.
-            let (log, others): (Vec<Happening>, Vec<Happening>) =
-                happened.drain(..).partition(|h| self.log.is_some() && of(h) == self.log);
-            for happening in log {
-                self.log_happened(now, happening);
+            happened.sort_by_key(|h| !self.is_of_log(h));
+            for happening in happened.drain(..) {
+                match self.is_of_log(&happening) {
+                    true => self.log_happened(now, happening),
+                    false => self.happened(now, happening),
+                }
             }
             self.follower.advance(now, &mut self.wanted);
             self.follow(now);
-            for happening in others {
-                self.happened(now, happening);
-            }
             self.front.advance(now, &mut self.to_front);
             for end in self.pool.advance(now, &mut self.reactor) {
                 self.ended(now, end);
@@ -277,11 +275,11 @@
                     ends.into_iter().for_each(|end| self.ended(now, end));
                 }
             },
-            Happening::Connected(id) => self.pool.connected(now, &mut self.reactor, id),
+            Happening::Connected(id) => self.pool.connected(id),
             Happening::Closed { id, connected, written } => match self.links.remove(&id) {
                 Some(link) => {
                     self.sockets.remove(&link);
-                    self.front.closed(now, link, &mut self.to_front);
+                    self.front.closed(link, &mut self.to_front);
                 }
                 None => {
                     let ends = self.pool.closed(now, id, connected, written);
@@ -299,6 +297,11 @@
         self.settle(now);
     }
 
+    /// Whether something happened on the change log's connection.
+    fn is_of_log(&self, happening: &Happening) -> bool {
+        self.log.is_some() && of(happening) == self.log
+    }
+
     fn log_happened(&mut self, now: Micros, happening: Happening) {
         let out = &mut self.wanted;
         match happening {
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -39,8 +39,6 @@
     pub total: usize,
     /// A probe without an answer by then has timed out.
     pub probe_timeout: Micros,
-    /// Largest response body, in bytes.
-    pub max_response: usize,
 }
 
 /// Everything that one gateway is told.
@@ -66,6 +64,8 @@
     pub members: Option<MemberSource>,
     /// Connections to workers.
     pub pool: PoolSettings,
+    /// Largest body of a worker's response, in bytes.
+    pub max_response: usize,
     /// Where plug-ins are kept, where there are any.
     pub plugins: Option<PluginSettings>,
     /// How long an orderly stop may take.
@@ -169,7 +169,8 @@
         let bridge = bridge(&mut top, &routes, unsafe_classes, engine.seed)?;
         let (listen, front) = mqtt(&mut top, routes)?;
         let rights = class_rights(&classes, &tenants);
-        let (pool, plugins) = (pool(&mut top)?, plugins::plugins(&mut top, rights.clone(), engine.seed)?);
+        let (pool, max_response) = pool(&mut top)?;
+        let plugins = plugins::plugins(&mut top, rights.clone(), engine.seed)?;
         let members = members::members(&mut top, engine.seed)?;
         if members.is_some() && !workers.is_empty() {
             return Err(
@@ -190,6 +191,7 @@
             workers,
             members,
             pool,
+            max_response,
             plugins,
             stop_within,
             zone: zone_name,
@@ -315,25 +317,25 @@
     Ok(Some((broker, settings)))
 }
 
-fn pool(top: &mut Fields<'_>) -> Res<PoolSettings> {
+/// Connections to workers, and the largest body of a response.
+fn pool(top: &mut Fields<'_>) -> Res<(PoolSettings, usize)> {
     let mut settings = PoolSettings {
         connect_timeout: Micros(250_000),
         idle: Micros(15_000_000),
         most: 1_024,
         total: usize::MAX,
         probe_timeout: Micros(1_000_000),
-        max_response: 8 * 1024 * 1024,
     };
+    let mut max_response = 8 * 1024 * 1024;
     if let Some(mut pool) = sub(top, "pool")? {
         settings.connect_timeout = pool.or("connect-timeout-ms", settings.connect_timeout, Form::millis)?;
         settings.idle = pool.or("idle-ms", settings.idle, Form::millis)?;
         settings.most = pool.or("most", settings.most as u64, |f| f.whole(65_536))? as usize;
         settings.probe_timeout = pool.or("probe-timeout-ms", settings.probe_timeout, Form::millis)?;
-        settings.max_response =
-            pool.or("max-response", settings.max_response as u64, |f| f.whole(1 << 30))? as usize;
+        max_response = pool.or("max-response", max_response as u64, |f| f.whole(1 << 30))? as usize;
         pool.finish()?;
     }
-    Ok(settings)
+    Ok((settings, max_response))
 }
 
 fn duplicates(top: &mut Fields<'_>) -> Res<DuplicateLimits> {
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -123,7 +123,7 @@
         let (listener, address) =
             reactor.listen(site.listen).map_err(|e| ShellError::Listen(site.listen, e))?;
         let order_timeout = site.engine.module.loading.order_timeout;
-        let limits = Limits { body: site.pool.max_response, ..Limits::default() };
+        let limits = Limits { body: site.max_response, ..Limits::default() };
         let http = Http { gateway: site.name.clone(), limits };
         let (mut plugins, mut admin) = (None, None);
         if let Some(settings) = site.plugins.clone() {
@@ -269,7 +269,7 @@
             }
             Happening::Connected(id) => match self.bridge.as_mut().filter(|l| l.socket == Some(id)) {
                 Some(link) => link.bridge.connected(now, &mut self.to_bridge),
-                None => self.pool.connected(now, &mut self.reactor, id),
+                None => self.pool.connected(id),
             },
             Happening::Closed { id, connected, written } => {
                 if let Some(link) = self.links.remove(&id) {
--- a/crates/gateway/src/shell/pool.rs
+++ b/crates/gateway/src/shell/pool.rs
@@ -461,7 +461,7 @@
     }
 
     /// A connection stands: what waited for it goes out.
-    pub fn connected(&mut self, _now: Micros, _reactor: &mut Reactor, id: Id) {
+    pub fn connected(&mut self, id: Id) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.connected = true;
         connection.due = None;
--- a/crates/platform/src/changes.rs
+++ b/crates/platform/src/changes.rs
@@ -4,10 +4,11 @@
 //! the wait and asked again on a new connection from the last event that came whole; a break is followed by the next
 //! question at once. What is cut off counts for nothing. Called by the gateway's loop, which owns the connection.
 
+use crate::after;
 use serde_json::Value;
 use slatevalve::{CellId, KindId, Listing, Micros, Scope, WorkerEntry, WorkerState, ZoneId};
 use slatevalve_engine::worker_id;
-use slatevalve_http::{Limits, MessageReader, Side};
+use slatevalve_http::{Limits, Message, MessageReader, Side};
 use slatevalve_site::object::{flag, list, number_or, object, opt, place, text, unknown, whole, Obj};
 use slatevalve_site::{FieldError, Names};
 use std::net::SocketAddr;
@@ -92,10 +93,6 @@
     MessageReader::new(Side::Response, Limits { head: 8 * 1024, body: MAX_ANSWER })
 }
 
-fn after(now: Micros, time: Micros) -> Micros {
-    Micros(now.0.saturating_add(time.0))
-}
-
 impl Follower {
     /// A follower that knows the events up to now, and those of `known`, which are given back.
     ///
@@ -123,7 +120,7 @@
     pub fn moved(&mut self, now: Micros, address: SocketAddr, out: &mut Vec<Wanted>) {
         if self.address != address {
             self.address = address;
-            self.apart(now, now, out);
+            self.apart(now, out);
         }
     }
 
@@ -156,7 +153,7 @@
     pub fn closed(&mut self, now: Micros, out: &mut Vec<Wanted>) {
         // An answer without a length is whole with its connection.
         if let Ok(Some(message)) = self.reader.end() {
-            self.answered(now, &message.body, out);
+            self.answered(&message, out);
         }
         self.failed(now, out);
     }
@@ -165,16 +162,10 @@
     pub fn received(&mut self, now: Micros, bytes: &[u8], out: &mut Vec<Wanted>) {
         match self.reader.feed(bytes) {
             Ok(None) => {}
-            Ok(Some(message)) if message.head.status == 200 => {
-                let last = message.head.last;
-                if !self.answered(now, &message.body, out) {
-                    return self.failed(now, out);
-                }
-                if last {
-                    return self.apart(now, now, out);
-                }
-                self.ask(now, out);
-            }
+            Ok(Some(message)) if self.answered(&message, out) => match message.head.last {
+                true => self.apart(now, out),
+                false => self.ask(now, out),
+            },
             Ok(Some(_)) | Err(_) => self.failed(now, out),
         }
     }
@@ -187,8 +178,11 @@
     }
 
     /// Takes a whole answer; whether it could be read.
-    fn answered(&mut self, _now: Micros, body: &[u8], out: &mut Vec<Wanted>) -> bool {
-        let value: Result<Value, _> = serde_json::from_slice(body);
+    fn answered(&mut self, message: &Message, out: &mut Vec<Wanted>) -> bool {
+        if message.head.status != 200 {
+            return false;
+        }
+        let value: Result<Value, _> = serde_json::from_slice(&message.body);
         let read = match value.as_ref().map(|v| object(v, "the answer")) {
             Ok(Ok(o)) => self.read(o),
             Ok(Err(e)) => Err(e),
@@ -211,10 +205,10 @@
     fn failed(&mut self, now: Micros, out: &mut Vec<Wanted>) {
         let pause = Micros(PAUSE.0 * i64::from(self.failures.min(MAX_PAUSES)));
         self.failures = self.failures.saturating_add(1);
-        self.apart(now, after(now, pause), out);
+        self.apart(after(now, pause), out);
     }
 
-    fn apart(&mut self, _now: Micros, until: Micros, out: &mut Vec<Wanted>) {
+    fn apart(&mut self, until: Micros, out: &mut Vec<Wanted>) {
         self.state = State::Apart(until);
         self.reader = reader();
         out.push(Wanted::Close);
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -7,6 +7,7 @@
 //!
 //! Bounds: [`FrontSettings::connections`], 32 open requests and one message of 20 KiB on each.
 
+use crate::after;
 use crate::frame::{FrameError, Scanner};
 use crate::message::{self, Asked, BadCall, Message};
 use slatevalve::{ClassId, Effect, Micros};
@@ -108,10 +109,6 @@
     next_sweep: Option<Micros>,
 }
 
-fn after(now: Micros, time: Micros) -> Micros {
-    Micros(now.0.saturating_add(time.0))
-}
-
 impl Front {
     /// A front without connections.
     pub fn new(settings: FrontSettings) -> Self {
@@ -147,13 +144,13 @@
                 (**id == link, just_now, l.spoke, l.touched)
             };
             if let Some(id) = unused.min_by_key(place).map(|(id, _)| *id) {
-                self.end(now, id, Unusable::NoRoom, out);
+                self.end(id, Unusable::NoRoom, out);
             }
         }
     }
 
     /// A connection ended from the other side.
-    pub fn closed(&mut self, _now: Micros, link: LinkId, out: &mut Vec<FrontOutput>) {
+    pub fn closed(&mut self, link: LinkId, out: &mut Vec<FrontOutput>) {
         if let Some(link) = self.links.remove(&link) {
             self.leave(link, out);
         }
@@ -173,7 +170,7 @@
     }
 
     /// Ends a connection from this side; what was open there has left.
-    fn end(&mut self, _now: Micros, id: LinkId, why: Unusable, out: &mut Vec<FrontOutput>) {
+    fn end(&mut self, id: LinkId, why: Unusable, out: &mut Vec<FrontOutput>) {
         if let Some(link) = self.links.remove(&id) {
             self.leave(link, out);
             out.push(FrontOutput::Unusable(id, why));
@@ -204,8 +201,8 @@
                     link.begun = None;
                     link.touched = now;
                     match message::read(frame) {
-                        Ok(message) => self.message(now, id, message, ready, out),
-                        Err(_) => self.end(now, id, Unusable::NotAMessage, out),
+                        Ok(message) => self.message(id, message, ready, out),
+                        Err(_) => self.end(id, Unusable::NotAMessage, out),
                     }
                     start += length;
                 }
@@ -220,54 +217,40 @@
                     link.buffer = buffer;
                     return;
                 }
-                Err(e) => return self.end(now, id, Unusable::Frame(e), out),
+                Err(e) => return self.end(id, Unusable::Frame(e), out),
             }
         }
     }
 
-    fn message(
-        &mut self,
-        now: Micros,
-        id: LinkId,
-        message: Message,
-        ready: bool,
-        out: &mut Vec<FrontOutput>,
-    ) {
+    fn message(&mut self, id: LinkId, message: Message, ready: bool, out: &mut Vec<FrontOutput>) {
         match message {
             Message::Check { number } => {
-                if self.numbered(now, id, number, out) {
+                if self.numbered(id, number, out) {
                     self.write(id, message::checked(number, ready), out);
                 }
             }
             Message::Call { number, asked } => {
-                if self.numbered(now, id, number, out) {
-                    self.call(now, id, number, asked, out);
+                if self.numbered(id, number, out) {
+                    self.call(id, number, asked, out);
                 }
             }
-            Message::Interrupt(numbers) => self.interrupt(now, id, &numbers, out),
+            Message::Interrupt(numbers) => self.interrupt(id, &numbers, out),
             Message::Other => {}
         }
     }
 
     /// Numbers go up: one that does not was used before, and its answer could be taken for the other's.
-    fn numbered(&mut self, now: Micros, id: LinkId, number: u32, out: &mut Vec<FrontOutput>) -> bool {
+    fn numbered(&mut self, id: LinkId, number: u32, out: &mut Vec<FrontOutput>) -> bool {
         let Some(link) = self.links.get_mut(&id) else { return false };
         if number <= link.last_number {
-            self.end(now, id, Unusable::Number, out);
+            self.end(id, Unusable::Number, out);
             return false;
         }
         link.last_number = number;
         true
     }
 
-    fn call(
-        &mut self,
-        now: Micros,
-        id: LinkId,
-        number: u32,
-        asked: Result<Asked, BadCall>,
-        out: &mut Vec<FrontOutput>,
-    ) {
+    fn call(&mut self, id: LinkId, number: u32, asked: Result<Asked, BadCall>, out: &mut Vec<FrontOutput>) {
         let classes = &self.settings.classes;
         let usable = asked.and_then(|asked| {
             let class = classes.iter().position(|(name, _)| *name == asked.class).ok_or(BadCall::Class)?;
@@ -285,7 +268,7 @@
         };
         match self.ids.get(&asked.id) {
             // Which of the two its answer would be to, nobody could tell.
-            Some(other) if *other == id => return self.end(now, id, Unusable::OpenId, out),
+            Some(other) if *other == id => return self.end(id, Unusable::OpenId, out),
             Some(_) => {
                 out.push(FrontOutput::Unusable(id, Unusable::OpenId));
                 return self.write(id, message::error(number, "Unusable"), out);
@@ -294,7 +277,7 @@
         }
         let Some(link) = self.links.get_mut(&id) else { return };
         if link.open.len() >= MOST_OPEN {
-            return self.end(now, id, Unusable::TooManyOpen, out);
+            return self.end(id, Unusable::TooManyOpen, out);
         }
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
@@ -318,7 +301,7 @@
         })));
     }
 
-    fn interrupt(&mut self, now: Micros, id: LinkId, numbers: &[u32], out: &mut Vec<FrontOutput>) {
+    fn interrupt(&mut self, id: LinkId, numbers: &[u32], out: &mut Vec<FrontOutput>) {
         let Some(link) = self.links.get_mut(&id) else { return };
         let left: Vec<Ticket> = numbers.iter().filter_map(|n| link.open.remove(n)).collect();
         let useless = link.open.is_empty() && !link.answered;
@@ -332,7 +315,6 @@
             self.links.remove(&id);
             out.push(FrontOutput::Finish(id));
         }
-        let _ = now;
     }
 
     fn write(&mut self, id: LinkId, bytes: Vec<u8>, out: &mut Vec<FrontOutput>) {
@@ -373,7 +355,7 @@
         };
         let ended: Vec<LinkId> = self.links.iter().filter(|(_, l)| over(l)).map(|(id, _)| *id).collect();
         for id in ended {
-            self.end(now, id, Unusable::Silent, out);
+            self.end(id, Unusable::Silent, out);
         }
         self.next_sweep = (!self.links.is_empty()).then(|| after(now, SWEEP));
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,3 +13,9 @@
 pub mod front;
 pub mod message;
 pub mod workers;
+
+use slatevalve::Micros;
+
+fn after(now: Micros, time: Micros) -> Micros {
+    Micros(now.0.saturating_add(time.0))
+}
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -216,15 +216,26 @@
     Ok(traits)
 }
 
-/// The answer `served`.
-pub fn served(number: u32, body: &[u8]) -> Vec<u8> {
-    let mut out = Vec::with_capacity(body.len() + 16);
-    // Writing to a vector cannot fail.
+/// The start of the answer under a number; `room` is about how many bytes follow. Writing to a vector cannot fail.
+fn answer(number: u32, room: usize) -> Vec<u8> {
+    let mut out = Vec::with_capacity(room + 16);
     let _ = encode::write_array_len(&mut out, 4);
     let _ = encode::write_uint(&mut out, 1);
     let _ = encode::write_uint(&mut out, u64::from(number));
+    out
+}
+
+/// The start of an answer without an error: its result is a value and its fields, of which there are none.
+fn result(number: u32, room: usize) -> Vec<u8> {
+    let mut out = answer(number, room);
     let _ = encode::write_nil(&mut out);
     let _ = encode::write_array_len(&mut out, 2);
+    out
+}
+
+/// The answer `served`.
+pub fn served(number: u32, body: &[u8]) -> Vec<u8> {
+    let mut out = result(number, body.len());
     let _ = encode::write_bin(&mut out, body);
     let _ = encode::write_map_len(&mut out, 0);
     out
@@ -232,12 +243,7 @@
 
 /// The answer to `check`.
 pub fn checked(number: u32, ready: bool) -> Vec<u8> {
-    let mut out = Vec::with_capacity(16);
-    let _ = encode::write_array_len(&mut out, 4);
-    let _ = encode::write_uint(&mut out, 1);
-    let _ = encode::write_uint(&mut out, u64::from(number));
-    let _ = encode::write_nil(&mut out);
-    let _ = encode::write_array_len(&mut out, 2);
+    let mut out = result(number, 1);
     let _ = encode::write_bool(&mut out, ready);
     let _ = encode::write_map_len(&mut out, 0);
     out
@@ -245,10 +251,7 @@
 
 /// An error: `Throttled` where the call is refused, any other where it failed.
 pub fn error(number: u32, word: &str) -> Vec<u8> {
-    let mut out = Vec::with_capacity(32);
-    let _ = encode::write_array_len(&mut out, 4);
-    let _ = encode::write_uint(&mut out, 1);
-    let _ = encode::write_uint(&mut out, u64::from(number));
+    let mut out = answer(number, word.len());
     let _ = encode::write_array_len(&mut out, 2);
     let _ = encode::write_str(&mut out, word);
     let _ = encode::write_map_len(&mut out, 0);
--- a/crates/platform/src/workers.rs
+++ b/crates/platform/src/workers.rs
@@ -12,7 +12,7 @@
 /// The longest line of an answer: an id, a word, fields and a length.
 const MAX_LINE: usize = 1024;
 /// The longest body of an answer; requests' own bodies are 16 KiB at most.
-pub const MAX_BODY: usize = 256 * 1024;
+const MAX_BODY: usize = 256 * 1024;
 
 /// The protocol, with what the settings say of it.
 #[derive(Clone, Copy, Debug)]
--- a/crates/platform/tests/front.rs
+++ b/crates/platform/tests/front.rs
@@ -314,7 +314,7 @@
             1 => drop(bench.send(link, &interrupt(&[1]))),
             _ => {}
         }
-        bench.front.closed(bench.now, LinkId(link), &mut bench.out);
+        bench.front.closed(LinkId(link), &mut bench.out);
         bench.seen();
     }
     assert_eq!(bench.front.sizes(), (0, 0, 0));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -99,6 +99,11 @@
 }
 
 impl Worker {
+    /// Whether it served anything of late.
+    fn lively(&self, now: Micros) -> bool {
+        since(now, self.last_good) < FRESH
+    }
+
     /// The evidence that keeps a call of the class away. Two classes in trouble are the worker's trouble; one
     /// alone is not, as a worker may fail or refuse one class and serve the rest.
     fn record(&self, class: usize, now: Micros) -> Record {
@@ -665,13 +670,16 @@
         let stuck = |w: &Worker| w.record(o.req.class.0, self.now);
         let sound = || self.workers.values().filter(|w| stuck(w).times < 2 || stuck(w).full);
         let total: usize = sound().map(|w| w.own).sum();
+        let late = |total: usize| total > sound().count() && (total + 1) as f64 > patience * aim * pace;
+        if !late(total) {
+            return false;
+        }
         // Nor are calls out for longer than their aim: where answers are lost they never end, and counted as
         // a queue they lead to refusals, a lower pace and more refusals.
         let old = |o: &Open, t: &Attempt| secs(since(self.now, t.sent)) > STUCK * secs(self.class(o).aim);
         let out = self.open.values().flat_map(|o| o.attempts.iter().map(move |t| (o, t)));
         let lost = out.filter(|(o, t)| t.outcome.is_none() && !t.loading && old(o, t)).count();
-        let total = total.saturating_sub(lost);
-        total > sound().count() && (total + 1) as f64 > patience * aim * pace
+        late(total.saturating_sub(lost))
     }
 
     /// Sends an open request on, holds it for a moment, or leaves it for the next tick.
@@ -807,8 +815,8 @@
         let (worker, loading, sent, judged) = (t.worker, t.loading, t.sent, t.sent >= self.awake);
         let silent = judged && !loading && !t.cancelled;
         self.learn_place(function, &a, &t);
-        let lively = self.workers.get(&worker).is_some_and(|w| since(self.now, w.last_good) < FRESH);
-        let known = !lively || self.functions.get(&function).is_some_and(|f| f.good.is_some());
+        let lively = self.workers.get(&worker).is_some_and(|w| w.lively(self.now));
+        let known = !lively || self.functions.get(&function).is_some_and(|f| f.served);
         let taken = secs(a.latency).max(1e-4);
         if let (Outcome::Ok, Some(mean)) = (a.outcome, self.class_work.get_mut(class)) {
             if !hinted && !loading {
@@ -858,7 +866,7 @@
         match a.outcome {
             Outcome::Ok => {
                 (p.stood, p.copies, p.due) = (Some(self.now), p.copies.max(1), None);
-                f.good = Some(self.now);
+                f.served = true;
                 self.spread = (self.spread * SPREAD.0).min(1.0);
                 if blind {
                     // Where calls load by themselves only the time tells.
@@ -921,7 +929,7 @@
     /// Bad evidence on a class, or on the connection where none is named.
     fn bad(&mut self, worker: WorkerId, class: Option<usize>, full: bool) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
-        let lively = since(self.now, w.last_good) < FRESH;
+        let lively = w.lively(self.now);
         w.heard = if full { Some(self.now) } else { w.heard };
         let record = class.map_or(Some(&mut w.link), |c| w.classes.get_mut(c));
         record.into_iter().for_each(|r| r.bad(self.now, full, lively));
--- a/src/state.rs
+++ b/src/state.rs
@@ -118,8 +118,8 @@
     pub(crate) load: f64,
     pub(crate) svc: f64,
     pub(crate) calls: Fading,
-    /// When a worker last served it.
-    pub(crate) good: Option<Micros>,
+    /// A worker served it once.
+    pub(crate) served: bool,
     pub(crate) places: BTreeMap<WorkerId, Place>,
 }
 
