--- a/crates/gateway/src/shell/pool.rs
+++ b/crates/gateway/src/shell/pool.rs
@@ -17,6 +17,9 @@
 use std::net::SocketAddr;
 use tracing::debug;
 
+#[cfg(test)]
+mod tests;
+
 /// What a request is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Purpose {
@@ -159,7 +162,7 @@
         for id in self.peers.get(&worker).map(|p| p.connections.clone()).unwrap_or_default() {
             let Some(connection) = self.connections.get(&id) else { continue };
             let written = reactor.written(id);
-            let unsent = |t: &Task| !connection.connected || written <= t.from;
+            let unsent = |t: &Task| written <= t.from;
             let tags: Vec<Tag> =
                 connection.tasks.iter().filter(|(_, t)| unsent(t)).map(|(tag, _)| *tag).collect();
             if tags.is_empty() {
@@ -413,7 +416,8 @@
         reactor.write(id, &bytes);
     }
 
-    /// Whether enough of a request was taken by the kernel for a worker to run it.
+    /// Whether enough of a request was taken by the kernel for a worker to run it. The loop's count alone says so: a
+    /// connection that came up in this turn has been written to before this pool is told of it.
     fn may_have_left(&self, task: &Task, written: u64) -> bool {
         if self.wire.part_may_run() {
             written > task.from
@@ -431,15 +435,14 @@
         outcome: Outcome,
     ) -> Option<TaskEnd> {
         let (id, tag) = *self.attempts.get(&attempt)?;
-        let connection = self.connections.get_mut(&id)?;
+        let connection = self.connections.get(&id)?;
         let task = connection.tasks.get(&tag)?;
-        let give_up = self.wire.give_up(&task.order).filter(|_| connection.tasks.len() > 1);
-        let (written, from) = (reactor.written(id), task.from);
-        let sent =
-            connection.connected && self.may_have_left(self.connections.get(&id)?.tasks.get(&tag)?, written);
+        // Where others share the connection it stays, and what is buffered on it goes out all the same.
+        let alone = connection.tasks.len() == 1;
+        let give_up = self.wire.give_up(&task.order).filter(|_| !alone);
+        let sent = !alone || self.may_have_left(task, reactor.written(id));
         let end = self.end_task(now, id, tag, bare(if sent { outcome } else { Outcome::NotSent }));
-        // One that is alone there, or behind whose unsent part others wait, takes its connection along.
-        match give_up.filter(|_| sent || written <= from) {
+        match give_up {
             Some(bytes) => {
                 let connection = self.connections.get_mut(&id)?;
                 connection.retired = true;
@@ -509,8 +512,7 @@
 
     fn end_all(&mut self, now: Micros, id: Id, written: u64, left: Outcome, unsent: Outcome) -> Vec<TaskEnd> {
         let Some(connection) = self.connections.get(&id) else { return Vec::new() };
-        let outcome =
-            |t: &Task| if connection.connected && self.may_have_left(t, written) { left } else { unsent };
+        let outcome = |t: &Task| if self.may_have_left(t, written) { left } else { unsent };
         let all: Vec<(Tag, Outcome)> = connection.tasks.iter().map(|(tag, t)| (*tag, outcome(t))).collect();
         all.into_iter().filter_map(|(tag, outcome)| self.end_task(now, id, tag, bare(outcome))).collect()
     }
