--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,6 +49,9 @@
 /// Workers asked for one call at most; probes for each request taken, and how many may be saved up.
 const ASKS: usize = 4;
 const PROBES: (f64, f64) = (1.5, 5.0);
+/// What a probe is taken to gain at first, in requests' worth; how much each one moves that; and the part of
+/// the probes that is still sent, to learn from, while they gain less than their price.
+const PROBE_GAIN: (f64, f64, f64) = (0.05, 0.05, 0.02);
 /// Parts of the aim that a call takes longer where others wait: at all, and for each; those taken to wait at
 /// a worker silent when asked; from which use of cores on, and how many for all of them.
 const CROWD: (f64, f64) = (0.4, 0.15);
@@ -132,7 +135,7 @@
         // A router alone has nobody else to keep copies alive.
         let blind = BLIND * settings.routers.saturating_sub(1).min(1) as f64;
         let start = Brain { salt: seed, blind, spread: 1.0, store: 1.0, retries, probes, ..Brain::default() };
-        Brain { class_work, tenants, s: settings, ..start }
+        Brain { class_work, tenants, s: settings, probe_gain: PROBE_GAIN.0, ..start }
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -590,7 +593,8 @@
         }
         self.cold_rate *= 0.99;
         self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
-        self.probes = (self.probes + PROBES.0).min(PROBES.1);
+        let pays = self.probe_gain >= self.s.probe_price;
+        self.probes = (self.probes + PROBES.0 * if pays { 1.0 } else { PROBE_GAIN.2 }).min(PROBES.1);
         self.calls.add(self.now, SHARE_OVER, 1.0);
         if self.s.loading.ration_window.0 > 0 {
             self.taken.push_back(self.now);
@@ -952,13 +956,26 @@
         if !well {
             self.bad(id, None, false);
         }
-        for id in asking {
-            if self.open.get(&id).is_some_and(|o| !o.done && o.held.is_some()) {
-                self.dispatch(id, out);
+        for call in asking {
+            if let Some(o) = self.open.get(&call).filter(|o| !o.done && o.held.is_some()) {
+                // What it gained: the chance of being late there less that where the call goes now.
+                let there = if well { self.late_at(o, id) } else { Some(1.0) };
+                let next = self.pick(o).and_then(|next| self.late_at(o, next)).unwrap_or(self.found);
+                blend(&mut self.found, there.unwrap_or(0.0), PROBE_GAIN.1);
+                blend(&mut self.probe_gain, (there.unwrap_or(0.0) - next).max(0.0), PROBE_GAIN.1);
+                self.dispatch(call, out);
             }
         }
     }
 
+    /// The chance that a call is late at a worker that told of its queue lately: what is left of its aim
+    /// behind the crowd, in its usual times, which spread as exponential ones do.
+    fn late_at(&self, o: &Open, id: WorkerId) -> Option<f64> {
+        let w = self.workers.get(&id).filter(|w| w.queue.is_some_and(|q| since(self.now, q.0) < FRESH))?;
+        let left = (1.0 - self.crowd(w)).max(0.0) * secs(self.class(o).aim);
+        Some((-left / self.work(o).max(1e-3)).exp())
+    }
+
     fn loaded(&mut self, id: WorkerId, f: FunctionId, outcome: Outcome, copies: u32, latency: Micros) {
         self.orders_out.remove(&(id, f));
         let Some(f) = self.functions.get_mut(&f) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -206,6 +206,9 @@
     pub(crate) late: f64,
     pub(crate) retries: f64,
     pub(crate) probes: f64,
+    /// What a probe gained lately, in requests' worth, and how likely calls would be late where was asked.
+    pub(crate) probe_gain: f64,
+    pub(crate) found: f64,
     /// When the load offered to cold workers was last added up.
     pub(crate) summed: Micros,
     pub(crate) orders: VecDeque<Micros>,
--- a/tests/routers.rs
+++ b/tests/routers.rs
@@ -94,3 +94,79 @@
     });
     assert_eq!(after(steps), after(vec![full(end)]));
 }
+
+/// Probes that a router of little traffic before 100 workers sends for 600 calls of 60 functions, at a price for each;
+/// one of `jammed` workers tells of a long queue. Also its calls to those that told so within the second before.
+fn probes(price: f64, jammed: Option<u64>) -> (usize, usize) {
+    let class = Class { effect: Effect::Safe, ..Class::default() };
+    let settings = Settings {
+        routers: 300,
+        classes: vec![class],
+        reports: Reports::Probes,
+        probe_price: price,
+        ..Settings::default()
+    };
+    let (mut brain, mut out) = (Brain::new(settings, 1), Vec::new());
+    let mut now = Micros(100_000_000);
+    let entries = (0..100).map(|id| WorkerEntry { id: WorkerId(id), ..WorkerEntry::default() }).collect();
+    brain.handle(now, Event::Listed(Listing { scope: Scope::Full, entries }), &mut out);
+    let is_jammed = |w: WorkerId| jammed.is_some_and(|one_of| w.0.is_multiple_of(one_of));
+    let (mut probes, mut known_and_sent) = (0, 0);
+    let mut told = std::collections::HashMap::new();
+    for n in 0..600u64 {
+        let function = FunctionId(n * 7 % 60);
+        let request =
+            Request { id: RequestId(n + 1), function, budget: Micros(3_000_000), ..Request::default() };
+        brain.handle(now, Event::Request(request), &mut out);
+        // Each probe is answered after a millisecond, each call at once, until nothing more is wanted.
+        while !out.is_empty() {
+            for action in std::mem::take(&mut out) {
+                match action {
+                    Action::Probe { worker } => {
+                        probes += 1;
+                        now.0 += 1_000;
+                        told.insert(worker, now);
+                        let queue = Some(if is_jammed(worker) { 12.0 } else { 0.0 });
+                        let (outcome, latency) = (Outcome::Ok, Micros(1_000));
+                        let report = Some(Report { queue, ..Report::default() });
+                        brain.handle(now, Event::Probed { worker, outcome, latency, report }, &mut out);
+                    }
+                    Action::Send { id, worker, .. } => {
+                        let lately = told.get(&worker).is_some_and(|t| now.0 - t.0 < 1_000_000);
+                        known_and_sent += usize::from(lately && is_jammed(worker));
+                        let (outcome, latency) = (Outcome::Ok, Micros(100_000));
+                        let (attempt, closed, crowd, report) = (0, true, None, None);
+                        let answer = Answer {
+                            id,
+                            attempt,
+                            worker,
+                            outcome,
+                            closed,
+                            latency,
+                            crowd,
+                            load_failed: false,
+                            report,
+                        };
+                        brain.handle(now, Event::Answer(answer), &mut out);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        now.0 += 100_000;
+    }
+    (probes, known_and_sent)
+}
+
+#[test]
+fn probes_are_sent_as_long_as_they_gain_more_than_they_cost() {
+    let (free, dear) = (probes(0.0, None).0, probes(0.2, None).0);
+    assert!(free > 300, "where they cost nothing a worker not heard from is asked: {free}");
+    assert!(
+        (5..=30).contains(&dear),
+        "where nobody is jammed a few are sent to learn from: {dear} for 600 calls"
+    );
+    let (mostly_jammed, sent) = probes(0.2, Some(2));
+    assert!(mostly_jammed > 10 * dear, "where every second worker is jammed they pay: {mostly_jammed}");
+    assert_eq!(sent, 0, "and what they tell is kept to");
+}
