--- a/crates/gateway/src/settings/form.rs
+++ b/crates/forms/src/lib.rs
@@ -1,5 +1,5 @@
 //! S-expressions as forms with names and places: every value is read once, every leftover is an error that names
-//! file, line and form. Called by the settings and by the scripts of bad days.
+//! file, line and form. No I/O: whoever calls it has the text. Called by the gateway for its settings and by scripts.
 
 use lexpr::datum::{Datum, Ref};
 use lexpr::Value;
@@ -8,7 +8,7 @@
 
 /// What is wrong with a file, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SettingsError {
+pub struct FormError {
     /// The file's name, as given.
     pub file: String,
     /// Line, from 1; 0 where the file as a whole is meant.
@@ -19,7 +19,7 @@
     pub words: String,
 }
 
-impl fmt::Display for SettingsError {
+impl fmt::Display for FormError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.file)?;
         if self.line > 0 {
@@ -32,9 +32,9 @@
     }
 }
 
-impl std::error::Error for SettingsError {}
+impl std::error::Error for FormError {}
 
-type Res<T> = Result<T, SettingsError>;
+type Res<T> = Result<T, FormError>;
 
 /// A whole file.
 pub struct File {
@@ -50,7 +50,7 @@
     pub fn parse(name: &str, text: &str) -> Res<Self> {
         let mut parser = lexpr::Parser::from_str(text);
         let data: Result<Vec<Datum>, _> = parser.datum_iter().collect();
-        let data = data.map_err(|e| SettingsError {
+        let data = data.map_err(|e| FormError {
             file: name.into(),
             line: e.location().map_or(0, |l| l.line()),
             form: String::new(),
@@ -71,8 +71,8 @@
     }
 
     /// An error about the file as a whole.
-    pub fn error(&self, words: impl Into<String>) -> SettingsError {
-        SettingsError { file: self.name.clone(), line: 0, form: String::new(), words: words.into() }
+    pub fn error(&self, words: impl Into<String>) -> FormError {
+        FormError { file: self.name.clone(), line: 0, form: String::new(), words: words.into() }
     }
 }
 
@@ -87,7 +87,7 @@
 impl<'a> Form<'a> {
     fn read(file: &'a str, datum: Ref<'a>) -> Res<Self> {
         let line = datum.span().start().line();
-        let error = |words: String| SettingsError { file: file.into(), line, form: String::new(), words };
+        let error = |words: String| FormError { file: file.into(), line, form: String::new(), words };
         let items: Option<Vec<Ref<'a>>> = datum.list_iter().map(|items| items.collect());
         let items = items.filter(|i| !i.is_empty());
         let mut items = items.ok_or_else(|| error(format!("expected a form, found {}", datum.value())))?;
@@ -109,13 +109,8 @@
     }
 
     /// An error about it.
-    pub fn error(&self, words: impl Into<String>) -> SettingsError {
-        SettingsError {
-            file: self.file.into(),
-            line: self.line,
-            form: self.name.clone(),
-            words: words.into(),
-        }
+    pub fn error(&self, words: impl Into<String>) -> FormError {
+        FormError { file: self.file.into(), line: self.line, form: self.name.clone(), words: words.into() }
     }
 
     fn text_of(value: &Value) -> Option<String> {
@@ -225,9 +220,8 @@
     }
 
     fn fields_from(&self, start: usize) -> Res<Fields<'a>> {
-        let form = |v: &Ref<'a>| {
-            Form::read(self.file, *v).map_err(|e| SettingsError { form: self.name.clone(), ..e })
-        };
+        let form =
+            |v: &Ref<'a>| Form::read(self.file, *v).map_err(|e| FormError { form: self.name.clone(), ..e });
         let forms = self.values[start..].iter().map(form).collect::<Res<Vec<_>>>()?;
         Ok(Fields { file: self.file, line: self.line, form: self.name.clone(), forms })
     }
@@ -243,9 +237,9 @@
 
 impl<'a> Fields<'a> {
     /// An error about the form they are in.
-    pub fn error(&self, words: impl Into<String>) -> SettingsError {
+    pub fn error(&self, words: impl Into<String>) -> FormError {
         let (file, line, form) = (self.file.into(), self.line, self.form.clone());
-        SettingsError { file, line, form, words: words.into() }
+        FormError { file, line, form, words: words.into() }
     }
 
     /// The form of a name, if there is one.
@@ -295,7 +289,7 @@
     pub fn finish(self) -> Res<()> {
         match self.forms.first() {
             None => Ok(()),
-            Some(form) => Err(SettingsError {
+            Some(form) => Err(FormError {
                 form: self.form.clone(),
                 ..form.error(format!("({} ...) is not known here", form.name))
             }),
--- a/crates/gateway/src/badday/mod.rs
+++ b/crates/gateway/src/badday/mod.rs
@@ -9,9 +9,9 @@
 pub use report::Report;
 
 use crate::plugins::folder::FolderError;
-use crate::settings::form::SettingsError;
 use day::Day;
 use script::Script;
+use slatevalve_forms::FormError;
 use slatevalve_rules::trace::{self, TraceError};
 use std::fmt;
 use std::fs;
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub enum BadDayError {
     /// The script or the settings in it.
-    Settings(SettingsError),
+    Settings(FormError),
     /// The script asks for what cannot be.
     Script(String),
     /// A process or a file.
@@ -47,8 +47,8 @@
 
 impl std::error::Error for BadDayError {}
 
-impl From<SettingsError> for BadDayError {
-    fn from(e: SettingsError) -> Self {
+impl From<FormError> for BadDayError {
+    fn from(e: FormError) -> Self {
         BadDayError::Settings(e)
     }
 }
--- a/crates/gateway/src/badday/script.rs
+++ b/crates/gateway/src/badday/script.rs
@@ -1,10 +1,10 @@
 //! The script of a bad day, as S-expressions: fleet, load, and what goes wrong when. The forms are listed in
 //! `docs/operators/badday.md`.
 
-use crate::settings::form::{Fields, File, Form, SettingsError};
+use slatevalve_forms::{Fields, File, Form, FormError};
 use slatevalve_standins::{FaultKind, ServicePlan};
 
-type Res<T> = Result<T, SettingsError>;
+type Res<T> = Result<T, FormError>;
 
 /// A whole script.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/settings/classes.rs
+++ b/crates/gateway/src/settings/classes.rs
@@ -1,11 +1,11 @@
 //! Classes, tenants and routes.
 
-use super::form::{Fields, Form, SettingsError};
 use slatevalve::{Class, ClassId, Effect, Group, Micros, Tenant, TenantId};
+use slatevalve_forms::{Fields, Form, FormError};
 use slatevalve_mqtt::{Route, Template, TopicFilter};
 use std::collections::BTreeSet;
 
-type Res<T> = Result<T, SettingsError>;
+type Res<T> = Result<T, FormError>;
 
 pub(crate) struct NamedClass {
     pub(crate) name: String,
--- a/crates/gateway/src/settings/members.rs
+++ b/crates/gateway/src/settings/members.rs
@@ -1,15 +1,15 @@
 //! The `members` form: where the list of workers comes from while the gateway runs.
 
-use super::form::{Fields, Form, SettingsError};
 use crate::members::MemberSettings;
 use slatevalve::Micros;
+use slatevalve_forms::{Fields, Form, FormError};
 use slatevalve_registry::{
     CensusSettings, ClientSettings, EndpointsSettings, FollowerSettings, Login, RegistrationSettings,
 };
 use std::net::ToSocketAddrs;
 use std::path::PathBuf;
 
-type Res<T> = Result<T, SettingsError>;
+type Res<T> = Result<T, FormError>;
 
 /// Where the list of workers comes from, beside the settings file.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -4,7 +4,6 @@
 //! again on SIGHUP.
 
 mod classes;
-pub mod form;
 mod members;
 mod plugins;
 mod workers;
@@ -14,9 +13,9 @@
 pub use workers::WorkerLine;
 
 use crate::clock::Clock;
-use form::{Fields, Form, SettingsError};
 use slatevalve::{Effect, Limits, Loading, Micros, Reports, Rules, Settings, Weights, ZoneId};
 use slatevalve_engine::{ClassPolicy, DuplicateLimits, EngineSettings, FunctionTraits};
+use slatevalve_forms::{Fields, File, Form, FormError};
 use slatevalve_mqtt::{BridgeSettings, FrontSettings, Routes};
 use slatevalve_plugins::ClassRights;
 use std::collections::HashMap;
@@ -24,7 +23,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-type Res<T> = Result<T, SettingsError>;
+type Res<T> = Result<T, FormError>;
 
 /// Connections to workers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,7 +106,7 @@
     /// With file, line and form of the first thing that is wrong.
     pub fn load(path: &Path, clock: &Clock, named: Named) -> Res<Self> {
         let name = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|e| SettingsError {
+        let text = fs::read_to_string(path).map_err(|e| FormError {
             file: name.clone(),
             line: 0,
             form: String::new(),
@@ -121,7 +120,7 @@
     /// # Errors
     /// With file, line and form of the first thing that is wrong.
     pub fn parse(file: &str, text: &str, clock: &Clock, named: Named) -> Res<Self> {
-        let file = form::File::parse(file, text)?;
+        let file = File::parse(file, text)?;
         let mut top = file.forms()?;
         let Named { mut zones, mut kinds } = named;
         let mut gateway = top.need("gateway")?.fields()?;
--- a/crates/gateway/src/settings/plugins.rs
+++ b/crates/gateway/src/settings/plugins.rs
@@ -1,13 +1,13 @@
 //! The `plugins` form: the folder, the registry, signatures, roll-out.
 
-use super::form::{Fields, Form, SettingsError};
 use super::sub;
 use slatevalve::Micros;
+use slatevalve_forms::{Fields, Form, FormError};
 use slatevalve_oci::{Credentials, Location, Policy, PullSettings};
 use slatevalve_plugins::{ClassRights, KeyList, RolloutSettings, Terms};
 use std::path::PathBuf;
 
-type Res<T> = Result<T, SettingsError>;
+type Res<T> = Result<T, FormError>;
 
 /// Plug-ins.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/settings/workers.rs
+++ b/crates/gateway/src/settings/workers.rs
@@ -1,15 +1,15 @@
 //! The worker list.
 
-use super::form::{Fields, Form, SettingsError};
 use super::{address, Named, Places};
 use crate::clock::Clock;
 use slatevalve::{CellId, KindId, WorkerEntry, WorkerState, ZoneId};
 use slatevalve_engine::worker_id;
+use slatevalve_forms::{Fields, Form, FormError};
 use slatevalve_registry::{MemberState, WorkerRecord};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-type Res<T> = Result<T, SettingsError>;
+type Res<T> = Result<T, FormError>;
 
 /// One worker, as the list has it.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -11,13 +11,13 @@
 use crate::clock::Clock;
 use crate::members::{Recorder, Source, Starts};
 use crate::plugins::folder::FolderError;
-use crate::settings::form::SettingsError;
 use crate::settings::{Site, WorkerLine};
 use admin::Admin;
 use plugins::PluginHost;
 use pool::{Pool, TaskEnd};
 use slatevalve::{Listing, Micros, Scope, WorkerId, WorkerState};
 use slatevalve_engine::{Call, Engine, Output, Ticket};
+use slatevalve_forms::FormError;
 use slatevalve_mqtt::{Bridge, BridgeOutput, Front, FrontOutput, LinkId, TicketSource};
 use slatevalve_reactor::{Happening, Id, Reactor};
 use slatevalve_worker_wire::{Http, Limits};
@@ -435,7 +435,7 @@
     fn reload(&mut self) {
         self.plugins.iter().for_each(PluginHost::reload);
         let Some(path) = &self.settings_file else { return };
-        let read: Result<Site, SettingsError> = Site::load(path, &self.clock, self.site.named.clone());
+        let read: Result<Site, FormError> = Site::load(path, &self.clock, self.site.named.clone());
         match read {
             Err(error) => error!(%error, "the settings file was not taken; the worker list stays as it was"),
             Ok(site) => {
