--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -152,8 +152,9 @@
             max_functions: FUNCTIONS,
         };
         let at = Box::new(move |millis| clock.at_unix_ms(millis));
-        let (follower, known) = Follower::new(site.names.clone(), at, config.changelog, &config.known)
-            .map_err(|e| PlatformError::Known(file.clone(), e))?;
+        let (follower, known) =
+            Follower::new(site.names.clone(), at, config.changelog, &config.known, config.seed)
+                .map_err(|e| PlatformError::Known(file.clone(), e))?;
         let mut router = Router {
             clock,
             file,
--- a/crates/platform/src/changes.rs
+++ b/crates/platform/src/changes.rs
@@ -2,9 +2,11 @@
 //!
 //! It guards against missing a drain: the log is asked with short waits; one that stops telling is given up just beyond
 //! the wait and asked again on a new connection from the last event that came whole; a break is followed by the next
-//! question at once. What is cut off counts for nothing. Called by the gateway's loop, which owns the connection.
+//! question at once, further failures by pauses drawn from the router's own seed. What is cut off counts for nothing. Called by the gateway's loop, which owns the connection.
 
 use crate::after;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use serde_json::Value;
 use slatevalve::{CellId, KindId, Listing, Micros, Scope, WorkerEntry, WorkerState, ZoneId};
 use slatevalve_engine::worker_id;
@@ -19,8 +21,10 @@
 const OVERDUE: Micros = Micros(300_000);
 /// A connection to the log stands by then or is tried again.
 const CONNECT: Micros = Micros(250_000);
-/// The pause after each failure in a row, from none for the first.
-const PAUSE: Micros = Micros(50_000);
+/// The longest pause for each failure in a row, from none for the first; how much of it is drawn, so that routers whose
+/// log went away together do not knock in step. With the time to connect, news are asked for 0.65 s after they can be
+/// had at the latest; 2 s is what the platform allows after a break.
+const PAUSE: Micros = Micros(100_000);
 const MAX_PAUSES: u32 = 4;
 /// The longest answer: thousands of workers.
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
@@ -87,6 +91,7 @@
     state: State,
     reader: MessageReader,
     failures: u32,
+    random: Pcg64Mcg,
 }
 
 fn reader() -> MessageReader {
@@ -94,7 +99,7 @@
 }
 
 impl Follower {
-    /// A follower that knows the events up to now, and those of `known`, which are given back.
+    /// A follower that knows the events up to now, and those of `known`, which are given back; `seed` is this router's own.
     ///
     /// # Errors
     /// Where `known` cannot be read.
@@ -103,10 +108,12 @@
         at_unix_ms: Box<dyn Fn(f64) -> Micros>,
         address: SocketAddr,
         known: &Obj,
+        seed: u64,
     ) -> Result<(Self, Vec<Change>), FieldError> {
         let state = State::Apart(Micros(0));
+        let random = Pcg64Mcg::seed_from_u64(seed);
         let mut follower =
-            Follower { names, at_unix_ms, address, seq: 0, state, reader: reader(), failures: 0 };
+            Follower { names, at_unix_ms, address, seq: 0, state, reader: reader(), failures: 0, random };
         let changes = follower.read(known)?;
         Ok((follower, changes))
     }
@@ -203,7 +210,8 @@
 
     /// Tries again, at once after the first failure.
     fn failed(&mut self, now: Micros, out: &mut Vec<Wanted>) {
-        let pause = Micros(PAUSE.0 * i64::from(self.failures.min(MAX_PAUSES)));
+        let longest = PAUSE.0 * i64::from(self.failures.min(MAX_PAUSES));
+        let pause = Micros(self.random.random_range(0..=longest));
         self.failures = self.failures.saturating_add(1);
         self.apart(after(now, pause), out);
     }
--- a/crates/platform/tests/changes.rs
+++ b/crates/platform/tests/changes.rs
@@ -39,6 +39,10 @@
 
 impl Log {
     fn new(known: Value) -> (Self, Vec<Change>) {
+        Self::seeded(known, 1)
+    }
+
+    fn seeded(known: Value, seed: u64) -> (Self, Vec<Change>) {
         let names = Names {
             zones: vec!["hall-a".into(), "hall-b".into()],
             kinds: vec!["duo".into()],
@@ -47,7 +51,7 @@
         let address = "127.0.0.1:4222".parse().unwrap();
         let at = Box::new(|ms: f64| Micros((ms * 1000.0) as i64));
         let (follower, changes) =
-            Follower::new(names, at, address, known.as_object().unwrap()).expect("the known events");
+            Follower::new(names, at, address, known.as_object().unwrap(), seed).expect("the known events");
         (Log { follower, now: Micros(10_000_000), address }, changes)
     }
 
@@ -158,6 +162,33 @@
     assert!((45..=100).contains(&tries), "{tries} tries in 10 s");
 }
 
+#[test]
+fn many_routers_whose_log_went_away_together_do_not_knock_in_step() {
+    // All lose it in the same instant, and each try fails at once.
+    let known = json!({"seq": 3, "results": [fleet(3, true, &[("a", "active")])]});
+    let mut routers: Vec<Log> = (0..300).map(|seed| Log::seeded(known.clone(), seed).0).collect();
+    let mut connects = Vec::new();
+    let mut quiet = vec![0; routers.len()];
+    for _ in 0..500 {
+        let mut now = 0;
+        for (log, quiet) in routers.iter_mut().zip(&mut quiet) {
+            let tried = !log.tick(10).connects.is_empty();
+            *quiet = if tried { 0 } else { *quiet + 10 };
+            assert!(*quiet <= 410, "a wait of {quiet} ms");
+            if tried {
+                now += 1;
+                log.with(|f, now, out| f.closed(now, out));
+            }
+        }
+        connects.push(now);
+    }
+    // A pause is 0.2 s in the mean: 15 of 300 in 10 ms. The first tries, which are at once, are left out.
+    let most = connects[100..].iter().max().copied().unwrap_or_default();
+    assert!(most <= 45, "{most} of 300 in the same 10 ms");
+    let all: usize = connects[100..].iter().sum();
+    assert!((300 * 4 * 3..300 * 4 * 8).contains(&all), "{all} tries in 4 s");
+}
+
 #[test]
 fn answers_that_cannot_be_read_change_nothing() {
     let bad = fleet(4, false, &[("a", "leaving"), ("b", "asleep")]);
