Bytes leave only after a turn's news; what has not left is taken back, whoever forbids cancel

Causes: (1) Reactor::ready wrote to a connection in the moment it came up, before the turn's other news (a drain, a client's leave) were handled; (2) Event::Left calls off only where limits.cancel allows it, so bytes that waited for a connection went out for nobody; (3) call_off and hold_back could not take one request out of a shared buffer: others were failed, or it went out with them; (4) a failing write ended a connection with answers unread behind it; (5) finish closed over unread bytes, which resets the peer; (6) an idle connection was used though its close was in the kernel or its time was up; (7) a call could go again on the connection on which it had ended, where a second copy would be taken for its answer; (8) the process wrote old decisions after a standstill; (9) the stop ended in the turn in which it accepted, waited for deadlines beyond the platform's kill (3 s at most count), and closed hard; (10) an answer of the change log that leaves out numbers skipped events; (11) a worker gone and back in one event stayed unlisted, and what waited for a worker that moved went to the old address. Change: writes wait for the next turn (reactor), take_back, look, is_quiet, half-close and reading out; Output::Withhold (engine); pool, platform/stop.rs and changes.rs accordingly.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -116,6 +116,9 @@
     },
     /// Call an attempt off: it ends as cancelled, or as not sent where no byte of it was written.
     Cancel(AttemptRef),
+    /// Nobody wants the call's answer any more: if no byte of the attempt has left, none is to leave, and it ends as not sent;
+    /// one that began to leave runs on. This needs nobody's leave, other than [`Output::Cancel`].
+    Withhold(AttemptRef),
     /// The call's deadline came: the attempt ends as timed out, or as not sent where no byte of it was written.
     Expire(AttemptRef),
     /// Order copies held; ends in one [`Engine::loaded`]. With 0 copies the worker is only asked how many stand.
@@ -608,6 +611,8 @@
     fn finish(&mut self, id: RequestId, verdict: Verdict, out: &mut Vec<Output>) {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
         open.answered = true;
+        let unwanted = open.out().map(|attempt| Output::Withhold(AttemptRef { request: id, attempt }));
+        out.extend(unwanted);
         let (attempts, version) = (open.attempts.len(), open.body.version.clone());
         let answer = Answer { verdict, attempts, recorded: false, version };
         let tickets = std::mem::take(&mut open.tickets);
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -1,8 +1,11 @@
 //! The router of the platform: the loop's sockets around its clients, its workers, its change log and the engine.
 //!
 //! It guards the platform's terms of a process: in the foreground, ready only with a list of workers, a new
-//! configuration on SIGHUP without a call lost, and on SIGTERM served on until nobody can come any more. It carries and
-//! times and decides nothing; calls are the engine's and the module's. Called by the sub-command `platform`.
+//! configuration on SIGHUP without a call lost, and on SIGTERM served on until nobody can come any more (`stop.rs`). It carries
+//! and times and decides nothing; calls are the engine's and the module's. Called by the sub-command `platform`. What holds
+//! when things cross within a turn is in `docs/design-platform.md`.
+
+mod stop;
 
 use crate::clock::Clock;
 use crate::settings::PoolSettings;
@@ -13,7 +16,7 @@
 use slatevalve_platform::config::{Config, ConfigError};
 use slatevalve_platform::front::{Front, FrontOutput, FrontSettings, LinkId};
 use slatevalve_platform::workers::Lines;
-use slatevalve_reactor::{Happening, Id, Reactor};
+use slatevalve_reactor::{Happening, Id, Reactor, LINGERING};
 use slatevalve_site::FieldError;
 use std::collections::HashMap;
 use std::fmt;
@@ -21,6 +24,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use stop::Stop;
 use tracing::{debug, error, info, warn};
 
 /// Bytes buffered for one connection at most; a client that reads more slowly is closed.
@@ -29,14 +33,16 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(100);
 /// A listener that could not accept rests for this.
 const ACCEPT_REST: Micros = Micros(20_000);
-/// Descriptors that are neither a client's nor a worker's: standard streams, listener, poller, signals, change log.
-const OTHER_DESCRIPTORS: usize = 24;
+/// Descriptors that are neither a client's nor a worker's: standard streams, listener, poller, signals, change log, and
+/// clients' connections that are over and read out.
+const OTHER_DESCRIPTORS: usize = 24 + LINGERING;
 /// Time kept back from each budget for the answer's way to the client.
 const MARGIN: Micros = Micros(4_000);
 /// Functions whose names are held; one unused for longest makes room.
 const FUNCTIONS: usize = 8_192;
-/// After SIGTERM, clients may still come for this; only then does the listener close.
-const LAST_COMERS: Micros = Micros(800_000);
+/// The part of a drain's grace after which what was decided is old news: a process that stood still for so long between
+/// deciding and writing looks at what came meanwhile before it writes. And the time where there is no grace.
+const OLD_NEWS: (i64, Micros) = (5, Micros(50_000));
 /// Unusable things that a log line is spent on.
 const LOGGED: u64 = 20;
 
@@ -82,7 +88,6 @@
     clock: Clock,
     file: PathBuf,
     classes: Vec<String>,
-    longest_deadline: Micros,
     reactor: Reactor,
     engine: Engine,
     front: Front,
@@ -98,8 +103,12 @@
     /// Workers that the log told of and that are not gone.
     workers: HashMap<WorkerId, WorkerState>,
     age: Micros,
-    /// When the stop began.
-    stopping: Option<Micros>,
+    /// When the turn before decided what it left to be written, and after which time that is old news.
+    decided: Micros,
+    old_after: Micros,
+    /// The turn before only looked: this one writes, whatever it took.
+    looked: bool,
+    stop: Stop,
     resume_at: Option<Micros>,
     unusable: u64,
     to_engine: Vec<Output>,
@@ -123,8 +132,9 @@
             reactor.listen(config.listen).map_err(|e| PlatformError::Listen(config.listen, e))?;
         let site = config.site;
         let module = site.settings;
-        let deadlines = module.classes.iter().map(|c| c.deadline);
-        let longest_deadline = deadlines.max().unwrap_or_default().max(Micros(3_000_000));
+        let stop = Stop::new(module.classes.iter().map(|c| c.deadline).max().unwrap_or_default());
+        let grace = module.rules.drain_grace.0;
+        let old_after = if grace > 0 { Micros(grace / OLD_NEWS.0) } else { OLD_NEWS.1 };
         let free = config.limits.sockets.saturating_sub(OTHER_DESCRIPTORS).max(8);
         // Usual clients hold a third of all descriptors at most; the rest of this share is for those who are not usual.
         let clients = free * 9 / 20;
@@ -159,7 +169,6 @@
             clock,
             file,
             classes: site.names.classes,
-            longest_deadline,
             reactor,
             engine: Engine::new(engine),
             front: Front::new(FrontSettings { classes, connections: clients }),
@@ -173,7 +182,10 @@
             next_link: 0,
             workers: HashMap::new(),
             age: Micros(0),
-            stopping: None,
+            decided: clock.now(),
+            old_after,
+            looked: false,
+            stop,
             resume_at: None,
             unusable: 0,
             to_engine: Vec::new(),
@@ -206,42 +218,61 @@
     /// # Errors
     /// When the poller fails.
     pub fn run(&mut self) -> Result<(), PlatformError> {
+        while !self.turn(LONGEST_WAIT)? {}
+        Ok(())
+    }
+
+    /// One turn of the loop, which waits no longer than `most`; true once an orderly stop is done. What it decides to write
+    /// leaves when the next turn begins.
+    ///
+    /// # Errors
+    /// When the poller fails.
+    pub fn turn(&mut self, most: Duration) -> Result<bool, PlatformError> {
+        let before = self.clock.now();
+        let worked = before.0 - self.decided.0;
         let mut happened = Vec::new();
-        let mut worked = Micros(0);
-        loop {
-            let before = self.clock.now();
-            let wait = self.wait_from(before);
+        let mut wait = self.wait_from(before).min(most);
+        if worked > self.old_after.0 && !self.looked {
+            // The process stood still after it had decided: what came meanwhile may forbid what is about to be written.
+            self.reactor.look(Some(Duration::ZERO), &mut happened).map_err(PlatformError::Loop)?;
+            wait = Duration::ZERO;
+        }
+        self.looked = !happened.is_empty();
+        if !self.looked {
             self.reactor.turn(Some(wait), &mut happened).map_err(PlatformError::Loop)?;
-            let now = self.clock.now();
-            // What is read now may have come while the turn before was at work, or while the process stood still
-            // beyond the wait that it asked for.
-            let overslept = (now.0 - before.0 - wait.as_micros() as i64).max(0);
-            self.age = Micros(worked.0 + overslept);
-            // What the change log tells comes before anything else in the turn: a drain that is known is kept.
-            happened.sort_by_key(|h| !self.is_of_log(h));
-            for happening in happened.drain(..) {
-                match self.is_of_log(&happening) {
-                    true => self.log_happened(now, happening),
-                    false => self.happened(now, happening),
-                }
-            }
-            self.follower.advance(now, &mut self.wanted);
-            self.follow(now);
-            self.front.advance(now, &mut self.to_front);
-            for end in self.pool.advance(now, &mut self.reactor) {
-                self.ended(now, end);
-            }
-            self.settle(now);
-            self.engine.advance(now, &mut self.to_engine);
-            self.settle(now);
-            if self.resume_at.is_some_and(|at| at <= now) {
-                self.resume_at = None;
-                self.reactor.resume(self.listener);
-            }
-            if self.has_stopped(now) {
-                return Ok(());
+        }
+        let now = self.clock.now();
+        self.decided = now;
+        // What is read now may have come while the turn before was at work, or while the process stood still
+        // beyond the wait that it asked for.
+        let overslept = (now.0 - before.0 - wait.as_micros() as i64).max(0);
+        self.age = Micros(worked + overslept);
+        let quiet = !happened.iter().any(|h| self.is_of_client(h));
+        self.handle(now, happened);
+        self.follower.advance(now, &mut self.wanted);
+        self.follow(now);
+        self.front.advance(now, &mut self.to_front);
+        for end in self.pool.advance(now, &mut self.reactor) {
+            self.ended(now, end);
+        }
+        self.settle(now);
+        self.engine.advance(now, &mut self.to_engine);
+        self.settle(now);
+        if self.resume_at.is_some_and(|at| at <= now) {
+            self.resume_at = None;
+            self.reactor.resume(self.listener);
+        }
+        Ok(self.has_stopped(now, quiet))
+    }
+
+    fn handle(&mut self, now: Micros, mut happened: Vec<Happening>) {
+        // What the change log tells comes before anything else in the turn: a drain that is known is kept.
+        happened.sort_by_key(|h| !self.is_of_log(h));
+        for happening in happened {
+            match self.is_of_log(&happening) {
+                true => self.log_happened(now, happening),
+                false => self.happened(now, happening),
             }
-            worked = Micros(self.clock.now().0 - now.0);
         }
     }
 
@@ -254,7 +285,7 @@
 
     /// Whether the list of workers is there and worth serving, and no stop is under way.
     fn is_ready(&self) -> bool {
-        self.stopping.is_none() && self.workers.values().any(|state| *state == WorkerState::Ready)
+        !self.stop.has_begun() && self.workers.values().any(|state| *state == WorkerState::Ready)
     }
 
     fn happened(&mut self, now: Micros, happening: Happening) {
@@ -276,7 +307,7 @@
                     ends.into_iter().for_each(|end| self.ended(now, end));
                 }
             },
-            Happening::Connected(id) => self.pool.connected(id),
+            Happening::Connected(id) => self.pool.connected(now, &mut self.reactor, id),
             Happening::Closed { id, connected, written } => match self.links.remove(&id) {
                 Some(link) => {
                     self.sockets.remove(&link);
@@ -289,7 +320,7 @@
             },
             Happening::Drained(_) | Happening::Woken => {}
             Happening::Signal(signal_hook::consts::SIGHUP) => self.reload(now),
-            Happening::Signal(_) => self.stop(now),
+            Happening::Signal(_) => self.begin_stop(now),
             Happening::AcceptFailed { error, .. } => {
                 warn!(%error, "cannot accept connections; those that stand go on");
                 self.resume_at = Some(Micros(now.0 + ACCEPT_REST.0));
@@ -350,9 +381,12 @@
             match (line.entry.state, line.address) {
                 (WorkerState::Gone, _) | (_, None) => gone.push(id),
                 (state, Some(address)) => {
-                    self.pool.list(&mut self.reactor, id, &line.name, address);
+                    // Gone and back in one event: what waited was for the one that is gone.
+                    let back = gone.contains(&id);
+                    gone.retain(|g| *g != id);
+                    let moved = self.pool.list(&mut self.reactor, id, &line.name, address);
                     self.workers.insert(id, state);
-                    if state == WorkerState::Draining {
+                    if state == WorkerState::Draining || moved || back {
                         held_back.push(id);
                     }
                 }
@@ -457,41 +491,6 @@
             Err(e) => error!(%e, "the configuration was not taken; all stays as it was"),
         }
     }
-
-    /// SIGTERM: not ready any more, and served on until nobody can come.
-    fn stop(&mut self, now: Micros) {
-        if self.stopping.is_none() {
-            info!(open = self.front.unanswered(), "stopping");
-            self.stopping = Some(now);
-        }
-    }
-
-    /// Whether the stop is done: nobody can come any more, and all is answered and written or out of time.
-    fn has_stopped(&mut self, now: Micros) -> bool {
-        let Some(since) = self.stopping else { return false };
-        let stood = now.0 - since.0;
-        if stood < LAST_COMERS.0 {
-            return false;
-        }
-        self.reactor.close(self.listener);
-        let done = self.front.unanswered() == 0 && !self.reactor.has_pending();
-        let over = stood > self.longest_deadline.0 + LAST_COMERS.0;
-        if done || over {
-            let counts = self.engine.statistics();
-            info!(
-                sizes = ?self.sizes(),
-                calls = counts.calls,
-                served = counts.served,
-                refused = counts.refused,
-                failed = counts.failed,
-                attempts = counts.attempts,
-                overdue = counts.overdue,
-                unusable = self.unusable,
-                "stopped"
-            );
-        }
-        done || over
-    }
 }
 
 /// The connection that something happened on.
--- a/crates/gateway/src/shell/members.rs
+++ b/crates/gateway/src/shell/members.rs
@@ -80,20 +80,29 @@
 
     fn take_changes(&mut self, now: Micros, changes: Vec<(String, Option<WorkerRecord>)>) {
         let mut entries = Vec::new();
+        let mut held_back = Vec::new();
         for (name, record) in changes {
             match record {
                 Some(record) => {
                     let Some(line) = self.line(&name, &record) else { continue };
                     info!(worker = name, state = ?line.entry.state, "worker");
-                    self.pool.list(&mut self.reactor, line.entry.id, &name, line.address);
+                    let moved = self.pool.list(&mut self.reactor, line.entry.id, &name, line.address);
+                    held_back.extend(
+                        (moved || line.entry.state == WorkerState::Draining).then_some(line.entry.id),
+                    );
                     self.listed.insert(line.entry.id);
                     entries.push(line.entry);
                 }
-                None => entries.extend(self.gone(&name)),
+                None => {
+                    let gone = self.gone(&name);
+                    held_back.extend(gone.as_ref().map(|g| g.id));
+                    entries.extend(gone);
+                }
             }
         }
         let listing = Listing { scope: Scope::Changes, entries };
         self.engine.listed(now, listing, &mut self.to_engine);
+        self.hold_back(now, held_back);
     }
 
     fn gone(&mut self, name: &str) -> Option<WorkerEntry> {
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -269,7 +269,7 @@
             }
             Happening::Connected(id) => match self.bridge.as_mut().filter(|l| l.socket == Some(id)) {
                 Some(link) => link.bridge.connected(now, &mut self.to_bridge),
-                None => self.pool.connected(id),
+                None => self.pool.connected(now, &mut self.reactor, id),
             },
             Happening::Closed { id, connected, written } => {
                 if let Some(link) = self.links.remove(&id) {
@@ -416,21 +416,34 @@
     fn take_list(&mut self, scope: Scope, workers: &[WorkerLine]) {
         let now = self.clock.now();
         let mut named = BTreeSet::new();
+        let mut held_back = Vec::new();
         for line in workers.iter().filter(|w| w.entry.state != WorkerState::Gone) {
-            self.pool.list(&mut self.reactor, line.entry.id, &line.name, line.address);
+            let moved = self.pool.list(&mut self.reactor, line.entry.id, &line.name, line.address);
+            held_back.extend((moved || line.entry.state == WorkerState::Draining).then_some(line.entry.id));
             named.insert(line.entry.id);
         }
         for worker in std::mem::take(&mut self.listed).difference(&named) {
             info!(worker = self.pool.name(*worker), "worker is gone");
             self.pool.unlist(&mut self.reactor, *worker);
+            held_back.push(*worker);
         }
         self.listed = named;
         let entries = workers.iter().map(|w| w.entry.clone()).collect();
         let listing = Listing { scope, entries };
         self.engine.listed(now, listing, &mut self.to_engine);
+        self.hold_back(now, held_back);
         self.settle(now);
     }
 
+    /// What waits to be sent to workers that take nothing new is taken back; the module knows of them already.
+    fn hold_back(&mut self, now: Micros, workers: Vec<WorkerId>) {
+        for worker in workers {
+            for end in self.pool.hold_back(now, &mut self.reactor, worker) {
+                self.ended(now, end);
+            }
+        }
+    }
+
     /// SIGHUP: the worker list and the catalogue of plug-ins are read again. A file with an error changes nothing.
     fn reload(&mut self) {
         self.plugins.iter().for_each(PluginHost::reload);
--- a/crates/gateway/src/shell/pool.rs
+++ b/crates/gateway/src/shell/pool.rs
@@ -1,25 +1,29 @@
 //! Connections to workers and what is out on them, whatever protocol they speak.
 //!
 //! It guards the difference between what never left and what may have run: an attempt whose connection failed
-//! before the kernel took enough of it for a worker to run was never sent, any later end may have run. Each request
+//! before the kernel took enough of it for a worker to run was never sent, any later end may have run. What has not begun to
+//! leave can be taken back without a trace, and is, as soon as nobody wants it or nobody may send it. Each request
 //! has a connection to itself while there is room for one, so that a spoilt answer or a reset takes no other with it;
 //! only then do requests of one kind share. Called by the shells, which hand it the loop's happenings and take its
 //! [`TaskEnd`]s. Bounds: `PoolSettings::total` connections, `Wire::streams` requests on each, a peer for each worker
 //! that is listed or has a connection.
 
 use crate::settings::PoolSettings;
-use slatevalve::{FunctionId, Micros, Outcome, WorkerId};
+use slatevalve::{FunctionId, Micros, Outcome, RequestId, WorkerId};
 use slatevalve_engine::{AttemptEnd, AttemptRef, Engine, Output, RunBody, Timers};
 use slatevalve_reactor::{Id, Reactor};
 use slatevalve_worker_wire::reply::Understood;
 use slatevalve_worker_wire::{Call, Heard, Order, Reader, Tag, Wire};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use tracing::debug;
 
 #[cfg(test)]
 mod tests;
 
+/// Calls remembered of those that a connection carried last.
+const CARRIED: usize = 8;
+
 /// What a request is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Purpose {
@@ -86,6 +90,8 @@
     offered: u64,
     /// When it is closed for not standing yet or for being idle.
     due: Option<Micros>,
+    /// The calls whose attempts ended on it last: a second copy of such an answer may still come under the same id.
+    carried: VecDeque<RequestId>,
 }
 
 /// What a timer is for.
@@ -132,19 +138,22 @@
         }
     }
 
-    /// Notes where a worker is reached. A worker that moved is reached at its new address from now on.
-    pub fn list(&mut self, reactor: &mut Reactor, worker: WorkerId, name: &str, address: SocketAddr) {
+    /// Notes where a worker is reached. A worker that moved is reached at its new address from now on; then it gives true,
+    /// and what waits to be sent to the old one is to be held back.
+    pub fn list(&mut self, reactor: &mut Reactor, worker: WorkerId, name: &str, address: SocketAddr) -> bool {
         let host = address.to_string();
         let (idle, connections) = (Vec::new(), Vec::new());
         let new = Peer { name: name.into(), address, host, idle, connections, listed: true };
         let peer = self.peers.entry(worker).or_insert(new);
         peer.listed = true;
-        if peer.address != address {
+        let moved = peer.address != address;
+        if moved {
             peer.address = address;
             peer.host = address.to_string();
             self.close_idle(reactor, worker);
             self.retire(worker);
         }
+        moved
     }
 
     /// Notes that a worker is gone: nothing more is sent to it. What is out there runs to its end.
@@ -160,23 +169,33 @@
     pub fn hold_back(&mut self, now: Micros, reactor: &mut Reactor, worker: WorkerId) -> Vec<TaskEnd> {
         let mut ends = Vec::new();
         for id in self.peers.get(&worker).map(|p| p.connections.clone()).unwrap_or_default() {
-            let Some(connection) = self.connections.get(&id) else { continue };
-            let written = reactor.written(id);
-            let unsent = |t: &Task| written <= t.from;
-            let tags: Vec<Tag> =
-                connection.tasks.iter().filter(|(_, t)| unsent(t)).map(|(tag, _)| *tag).collect();
-            if tags.is_empty() {
-                continue;
+            let tags = self.connections.get(&id).map(|c| c.tasks.keys().copied().collect::<Vec<Tag>>());
+            // The last first, so that none has to move up before it goes.
+            let tags = tags.into_iter().flatten().rev();
+            ends.extend(tags.filter_map(|tag| self.take_back(now, reactor, id, tag)));
+            if self.connections.get(&id).is_some_and(|c| c.tasks.is_empty()) {
+                self.drop_connection(reactor, id);
             }
-            ends.extend(
-                tags.into_iter().filter_map(|tag| self.end_task(now, id, tag, bare(Outcome::NotSent))),
-            );
-            // Its bytes are in the connection's buffer: with others half written before them, all goes.
-            ends.extend(self.fail(now, reactor, id, Outcome::Cancelled));
         }
         ends
     }
 
+    /// Takes a request back of which no byte has left, as if it had never been handed in; nothing for one that began to
+    /// leave. Others on its connection are not touched.
+    fn take_back(&mut self, now: Micros, reactor: &mut Reactor, id: Id, tag: Tag) -> Option<TaskEnd> {
+        let connection = self.connections.get_mut(&id)?;
+        let (from, to) = connection.tasks.get(&tag).map(|t| (t.from, t.to))?;
+        if !reactor.take_back(id, from, to) {
+            return None;
+        }
+        connection.offered -= to - from;
+        for behind in connection.tasks.values_mut().filter(|t| t.from >= to) {
+            behind.from -= to - from;
+            behind.to -= to - from;
+        }
+        self.end_task(now, id, tag, bare(Outcome::NotSent))
+    }
+
     fn close_idle(&mut self, reactor: &mut Reactor, worker: WorkerId) {
         let idle = self.peers.get_mut(&worker).map(|p| std::mem::take(&mut p.idle)).unwrap_or_default();
         for id in idle {
@@ -254,6 +273,16 @@
                 self.end_attempt(now, reactor, engine, attempt, Outcome::TimedOut, out);
                 return None;
             }
+            Output::Withhold(attempt) => {
+                let at = self.attempts.get(&attempt).copied();
+                let end = at.and_then(|(id, tag)| {
+                    let end = self.take_back(now, reactor, id, tag);
+                    self.rest(now, reactor, id);
+                    end
+                });
+                end.into_iter().for_each(|end| self.tell(now, end, engine, out));
+                return None;
+            }
             other => return Some(other),
         };
         if let Some(end) = self.submit(now, reactor, worker, purpose, order) {
@@ -332,10 +361,11 @@
         worker: WorkerId,
         purpose: Purpose,
     ) -> Result<Id, Outcome> {
-        let peer = self.peers.get_mut(&worker).filter(|p| p.listed).ok_or(Outcome::NotSent)?;
-        if let Some(id) = peer.idle.pop() {
+        self.peers.get(&worker).filter(|p| p.listed).ok_or(Outcome::NotSent)?;
+        if let Some(id) = self.idle_for(now, reactor, worker, purpose) {
             return Ok(id);
         }
+        let peer = self.peers.get(&worker).ok_or(Outcome::NotSent)?;
         // A worker that takes no more connections is one that cannot be reached.
         if peer.connections.len() >= self.settings.most {
             return self.shared(worker, purpose).ok_or(Outcome::ConnectFailed);
@@ -358,17 +388,40 @@
             next_tag: 0,
             offered: 0,
             due: Some(after(now, self.settings.connect_timeout)),
+            carried: VecDeque::new(),
         };
         self.connections.insert(id, connection);
         self.arm(id);
         Ok(id)
     }
 
+    /// The idle connection used last on which a request may go. Those whose time is up or on which something came, their end
+    /// included, are closed: what has not been told of them yet would be taken for this request's end.
+    fn idle_for(
+        &mut self,
+        now: Micros,
+        reactor: &mut Reactor,
+        worker: WorkerId,
+        purpose: Purpose,
+    ) -> Option<Id> {
+        for id in self.peers.get(&worker)?.idle.clone().into_iter().rev() {
+            let Some(connection) = self.connections.get(&id) else { continue };
+            let over = connection.due.is_some_and(|at| at <= now);
+            if over || (connection.connected && !reactor.is_quiet(id)) {
+                self.drop_connection(reactor, id);
+            } else if !connection.has_carried(purpose) {
+                self.peers.get_mut(&worker)?.idle.retain(|i| *i != id);
+                return Some(id);
+            }
+        }
+        None
+    }
+
     /// The connection to a worker with the fewest requests of this kind, where one has room.
     fn shared(&self, worker: WorkerId, purpose: Purpose) -> Option<Id> {
         let room = |c: &&Connection| {
             let same = c.tasks.values().all(|t| t.purpose.shares_with(purpose));
-            !c.retired && same && c.tasks.len() < self.wire.streams()
+            !c.retired && same && c.tasks.len() < self.wire.streams() && !c.has_carried(purpose)
         };
         let ids = self.peers.get(&worker)?.connections.iter();
         let open = ids.filter_map(|id| Some((*id, self.connections.get(id).filter(room)?)));
@@ -435,9 +488,13 @@
         outcome: Outcome,
     ) -> Option<TaskEnd> {
         let (id, tag) = *self.attempts.get(&attempt)?;
+        if let Some(end) = self.take_back(now, reactor, id, tag) {
+            self.rest(now, reactor, id);
+            return Some(end);
+        }
         let connection = self.connections.get(&id)?;
         let task = connection.tasks.get(&tag)?;
-        // Where others share the connection it stays, and what is buffered on it goes out all the same.
+        // Where others share the connection it stays, and what began to leave on it goes out to its end.
         let alone = connection.tasks.len() == 1;
         let give_up = self.wire.give_up(&task.order).filter(|_| !alone);
         let sent = !alone || self.may_have_left(task, reactor.written(id));
@@ -463,11 +520,12 @@
         connection.retired = true;
     }
 
-    /// A connection stands: what waited for it goes out.
-    pub fn connected(&mut self, id: Id) {
+    /// A connection stands: what waited for it goes out, unless it is taken back in this turn.
+    pub fn connected(&mut self, now: Micros, reactor: &mut Reactor, id: Id) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.connected = true;
         connection.due = None;
+        self.rest(now, reactor, id);
     }
 
     /// Bytes came.
@@ -493,11 +551,17 @@
         let Some(connection) = self.connections.get_mut(&id).filter(|c| c.tasks.is_empty()) else { return };
         let peer = self.peers.get_mut(&connection.worker).filter(|p| p.listed);
         match peer.filter(|_| connection.reader.is_clean() && !connection.retired) {
-            Some(peer) if peer.idle.contains(&id) => {}
+            // Told of once more, or standing now.
+            Some(peer) if peer.idle.contains(&id) && connection.due.is_some() => {}
             Some(peer) => {
-                connection.due = Some(after(now, self.settings.idle));
-                peer.idle.push(id);
-                self.arm(id);
+                if !peer.idle.contains(&id) {
+                    peer.idle.push(id);
+                }
+                // One that is still coming up keeps the time that it has for that.
+                if connection.connected {
+                    connection.due = Some(after(now, self.settings.idle));
+                    self.arm(id);
+                }
             }
             None => self.drop_connection(reactor, id),
         }
@@ -575,6 +639,8 @@
         connection.reader.forget(tag);
         if let Purpose::Attempt(attempt) = task.purpose {
             self.attempts.remove(&attempt);
+            connection.carried.truncate(CARRIED - 1);
+            connection.carried.push_front(attempt.request);
         }
         let latency = Micros(now.0.saturating_sub(task.began.0));
         Some(TaskEnd { worker: connection.worker, purpose: task.purpose, latency, understood })
@@ -595,6 +661,13 @@
     }
 }
 
+impl Connection {
+    /// Whether an attempt of the same call ended here lately: the end of that one could be taken for the end of this one.
+    fn has_carried(&self, purpose: Purpose) -> bool {
+        matches!(purpose, Purpose::Attempt(attempt) if self.carried.contains(&attempt.request))
+    }
+}
+
 fn after(now: Micros, time: Micros) -> Micros {
     Micros(now.0.saturating_add(time.0))
 }
--- a/crates/platform/src/changes.rs
+++ b/crates/platform/src/changes.rs
@@ -2,8 +2,9 @@
 //!
 //! It guards against missing a drain: the log is asked with short waits; one that stops telling is given up just beyond
 //! the wait and asked again on a new connection from the last event that came whole; a break is followed by the next
-//! question at once, further failures by drawn pauses ([`slatevalve_pacing`]). What is cut off counts for nothing. Called by
-//! the gateway's loop, which owns the connection.
+//! question at once, further failures by drawn pauses ([`slatevalve_pacing`]). What is cut off counts for nothing. An answer
+//! that leaves out numbers is taken, but asked for again from the last event before the gap. Called by the gateway's loop,
+//! which owns the connection.
 
 use crate::after;
 use serde_json::Value;
@@ -32,6 +33,8 @@
     longest_us: 400_000,
     free: 1,
 };
+/// Answers in a row that may leave out the same numbers; after that these are taken for numbers that nothing has.
+const GAPS: u32 = 3;
 /// The longest answer: thousands of workers.
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
 
@@ -97,6 +100,8 @@
     state: State,
     reader: MessageReader,
     pace: Pace,
+    /// Answers in a row that left out numbers.
+    gaps: u32,
 }
 
 fn reader() -> MessageReader {
@@ -118,7 +123,10 @@
         let state = State::Apart(Micros(0));
         // The list of routers is not told here: the draw after the first failure is over none but this one.
         let pace = Pace::new(AGAIN, 1, seed);
-        let mut follower = Follower { names, at_unix_ms, address, seq: 0, state, reader: reader(), pace };
+        let mut follower =
+            Follower { names, at_unix_ms, address, seq: 0, state, reader: reader(), pace, gaps: 0 };
+        // Numbers begin where the events of the start do, whatever these are.
+        follower.gaps = GAPS;
         let changes = follower.read(known)?;
         Ok((follower, changes))
     }
@@ -202,8 +210,11 @@
         };
         match read {
             Ok(changes) => {
-                self.pace.good();
                 out.extend(changes.into_iter().map(Wanted::Change));
+                if self.gaps > 0 {
+                    return false;
+                }
+                self.pace.good();
                 true
             }
             Err(e) => {
@@ -225,22 +236,36 @@
         out.push(Wanted::Close);
     }
 
-    /// Reads `{"seq":N,"results":[...]}`: the events after the last one, all of them or none.
+    /// Reads `{"seq":N,"results":[...]}`: the events after the last one, all of them or none. Where numbers are left out, those
+    /// behind them are given too, as late news are better than none, but the last event stays the one before the gap; it is
+    /// told again with what was left out. A whole list closes any gap before it.
     fn read(&mut self, o: &Obj) -> Result<Vec<Change>, FieldError> {
         let last = whole(o, "seq")?;
-        let mut seq = self.seq;
+        let (mut reached, mut seq) = (self.seq, self.seq);
         let mut changes = Vec::new();
         for v in list(o, "results")? {
             let event = object(v, "results")?;
             let number = whole(event, "seq")?;
-            // Told before, or an event that is not of the list of workers.
-            let fleet = opt(event, "fleet").filter(|_| number > seq);
-            seq = seq.max(number);
-            if let Some(fleet) = fleet {
-                changes.push(self.change(object(fleet, "fleet")?)?);
+            if number <= reached {
+                continue; // told before
+            }
+            let change = opt(event, "fleet").map(|f| self.change(object(f, "fleet")?)).transpose()?;
+            let whole = change.as_ref().is_some_and(|c| c.complete);
+            if whole || number == seq + 1 {
+                seq = number;
             }
+            reached = number;
+            changes.extend(change);
         }
-        self.seq = seq.max(last);
+        reached = reached.max(last);
+        self.gaps = match reached > seq {
+            true if self.gaps < GAPS => self.gaps + 1,
+            _ => {
+                seq = reached;
+                0
+            }
+        };
+        self.seq = seq;
         Ok(changes)
     }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -132,6 +132,11 @@
         self.open.len()
     }
 
+    /// Connections on which a part of a message has come.
+    pub fn incomplete(&self) -> usize {
+        self.links.values().filter(|l| l.begun.is_some()).count()
+    }
+
     /// A client connected.
     pub fn opened(&mut self, now: Micros, link: LinkId, out: &mut Vec<FrontOutput>) {
         self.links.insert(link, Link { opened: now, touched: now, ..Link::default() });
--- a/crates/platform/tests/changes.rs
+++ b/crates/platform/tests/changes.rs
@@ -211,3 +211,50 @@
     assert!(log.with(|f, now, out| f.connected(now, out)).asked[0].contains("since=3&"));
     assert_eq!(log.with(|f, now, out| f.moved(now, address, out)).closes, 0, "the same is no move");
 }
+
+#[test]
+fn no_event_is_skipped_where_an_answer_leaves_out_numbers() {
+    // Its events do not begin at the next number; its number is beyond its events; both.
+    let later = || fleet(5, false, &[("b", "active")]);
+    for first in [answer(5, &[later()]), answer(4, &[]), answer(6, &[later()])] {
+        let mut log = Log::asked();
+        log.bytes(&first);
+        assert_eq!(log.follower.seq(), 3, "the drain is event 4");
+        let seen = log.tick(0);
+        assert_eq!(seen.connects.len(), 1, "asked again at once");
+        let seen = log.with(|f, now, out| f.connected(now, out));
+        assert!(seen.asked[0].contains("since=3&"), "{}", seen.asked[0]);
+        let seen = log.bytes(&answer(5, &[fleet(4, false, &[("a", "leaving")]), later()]));
+        assert_eq!(seen.changes[0].lines[0].entry.state, WorkerState::Draining);
+        assert_eq!((seen.changes.len(), log.follower.seq()), (2, 5));
+    }
+}
+
+#[test]
+fn numbers_that_nothing_ever_has_do_not_stop_the_news() {
+    let mut log = Log::asked();
+    for _ in 0..4 {
+        let seen = log.bytes(&answer(6, &[fleet(6, false, &[("a", "leaving")])]));
+        assert!(seen.changes.len() <= 1);
+        log.tick(1_000);
+        log.with(|f, now, out| f.connected(now, out));
+    }
+    assert_eq!(log.follower.seq(), 6, "after some answers they are taken for none of ours");
+}
+
+#[test]
+fn an_answer_that_repeats_or_goes_back_changes_nothing() {
+    let mut log = Log::asked();
+    let news = answer(4, &[fleet(4, false, &[("a", "leaving")])]);
+    assert_eq!(log.bytes(&news).changes.len(), 1);
+    assert_eq!(log.bytes(&news).changes.len(), 0);
+    assert_eq!(log.bytes(&answer(1, &[fleet(1, true, &[("a", "active")])])).changes.len(), 0);
+    assert_eq!(log.follower.seq(), 4);
+}
+
+#[test]
+fn a_whole_list_closes_the_gap_before_it() {
+    let mut log = Log::asked();
+    let seen = log.bytes(&answer(9, &[fleet(9, true, &[("a", "active")])]));
+    assert_eq!((seen.changes.len(), seen.asked.len(), log.follower.seq()), (1, 1, 9));
+}
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -5,16 +5,22 @@
 //! closes it by its own timer), one that floods (each turn reads a bounded amount). The gateway and the stand-ins
 //! call it; it knows no protocol and decides nothing. Connection numbers are never used twice, so news of a
 //! closed connection can never be taken for that of a later one.
+//!
+//! Three things hold whatever comes between two lines. Bytes leave at the beginning of a turn and never while its news are
+//! being gathered, so that what a turn brings can still take them back ([`Reactor::take_back`]). What a peer said before its
+//! end is told before that end, also where the end shows itself in a failing write. A connection that is closed from here in
+//! order is half-closed and read out first, as a close over unread bytes makes the kernel destroy what the peer has not read.
 #![warn(missing_docs)]
 
 use polling::{Event, Events, PollMode, Poller};
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
-use std::net::SocketAddr;
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr};
 use std::os::unix::net::UnixStream;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Bytes read from one connection in one turn, so that a flood from one peer leaves turns to the others.
 const READ_AT_ONCE: usize = 64 * 1024;
@@ -22,6 +28,13 @@
 const ACCEPT_AT_ONCE: usize = 64;
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
+/// Reads of a connection that broke while it was written to, before its end is told.
+const READS_AT_END: usize = 16;
+/// A connection closed in order is read out for so long, and for so many bytes, at most.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 1024 * 1024;
+/// Connections read out at a time; beyond, the one that is read out for longest is closed.
+pub const LINGERING: usize = 16;
 
 /// A listener, connection or signal source; never used twice within one loop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -81,6 +94,8 @@
     finishing: bool,
     /// Noted to be written at the next turn.
     unflushed: bool,
+    /// Over for its owner and half-closed; so many bytes are still read and thrown away.
+    reading_out: Option<usize>,
 }
 
 enum Source {
@@ -90,6 +105,12 @@
     Waker(UnixStream),
 }
 
+impl Source {
+    fn is_read_out(&self) -> bool {
+        matches!(self, Source::Connection(c) if c.reading_out.is_some())
+    }
+}
+
 /// Wakes a loop from another thread.
 #[derive(Debug)]
 pub struct Waker(UnixStream);
@@ -114,6 +135,9 @@
     ended: Vec<Happening>,
     /// Connections with bytes that the kernel has not been offered yet.
     unflushed: Vec<Id>,
+    /// Connections that are read out, since when; the earliest first.
+    lingering: VecDeque<(Id, Instant)>,
+    most_lingering: usize,
 }
 
 impl Reactor {
@@ -131,6 +155,8 @@
             max_buffered,
             ended: Vec::new(),
             unflushed: Vec::new(),
+            lingering: VecDeque::new(),
+            most_lingering: LINGERING,
         })
     }
 
@@ -236,22 +262,53 @@
     pub fn write(&mut self, id: Id, bytes: &[u8]) {
         let max_buffered = self.max_buffered;
         let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+        if c.reading_out.is_some() {
+            return;
+        }
         if c.pending() + bytes.len() > max_buffered {
             return self.end(id);
         }
         c.buffer.extend_from_slice(bytes);
-        if c.connected && !c.watching_writes && !c.unflushed && !bytes.is_empty() {
-            c.unflushed = true;
-            self.unflushed.push(id);
+        if c.connected && !c.watching_writes && !bytes.is_empty() {
+            self.to_flush(id);
+        }
+    }
+
+    fn to_flush(&mut self, id: Id) {
+        if let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) {
+            if !std::mem::replace(&mut c.unflushed, true) {
+                self.unflushed.push(id);
+            }
+        }
+    }
+
+    /// Takes back bytes that were handed in and of which the kernel has none yet: those from the `from`th to before the
+    /// `to`th of the connection's life, counted as [`Reactor::written`] does. What was handed in behind them moves up. Gives
+    /// whether it did; it does all or nothing.
+    pub fn take_back(&mut self, id: Id, from: u64, to: u64) -> bool {
+        let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return false };
+        let offered = c.written + c.pending() as u64;
+        if from < c.written || from > to || to > offered {
+            return false;
         }
+        let at = |n: u64| c.start + (n - c.written) as usize;
+        c.buffer.drain(at(from)..at(to));
+        true
+    }
+
+    /// Whether a connection stands and nothing has come on it that was not told yet, its end included.
+    pub fn is_quiet(&self, id: Id) -> bool {
+        let Some(Source::Connection(c)) = self.sources.get(&id.0) else { return false };
+        let peeked = c.stream.peek(&mut [MaybeUninit::uninit()]);
+        c.connected && matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Hands the kernel what was written in the turn before.
-    fn flush(&mut self) {
+    fn flush(&mut self, out: &mut Vec<Happening>) {
         for id in std::mem::take(&mut self.unflushed) {
             if let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) {
                 c.unflushed = false;
-                self.write_pending(id, &mut Vec::new());
+                self.write_pending(id, out);
             }
         }
     }
@@ -287,17 +344,55 @@
         }
     }
 
-    /// Closes a connection once all that was buffered is written; what it still sends is not read. The end is
-    /// told as [`Happening::Closed`] at the next turn.
+    /// Closes a connection once all that was buffered is written; what it still sends is read and thrown away, for a bounded
+    /// time, so that the peer can read its answers to the end. The end is told as [`Happening::Closed`] at the next turn.
     pub fn finish(&mut self, id: Id) {
         let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+        if c.reading_out.is_some() {
+            return;
+        }
         if c.pending() == 0 {
-            return self.end(id);
+            return self.half_close(id);
         }
         c.finishing = true;
         self.pause(id, true);
     }
 
+    /// How many connections may be read out at a time; [`LINGERING`] if nothing is said.
+    pub fn linger_at_most(&mut self, most: usize) {
+        self.most_lingering = most;
+    }
+
+    /// Connections that are being read out.
+    pub fn lingering(&self) -> usize {
+        self.lingering.len()
+    }
+
+    /// Tells the owner of the end and the peer that nothing more comes; then it is read out.
+    fn half_close(&mut self, id: Id) {
+        let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+        if !c.connected || c.stream.shutdown(Shutdown::Write).is_err() {
+            return self.end(id);
+        }
+        self.ended.push(Happening::Closed { id, connected: true, written: c.written });
+        (c.reading_out, c.finishing, c.paused) = (Some(LINGER_BYTES), false, false);
+        self.set_interest(id);
+        self.lingering.push_back((id, Instant::now()));
+        while self.lingering.len() > self.most_lingering {
+            self.lingering.pop_front().into_iter().for_each(|(id, _)| drop(self.remove(id)));
+        }
+    }
+
+    /// Reads on where the owner has no part any more.
+    fn read_out(&mut self, id: Id, left: usize) {
+        let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+        match c.stream.read(&mut self.scratch) {
+            Ok(n) if n > 0 && n < left => c.reading_out = Some(left - n),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+            _ => drop(self.remove(id)),
+        }
+    }
+
     /// Closes a connection or listener at once; nothing more is told of it.
     pub fn close(&mut self, id: Id) {
         self.remove(id);
@@ -315,8 +410,24 @@
     /// # Errors
     /// When the poller fails.
     pub fn turn(&mut self, timeout: Option<Duration>, out: &mut Vec<Happening>) -> io::Result<()> {
-        self.flush();
+        let before = out.len();
+        self.flush(out);
+        let timeout = if out.len() == before { timeout } else { Some(Duration::ZERO) };
+        self.look(timeout, out)
+    }
+
+    /// The same, but writes nothing: what was handed in can still be taken back by what this look brings. For a loop that
+    /// stood still between deciding and writing.
+    ///
+    /// # Errors
+    /// When the poller fails.
+    pub fn look(&mut self, timeout: Option<Duration>, out: &mut Vec<Happening>) -> io::Result<()> {
+        while self.lingering.front().is_some_and(|l| l.1.elapsed() >= LINGER) {
+            self.lingering.pop_front().into_iter().for_each(|(id, _)| drop(self.remove(id)));
+        }
+        let lingers = self.lingering.front().map(|l| LINGER.saturating_sub(l.1.elapsed()));
         let timeout = if self.ended.is_empty() { timeout } else { Some(Duration::ZERO) };
+        let timeout = lingers.map_or(timeout, |l| Some(timeout.map_or(l, |t| t.min(l))));
         self.events.clear();
         match self.poller.wait(&mut self.events, timeout) {
             Ok(_) => {}
@@ -358,6 +469,18 @@
         }
     }
 
+    /// Accepts what waits at a listener, as far as it can, and closes it. What came between is told in `out`.
+    pub fn close_listener(&mut self, listener: Id, out: &mut Vec<Happening>) {
+        for _ in 0..BACKLOG as usize / ACCEPT_AT_ONCE {
+            let before = out.len();
+            self.accept(listener, out);
+            if out.len() == before {
+                break;
+            }
+        }
+        self.close(listener);
+    }
+
     fn accept(&mut self, listener: Id, out: &mut Vec<Happening>) {
         for _ in 0..ACCEPT_AT_ONCE {
             let Some(Source::Listener(l)) = self.sources.get(&listener.0) else { return };
@@ -397,7 +520,8 @@
             c.connected = true;
             out.push(Happening::Connected(id));
         }
-        self.write_pending(id, out);
+        // Not at once: this turn may also bring what takes the bytes back.
+        self.to_flush(id);
     }
 
     /// Offers the kernel what waits, and watches for writability while something is left.
@@ -409,15 +533,17 @@
                     c.written += n as u64;
                     c.start += n;
                 }
-                Err(_) => return self.end(id),
+                Err(_) => return self.end_after_reading(id),
             }
             if c.pending() == 0 {
                 c.buffer.clear();
                 c.start = 0;
                 if c.finishing {
-                    return self.end(id);
+                    return self.half_close(id);
+                }
+                if c.watching_writes {
+                    out.push(Happening::Drained(id));
                 }
-                out.push(Happening::Drained(id));
             } else if c.start > READ_AT_ONCE {
                 c.buffer.drain(..c.start);
                 c.start = 0;
@@ -431,6 +557,9 @@
         if !c.connected || c.paused {
             return;
         }
+        if let Some(left) = c.reading_out {
+            return self.read_out(id, left);
+        }
         match c.stream.read(&mut self.scratch) {
             Ok(0) => self.end(id),
             Ok(n) => out.push(Happening::Received(id, self.scratch[..n].to_vec())),
@@ -454,14 +583,32 @@
         let _ = self.poller.modify_with_mode(&c.stream, event, PollMode::Level);
     }
 
+    /// Writing failed: what the peer said before is told first.
+    fn end_after_reading(&mut self, id: Id) {
+        for _ in 0..READS_AT_END {
+            let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
+            if c.paused || c.reading_out.is_some() {
+                break;
+            }
+            match c.stream.read(&mut self.scratch) {
+                Ok(n) if n > 0 => self.ended.push(Happening::Received(id, self.scratch[..n].to_vec())),
+                _ => break,
+            }
+        }
+        self.end(id);
+    }
+
     fn end(&mut self, id: Id) {
-        if let Some(Source::Connection(c)) = self.remove(id) {
+        if let Some(Source::Connection(c)) = self.remove(id).filter(|s| !s.is_read_out()) {
             self.ended.push(Happening::Closed { id, connected: c.connected, written: c.written });
         }
     }
 
     fn remove(&mut self, id: Id) -> Option<Source> {
         let source = self.sources.remove(&id.0)?;
+        if source.is_read_out() {
+            self.lingering.retain(|l| l.0 != id);
+        }
         let _ = match &source {
             Source::Listener(l) => self.poller.delete(l),
             Source::Connection(c) => self.poller.delete(&c.stream),
@@ -490,6 +637,7 @@
             paused: false,
             finishing: false,
             unflushed: false,
+            reading_out: None,
         }
     }
 
