--- /dev/null
+++ b/crates/gateway/tests/platform/crossings.rs
@@ -0,0 +1,352 @@
+//! Crossings within a turn of the loop: the router runs in this process and is stepped; before each step the other side has
+//! happened, as its write has returned. What needs a signal is a child that is stopped and continued around it.
+
+use crate::standins::*;
+use crate::support::until;
+use serde_json::{json, Value};
+use slatevalve_gateway::clock::Clock;
+use slatevalve_gateway::platform::Router as Loop;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A worker whose every byte the test reads and writes itself.
+struct Bare {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Bare {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        Bare { listener, address }
+    }
+}
+
+struct Stepped {
+    router: Loop,
+    _directory: tempfile::TempDir,
+}
+
+/// Calls load by themselves and nobody is probed, so that only calls reach a worker.
+fn plain(log: &ChangeLog, change: impl FnOnce(&mut Value)) -> Value {
+    let mut config = config(log);
+    config["settings"]["family_info"] = json!({"if_cold": "load", "may_order": false, "linger_idle": 8000.0});
+    config["settings"]["limits"]["probes"] = false.into();
+    change(&mut config);
+    config
+}
+
+impl Stepped {
+    fn new(config: Value) -> Self {
+        let directory = tempfile::tempdir().unwrap();
+        let file = directory.path().join("config.json");
+        std::fs::write(&file, config.to_string()).unwrap();
+        Stepped { router: Loop::new(file, Clock::start()).unwrap(), _directory: directory }
+    }
+
+    fn turn(&mut self) {
+        assert!(!self.router.turn(Duration::from_millis(10)).unwrap(), "it goes on");
+    }
+
+    fn until<T>(&mut self, what: &str, mut find: impl FnMut(&mut Loop) -> Option<T>) -> T {
+        let start = Instant::now();
+        loop {
+            if let Some(found) = find(&mut self.router) {
+                return found;
+            }
+            assert!(start.elapsed() < Duration::from_secs(20), "in vain: {what}");
+            self.turn();
+        }
+    }
+
+    fn client(&mut self) -> Client {
+        let client = Client::connect(self.router.address());
+        self.until("the client to be known", |r| (r.sizes()[0] > 0).then_some(()));
+        client
+    }
+
+    fn accept(&mut self, worker: &Bare) -> Peer {
+        let stream = self.until("a connection", |_| worker.listener.accept().ok()).0;
+        stream.set_nonblocking(true).unwrap();
+        Peer { stream, text: String::new() }
+    }
+
+    /// The ids of all calls that came to a worker once `last` did.
+    fn calls_until(&mut self, peer: &mut Peer, last: u64) -> Vec<String> {
+        let last = format!("{last:016x}");
+        self.until("the call", |_| peer.calls().contains(&last).then_some(()));
+        peer.calls()
+    }
+
+    fn answer(&mut self, client: &mut Client) -> End {
+        client.stream.set_nonblocking(true).unwrap();
+        let end = self.until("an answer", |_| client.answer_now());
+        client.stream.set_nonblocking(false).unwrap();
+        end
+    }
+
+    /// A call that is served on a connection that stays.
+    fn serve(&mut self, client: &mut Client, worker: &Bare, tag: u64) -> Peer {
+        client.send("charge", 1, tag);
+        let mut peer = self.accept(worker);
+        self.calls_until(&mut peer, tag);
+        peer.say(tag, "ACK");
+        assert_eq!(self.answer(client), End::Served(vec![]));
+        peer
+    }
+}
+
+struct Peer {
+    stream: TcpStream,
+    text: String,
+}
+
+impl Peer {
+    fn calls(&mut self) -> Vec<String> {
+        let mut bytes = [0; 4096];
+        while let Ok(n) = self.stream.read(&mut bytes) {
+            if n == 0 {
+                break;
+            }
+            self.text.push_str(std::str::from_utf8(&bytes[..n]).unwrap());
+        }
+        let lines = self.text.split("\r\n").filter_map(|l| l.strip_prefix("exec "));
+        lines.map(|l| l[..16].to_string()).collect()
+    }
+
+    fn say(&mut self, tag: u64, word: &str) {
+        self.stream.write_all(format!("{tag:016x} {word} - 0\r\n\r\n").as_bytes()).unwrap();
+    }
+}
+
+fn id(tag: u64) -> String {
+    format!("{tag:016x}")
+}
+
+/// How a client leaves.
+const LEAVES: [fn(&mut Client, u32); 3] = [
+    |client, number| client.interrupt(number),
+    |client, _| client.stream.shutdown(std::net::Shutdown::Both).unwrap(),
+    |client, _| client.reset(),
+];
+
+#[test]
+fn a_call_whose_client_left_while_its_connection_came_up_is_not_sent_also_where_cancel_is_forbidden() {
+    for leave in LEAVES {
+        for cancel in [false, true] {
+            let worker = Bare::new();
+            let log = ChangeLog::start(&[("w", worker.address)]);
+            let mut router = Stepped::new(plain(&log, |c| c["settings"]["limits"]["cancel"] = cancel.into()));
+            let (mut client, mut other) = (router.client(), router.client());
+            let number = client.send("quote", 1, 1);
+            // It has been decided on, and the loop has not heard yet that the connection stands.
+            let mut peer = router.accept(&worker);
+            leave(&mut client, number);
+            // The same connection serves the next call; nothing came before it.
+            for _ in 0..5 {
+                router.turn();
+            }
+            other.send("quote", 1, 2);
+            assert_eq!(router.calls_until(&mut peer, 2), [id(2)], "cancel allowed: {cancel}");
+            peer.say(2, "ACK");
+            assert_eq!(router.answer(&mut other), End::Served(vec![]));
+        }
+    }
+}
+
+#[test]
+fn a_call_taken_back_in_the_read_that_brought_it_leaves_nothing_and_costs_no_connection() {
+    let worker = Bare::new();
+    let log = ChangeLog::start(&[("w", worker.address)]);
+    let mut router = Stepped::new(plain(&log, |c| c["settings"]["limits"]["cancel"] = false.into()));
+    let mut client = router.client();
+    let mut peer = router.serve(&mut client, &worker, 1);
+    client.send_and_interrupt("charge", 1, 2);
+    for _ in 0..5 {
+        router.turn();
+    }
+    client.send("charge", 1, 3);
+    assert_eq!(router.calls_until(&mut peer, 3), [id(1), id(3)]);
+}
+
+#[test]
+fn a_client_that_leaves_in_the_turn_of_a_workers_refusal_starts_no_other_attempt() {
+    for cancel in [false, true] {
+        let worker = Bare::new();
+        let log = ChangeLog::start(&[("w", worker.address)]);
+        let mut router = Stepped::new(plain(&log, |c| c["settings"]["limits"]["cancel"] = cancel.into()));
+        let (mut client, mut other) = (router.client(), router.client());
+        let number = client.send("quote", 1, 1);
+        let mut peer = router.accept(&worker);
+        router.calls_until(&mut peer, 1);
+        peer.say(1, "NOENT");
+        client.interrupt(number);
+        for _ in 0..5 {
+            router.turn();
+        }
+        other.send("quote", 1, 2);
+        // Where it was taken off in time its connection was given up with it.
+        let mut all = peer.calls();
+        if router.router.sizes()[4] == 0 || !all.contains(&id(2)) {
+            let again = router.until("the other call", |_| match peer.calls().contains(&id(2)) {
+                true => Some(None),
+                false => worker.listener.accept().ok().map(|a| Some(a.0)),
+            });
+            if let Some(stream) = again {
+                stream.set_nonblocking(true).unwrap();
+                let mut next = Peer { stream, text: String::new() };
+                all.extend(router.calls_until(&mut next, 2));
+            } else {
+                all = peer.calls();
+            }
+        }
+        assert_eq!(all, [id(1), id(2)], "cancel allowed: {cancel}");
+    }
+}
+
+#[test]
+fn a_router_that_stood_still_between_deciding_and_writing_hears_of_the_drain_first() {
+    let worker = Bare::new();
+    let log = ChangeLog::start(&[("w", worker.address)]);
+    let mut router = Stepped::new(plain(&log, |_| {}));
+    let mut client = router.client();
+    let mut peer = router.serve(&mut client, &worker, 1);
+    until("the log to be asked", || {
+        router.turn();
+        log.waiting() == 1
+    });
+    client.send("charge", 1, 2);
+    // Decided, and not written yet.
+    router.until("the decision", |r| (r.sizes()[5] == 1).then_some(()));
+    let told = log.answers();
+    log.tell(&[("w", worker.address, "leaving")]);
+    until("the drain to be in the router's socket", || log.answers() > told);
+    // Beyond the part of the grace (250 ms) after which its decision is old.
+    std::thread::sleep(Duration::from_millis(60));
+    for _ in 0..10 {
+        router.turn();
+    }
+    assert_eq!(peer.calls(), [id(1)], "something new after the drain");
+    assert_eq!(router.answer(&mut client), End::Error("Throttled".into()), "it never ran");
+}
+
+#[test]
+fn a_worker_that_is_gone_and_back_in_one_event_is_served_by() {
+    let worker = Bare::new();
+    let log = ChangeLog::start(&[("w", worker.address)]);
+    let mut router = Stepped::new(plain(&log, |_| {}));
+    let mut client = router.client();
+    until("the log to be asked", || {
+        router.turn();
+        log.waiting() == 1
+    });
+    let told = log.answers();
+    log.tell(&[("w", worker.address, "left"), ("w", worker.address, "active")]);
+    until("the event to be heard", || {
+        router.turn();
+        log.answers() > told && log.waiting() == 1
+    });
+    router.serve(&mut client, &worker, 1);
+}
+
+#[test]
+fn what_waits_for_a_worker_that_moved_goes_to_its_new_address() {
+    let (old, new) = (Bare::new(), Bare::new());
+    let log = ChangeLog::start(&[("w", old.address)]);
+    let mut router = Stepped::new(plain(&log, |_| {}));
+    let mut client = router.client();
+    until("the log to be asked", || {
+        router.turn();
+        log.waiting() == 1
+    });
+    client.send("charge", 1, 1);
+    let mut stale = router.accept(&old);
+    let told = log.answers();
+    log.tell(&[("w", new.address, "active")]);
+    until("the move to be in the router's socket", || log.answers() > told);
+    let mut peer = router.accept(&new);
+    assert_eq!(router.calls_until(&mut peer, 1), [id(1)]);
+    assert!(stale.calls().is_empty(), "it may be another's by now");
+}
+
+/// A child that is stopped while something happens; then it goes on.
+fn while_it_stands(router: &Router, what: impl FnOnce()) {
+    router.process.signal("STOP");
+    what();
+    router.process.signal("CONT");
+}
+
+/// Clients may come for 0.8 s after SIGTERM; a router that stands still for that long wakes up after it.
+const LAST_COMERS: Duration = Duration::from_millis(900);
+
+#[test]
+fn who_waits_to_be_accepted_when_the_listener_closes_is_served() {
+    let worker = good();
+    let mut router = Router::start(&ChangeLog::start(&[("w", worker.address)]));
+    ready(&router);
+    let mut open = Client::connect(router.process.address);
+    assert_eq!(open.call("charge", 1, 1), End::Served(b"done".to_vec()));
+    router.process.signal("TERM");
+    until("the stop", || router.log().contains("stopping"));
+    let mut late: Vec<Client> = Vec::new();
+    while_it_stands(&router, || {
+        late.extend((0..3).map(|_| Client::connect(router.process.address)));
+        for (n, client) in late.iter_mut().enumerate() {
+            client.send("charge", 1, 10 + n as u64);
+        }
+        open.send("charge", 1, 20);
+        std::thread::sleep(LAST_COMERS);
+    });
+    for client in late.iter_mut().chain([&mut open]) {
+        assert_eq!(client.answer().1, End::Served(b"done".to_vec()));
+        assert_eq!(client.answer().1, End::Closed);
+    }
+    assert_eq!(router.process.wait(), Some(0));
+}
+
+#[test]
+fn a_request_of_which_a_part_has_come_when_the_listener_closes_is_served() {
+    let worker = good();
+    let mut router = Router::start(&ChangeLog::start(&[("w", worker.address)]));
+    ready(&router);
+    let mut client = Client::connect(router.process.address);
+    assert_eq!(client.call("charge", 1, 1), End::Served(b"done".to_vec()));
+    let bytes = client.bytes("charge", 1, 2);
+    router.process.signal("TERM");
+    until("the stop", || router.log().contains("stopping"));
+    client.stream.write_all(&bytes[..bytes.len() / 2]).unwrap();
+    until("the listener to close", || TcpStream::connect(router.process.address).is_err());
+    client.stream.write_all(&bytes[bytes.len() / 2..]).unwrap();
+    assert_eq!(client.answer().1, End::Served(b"done".to_vec()));
+    assert_eq!(router.process.wait(), Some(0));
+}
+
+#[test]
+fn all_is_answered_before_the_platform_may_kill_whatever_the_deadlines() {
+    // A worker that hangs; the longest deadline is 9 s, counted as 3 s, and 0.5 s.
+    for (deadline, within) in [(9000.0, 3700), (500.0, 1200)] {
+        let worker = Worker::start(|_, _| Act::Silence);
+        let log = ChangeLog::start(&[("w", worker.address)]);
+        let mut text = config(&log);
+        for class in text["settings"]["categories"].as_array_mut().unwrap() {
+            class["deadline"] = deadline.into();
+        }
+        let mut router = Router::start_with(&text);
+        ready(&router);
+        let mut client = Client::connect(router.process.address);
+        router.process.signal("TERM");
+        let start = Instant::now();
+        until("the stop", || router.log().contains("stopping"));
+        client.send_for("charge", 1, 1, deadline as u64);
+        // Twice changes nothing, nor does a configuration read meanwhile.
+        router.process.signal("TERM");
+        router.process.signal("HUP");
+        let end = client.answer().1;
+        assert_eq!(end, End::Error("Broken".into()), "it may have run");
+        assert!(start.elapsed() < Duration::from_millis(within), "{:?} at {deadline}", start.elapsed());
+        assert_eq!(router.process.wait(), Some(0));
+    }
+}
--- a/crates/gateway/tests/platform/standins.rs
+++ b/crates/gateway/tests/platform/standins.rs
@@ -7,6 +7,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -144,6 +145,9 @@
     events: Arc<(Mutex<Vec<Value>>, Condvar)>,
     /// Answers that break off in the middle before one is whole.
     breaks: Arc<Mutex<usize>>,
+    /// Questions read, and answers written whole.
+    asked: Arc<AtomicUsize>,
+    answered: Arc<AtomicUsize>,
 }
 
 fn member(id: &str, address: SocketAddr, phase: &str) -> Value {
@@ -161,6 +165,8 @@
             address: listener.local_addr().unwrap(),
             events: Arc::new((Mutex::new(vec![first]), Condvar::new())),
             breaks: Arc::default(),
+            asked: Arc::default(),
+            answered: Arc::default(),
         };
         log.listen(listener);
         log
@@ -201,6 +207,7 @@
                 let rest = target.split(name).nth(1).expect("the question has both");
                 rest.split(|c: char| !c.is_ascii_digit()).next().unwrap().parse().unwrap()
             };
+            self.asked.fetch_add(1, Ordering::SeqCst);
             let (since, wait) = (figure("since="), Duration::from_millis(figure("timeout=") as u64));
             let (events, told) = &*self.events;
             let all = told.wait_timeout_while(events.lock().unwrap(), wait, |e| e.len() <= since).unwrap().0;
@@ -215,9 +222,20 @@
                 return None;
             }
             stream.write_all(answer.as_bytes()).ok()?;
+            self.answered.fetch_add(1, Ordering::SeqCst);
         }
     }
 
+    /// Answers that were written whole.
+    pub fn answers(&self) -> usize {
+        self.answered.load(Ordering::SeqCst)
+    }
+
+    /// Questions that wait for news.
+    pub fn waiting(&self) -> usize {
+        self.asked.load(Ordering::SeqCst).saturating_sub(self.answers())
+    }
+
     /// Tells of workers' new states.
     pub fn tell(&self, changes: &[(&str, SocketAddr, &str)]) {
         let (events, told) = &*self.events;
@@ -265,9 +283,13 @@
 
 impl Router {
     pub fn start(log: &ChangeLog) -> Self {
+        Router::start_with(&config(log))
+    }
+
+    pub fn start_with(config: &Value) -> Self {
         let directory = tempfile::tempdir().unwrap();
         let file = directory.path().join("config.json");
-        std::fs::write(&file, config(log).to_string()).unwrap();
+        std::fs::write(&file, config.to_string()).unwrap();
         let path = directory.path().join("log");
         let process = Process::start_in(&["platform"], &[("EDGE_CONFIG", &file)], Some(&path));
         Router { process, directory }
@@ -326,6 +348,16 @@
     out
 }
 
+fn interrupt(number: u32) -> Vec<u8> {
+    let mut out = Vec::new();
+    encode::write_array_len(&mut out, 3).unwrap();
+    encode::write_uint(&mut out, 2).unwrap();
+    encode::write_str(&mut out, "interrupt").unwrap();
+    encode::write_array_len(&mut out, 1).unwrap();
+    encode::write_uint(&mut out, u64::from(number)).unwrap();
+    out
+}
+
 impl Client {
     pub fn connect(address: SocketAddr) -> Self {
         let stream = TcpStream::connect(address).unwrap();
@@ -333,20 +365,67 @@
         Client { stream, buffer: Vec::new(), number: 0 }
     }
 
-    /// Sends a call and gives its number; the id is made of `tag`.
-    pub fn send(&mut self, class: &str, function: u64, tag: u64) -> u32 {
+    /// The bytes of the next call; its id is made of `tag`.
+    pub fn bytes(&mut self, class: &str, function: u64, tag: u64) -> Vec<u8> {
+        self.bytes_for(class, function, tag, 2500)
+    }
+
+    fn bytes_for(&mut self, class: &str, function: u64, tag: u64, ms: u64) -> Vec<u8> {
         self.number += 1;
-        let (id, function) = (format!("{tag:016x}"), format!("{function:016x}"));
-        let mut fields = vec![("req", &*id), ("timeout", "2500"), ("subject", &*function)];
+        let (id, function, ms) = (format!("{tag:016x}"), format!("{function:016x}"), ms.to_string());
+        let mut fields = vec![("req", &*id), ("timeout", &*ms), ("subject", &*function)];
         if class == "booking" {
             fields.push(("opkey", &*id));
         }
-        let bytes = request(self.number, class, &fields, format!("body-{tag}").as_bytes());
+        request(self.number, class, &fields, format!("body-{tag}").as_bytes())
+    }
+
+    /// Sends a call and gives its number.
+    pub fn send(&mut self, class: &str, function: u64, tag: u64) -> u32 {
+        self.send_for(class, function, tag, 2500)
+    }
+
+    /// The same; the client waits for so many milliseconds.
+    pub fn send_for(&mut self, class: &str, function: u64, tag: u64, ms: u64) -> u32 {
+        let bytes = self.bytes_for(class, function, tag, ms);
         // A router that closes may do so at any time.
         let _ = self.stream.write_all(&bytes);
         self.number
     }
 
+    /// Says that it no longer waits for a call.
+    pub fn interrupt(&mut self, number: u32) {
+        self.stream.write_all(&interrupt(number)).unwrap();
+    }
+
+    /// A call and its taking back in one write.
+    pub fn send_and_interrupt(&mut self, class: &str, function: u64, tag: u64) {
+        let mut bytes = self.bytes(class, function, tag);
+        bytes.extend(interrupt(self.number));
+        self.stream.write_all(&bytes).unwrap();
+    }
+
+    /// Ends the connection with a reset.
+    pub fn reset(&mut self) {
+        let ended = TcpStream::connect(self.stream.peer_addr().unwrap()).unwrap();
+        let stream = std::mem::replace(&mut self.stream, ended);
+        let socket = socket2::Socket::from(stream);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
+    /// The next answer if it is there; the socket does not block.
+    pub fn answer_now(&mut self) -> Option<End> {
+        let mut bytes = [0; 4096];
+        while let Ok(n) = self.stream.read(&mut bytes) {
+            if n == 0 {
+                return Some(End::Closed);
+            }
+            self.buffer.extend_from_slice(&bytes[..n]);
+        }
+        let whole = Scanner::default().scan(&self.buffer).expect("a message").is_some();
+        whole.then(|| self.answer().1)
+    }
+
     pub fn call(&mut self, class: &str, function: u64, tag: u64) -> End {
         let number = self.send(class, function, tag);
         let (answered, end) = self.answer();
