--- a/crates/gateway/src/shell/pool/tests.rs
+++ b/crates/gateway/src/shell/pool/tests.rs
@@ -7,7 +7,7 @@
 use slatevalve_reactor::Happening;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const WORKER: WorkerId = WorkerId(7);
 
@@ -86,7 +86,16 @@
 
     /// The worker's side of the next connection.
     fn peer(&self) -> TcpStream {
-        let peer = self.worker.accept().expect("it connected").0;
+        self.worker.set_nonblocking(true).expect("a socket");
+        let start = Instant::now();
+        let peer = loop {
+            match self.worker.accept() {
+                Ok((peer, _)) => break peer,
+                Err(e) => assert!(start.elapsed() < Duration::from_secs(5), "nobody connects: {e}"),
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        };
+        peer.set_nonblocking(false).expect("a socket");
         peer.set_read_timeout(Some(Duration::from_secs(20))).expect("a time");
         peer
     }
@@ -256,7 +265,7 @@
     let mut new = bench.peer();
     bench.turn();
     bench.turn();
-    assert_eq!(new.read(&mut [0; 64]).expect("a probe") > 0, true);
+    assert!(new.read(&mut [0; 64]).expect("a probe") > 0);
 }
 
 #[test]
--- a/crates/gateway/tests/platform/crossings.rs
+++ b/crates/gateway/tests/platform/crossings.rs
@@ -284,27 +284,32 @@
 
 #[test]
 fn who_waits_to_be_accepted_when_the_listener_closes_is_served() {
-    let worker = good();
-    let mut router = Router::start(&ChangeLog::start(&[("w", worker.address)]));
-    ready(&router);
-    let mut open = Client::connect(router.process.address);
-    assert_eq!(open.call("charge", 1, 1), End::Served(b"done".to_vec()));
-    router.process.signal("TERM");
-    until("the stop", || router.log().contains("stopping"));
-    let mut late: Vec<Client> = Vec::new();
-    while_it_stands(&router, || {
-        late.extend((0..3).map(|_| Client::connect(router.process.address)));
-        for (n, client) in late.iter_mut().enumerate() {
-            client.send("charge", 1, 10 + n as u64);
+    // Few, whose requests no turn has read yet; more than a turn accepts, and one on an open connection.
+    for (late, on_open) in [(3, false), (80, true)] {
+        let worker = good();
+        let mut router = Router::start(&ChangeLog::start(&[("w", worker.address)]));
+        ready(&router);
+        let mut open = Client::connect(router.process.address);
+        assert_eq!(open.call("charge", 1, 1), End::Served(b"done".to_vec()));
+        router.process.signal("TERM");
+        until("the stop", || router.log().contains("stopping"));
+        let mut clients: Vec<Client> = Vec::new();
+        while_it_stands(&router, || {
+            clients.extend((0..late).map(|_| Client::connect(router.process.address)));
+            for (n, client) in clients.iter_mut().enumerate() {
+                client.send("charge", 1, 10 + n as u64);
+            }
+            if on_open {
+                open.send("charge", 1, 900);
+            }
+            std::thread::sleep(LAST_COMERS);
+        });
+        for client in clients.iter_mut().chain(on_open.then_some(&mut open)) {
+            assert_eq!(client.answer().1, End::Served(b"done".to_vec()));
+            assert_eq!(client.answer().1, End::Closed);
         }
-        open.send("charge", 1, 20);
-        std::thread::sleep(LAST_COMERS);
-    });
-    for client in late.iter_mut().chain([&mut open]) {
-        assert_eq!(client.answer().1, End::Served(b"done".to_vec()));
-        assert_eq!(client.answer().1, End::Closed);
+        assert_eq!(router.process.wait(), Some(0));
     }
-    assert_eq!(router.process.wait(), Some(0));
 }
 
 #[test]
--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -197,6 +197,40 @@
     assert_eq!(router.process.wait(), Some(0));
 }
 
+#[test]
+fn new_versions_of_all_that_is_loaded_are_ordered_again_and_served_by_every_router() {
+    let serve = |seen: &Seen, _| match seen.loaded {
+        true => Act::Say("ACK", b"done".to_vec()),
+        false => Act::Say("NOENT", vec![]),
+    };
+    let workers = [Worker::start(serve), Worker::start(serve)];
+    let log = ChangeLog::start(&[("a", workers[0].address), ("b", workers[1].address)]);
+    let routers: Vec<Router> = (0..3).map(|_| Router::start(&log)).collect();
+    routers.iter().for_each(ready);
+    let mut clients: Vec<Client> = routers.iter().map(|r| Client::connect(r.process.address)).collect();
+    let mut tag = 0;
+    for generation in 0..3 {
+        // Nothing else is wrong: a quiet day. A charge that met a worker without a copy never ran and goes on.
+        for _ in 0..4 {
+            for client in &mut clients {
+                for function in 1..=6 {
+                    tag += 1;
+                    assert_eq!(client.call("charge", function, tag), served(), "generation {generation}");
+                }
+            }
+        }
+        workers.iter().for_each(Worker::forget);
+    }
+    let mut ran: Vec<String> =
+        workers.iter().flat_map(|w| w.calls()).filter(|c| c.loaded).map(|c| c.id).collect();
+    ran.sort();
+    let runs = ran.len();
+    ran.dedup();
+    assert_eq!((ran.len(), runs), (tag as usize, tag as usize), "each ran once");
+    let orders: usize = workers.iter().map(Worker::orders).sum();
+    assert!(orders <= 3 * 3 * 6 * 2, "{orders} orders");
+}
+
 #[test]
 fn bad_clients_get_an_end_and_usual_ones_their_answers() {
     let worker = good();
--- a/crates/gateway/tests/platform/standins.rs
+++ b/crates/gateway/tests/platform/standins.rs
@@ -4,6 +4,7 @@
 use rmp::encode;
 use serde_json::{json, Value};
 use slatevalve_platform::frame::Scanner;
+use std::collections::HashSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -35,6 +36,8 @@
     pub id: String,
     pub fields: String,
     pub body: Vec<u8>,
+    /// Whether its function had been ordered here since all copies went.
+    pub loaded: bool,
 }
 
 type Script = Arc<dyn Fn(&Seen, usize) -> Act + Send + Sync>;
@@ -45,13 +48,18 @@
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Seen>>>,
     orders: Arc<Mutex<usize>>,
+    loaded: Arc<Mutex<HashSet<String>>>,
 }
 
 impl Worker {
     pub fn start(script: impl Fn(&Seen, usize) -> Act + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let worker =
-            Worker { address: listener.local_addr().unwrap(), seen: Arc::default(), orders: Arc::default() };
+        let worker = Worker {
+            address: listener.local_addr().unwrap(),
+            seen: Arc::default(),
+            orders: Arc::default(),
+            loaded: Arc::default(),
+        };
         let (this, script): (Worker, Script) = (worker.clone(), Arc::new(script));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -66,6 +74,11 @@
         self.seen.lock().unwrap().clone()
     }
 
+    /// All its copies go.
+    pub fn forget(&self) {
+        self.loaded.lock().unwrap().clear();
+    }
+
     pub fn orders(&self) -> usize {
         *self.orders.lock().unwrap()
     }
@@ -82,7 +95,8 @@
                     let mut body = vec![0; words[3].parse::<usize>().ok()? + 2];
                     reader.read_exact(&mut body).ok()?;
                     assert_eq!(body.split_off(body.len() - 2), b"\r\n");
-                    let seen = Seen { id: words[1].clone(), fields: words[2].clone(), body };
+                    let loaded = self.loaded.lock().unwrap().contains(&thing(&words[2]));
+                    let seen = Seen { id: words[1].clone(), fields: words[2].clone(), body, loaded };
                     let number = {
                         let mut all = self.seen.lock().unwrap();
                         all.push(seen.clone());
@@ -122,6 +136,7 @@
                 }
                 "ensure" => {
                     *self.orders.lock().unwrap() += 1;
+                    self.loaded.lock().unwrap().insert(thing(&words[2]));
                     let stands = format!("{} ACK copies=1 0\r\n\r\n", words[1]);
                     writer.lock().unwrap().write_all(stands.as_bytes()).ok()?;
                 }
@@ -133,6 +148,10 @@
     }
 }
 
+fn thing(fields: &str) -> String {
+    fields.split(',').find_map(|f| f.strip_prefix("thing=")).expect("a function").into()
+}
+
 /// A worker that serves every call at once.
 pub fn good() -> Worker {
     Worker::start(|_, _| Act::Say("ACK", b"done".to_vec()))
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -270,11 +270,11 @@
         }
         c.buffer.extend_from_slice(bytes);
         if c.connected && !c.watching_writes && !bytes.is_empty() {
-            self.to_flush(id);
+            self.note_unflushed(id);
         }
     }
 
-    fn to_flush(&mut self, id: Id) {
+    fn note_unflushed(&mut self, id: Id) {
         if let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) {
             if !std::mem::replace(&mut c.unflushed, true) {
                 self.unflushed.push(id);
@@ -521,7 +521,7 @@
             out.push(Happening::Connected(id));
         }
         // Not at once: this turn may also bring what takes the bytes back.
-        self.to_flush(id);
+        self.note_unflushed(id);
     }
 
     /// Offers the kernel what waits, and watches for writability while something is left.
