--- a/crates/gateway/tests/platform/crossings.rs
+++ b/crates/gateway/tests/platform/crossings.rs
@@ -68,6 +68,11 @@
         client
     }
 
+    /// Its question for news waits at the log.
+    fn until_it_follows(&mut self, log: &ChangeLog) {
+        self.until("the log to be asked", |_| (log.waiting() == 1).then_some(()));
+    }
+
     fn accept(&mut self, worker: &Bare) -> Peer {
         let stream = self.until("a connection", |_| worker.listener.accept().ok()).0;
         stream.set_nonblocking(true).unwrap();
@@ -214,10 +219,7 @@
     let mut router = Stepped::new(plain(&log, |_| {}));
     let mut client = router.client();
     let mut peer = router.serve(&mut client, &worker, 1);
-    until("the log to be asked", || {
-        router.turn();
-        log.waiting() == 1
-    });
+    router.until_it_follows(&log);
     client.send("charge", 1, 2);
     // Decided, and not written yet.
     router.until("the decision", |r| (r.sizes()[5] == 1).then_some(()));
@@ -239,10 +241,7 @@
     let log = ChangeLog::start(&[("w", worker.address)]);
     let mut router = Stepped::new(plain(&log, |_| {}));
     let mut client = router.client();
-    until("the log to be asked", || {
-        router.turn();
-        log.waiting() == 1
-    });
+    router.until_it_follows(&log);
     let told = log.answers();
     log.tell(&[("w", worker.address, "left"), ("w", worker.address, "active")]);
     until("the event to be heard", || {
@@ -258,10 +257,7 @@
     let log = ChangeLog::start(&[("w", old.address)]);
     let mut router = Stepped::new(plain(&log, |_| {}));
     let mut client = router.client();
-    until("the log to be asked", || {
-        router.turn();
-        log.waiting() == 1
-    });
+    router.until_it_follows(&log);
     client.send("charge", 1, 1);
     let mut stale = router.accept(&old);
     let told = log.answers();
