A standstill is looked through to its end; half-written files and unread ends are bounded

It looks until nothing more comes, four times at most, before it decides. - SIGHUP between two writes of the configuration's file: reload() logged an error and never read it again, so that the change log at its new address was never asked. It is read again every 0.1 s for 2 s; the error is said once. - Reactor::finish waits for the last byte to be taken, without end where the peer never reads: such connections are not counted by the front any more and could use up all descriptors. They end after 5 s.

--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -43,6 +43,11 @@
 /// The part of a drain's grace after which what was decided is old news: a process that stood still for so long between
 /// deciding and writing looks at what came meanwhile before it writes. And the time where there is no grace.
 const OLD_NEWS: (i64, Micros) = (5, Micros(50_000));
+/// Looks after a standstill until nothing more comes, at most: one read of a connection brings what was sent, the next one
+/// that its client left since.
+const LOOKS: usize = 4;
+/// A configuration that cannot be used at SIGHUP may be half written: it is read again so often, so long after each other.
+const READ_AGAIN: (u32, Micros) = (20, Micros(100_000));
 /// Unusable things that a log line is spent on.
 const LOGGED: u64 = 20;
 
@@ -110,6 +115,8 @@
     looked: bool,
     stop: Stop,
     resume_at: Option<Micros>,
+    /// How often, and when, a configuration that could not be used is read again.
+    read_again: Option<(u32, Micros)>,
     unusable: u64,
     to_engine: Vec<Output>,
     to_front: Vec<FrontOutput>,
@@ -187,6 +194,7 @@
             looked: false,
             stop,
             resume_at: None,
+            read_again: None,
             unusable: 0,
             to_engine: Vec::new(),
             to_front: Vec::new(),
@@ -234,18 +242,21 @@
         let mut wait = self.wait_from(before).min(most);
         if worked > self.old_after.0 && !self.looked {
             // The process stood still after it had decided: what came meanwhile may forbid what is about to be written.
-            self.reactor.look(Some(Duration::ZERO), &mut happened).map_err(PlatformError::Loop)?;
+            self.look_around(&mut happened)?;
             wait = Duration::ZERO;
         }
         self.looked = !happened.is_empty();
         if !self.looked {
             self.reactor.turn(Some(wait), &mut happened).map_err(PlatformError::Loop)?;
         }
-        let now = self.clock.now();
-        self.decided = now;
         // What is read now may have come while the turn before was at work, or while the process stood still
         // beyond the wait that it asked for.
-        let overslept = (now.0 - before.0 - wait.as_micros() as i64).max(0);
+        let overslept = (self.clock.now().0 - before.0 - wait.as_micros() as i64).max(0);
+        if overslept > self.old_after.0 {
+            self.look_around(&mut happened)?;
+        }
+        let now = self.clock.now();
+        self.decided = now;
         self.age = Micros(worked + overslept);
         let quiet = !happened.iter().any(|h| self.is_of_client(h));
         self.handle(now, happened);
@@ -262,9 +273,24 @@
             self.resume_at = None;
             self.reactor.resume(self.listener);
         }
+        if self.read_again.is_some_and(|(_, at)| at <= now) {
+            self.reload(now);
+        }
         Ok(self.has_stopped(now, quiet))
     }
 
+    /// After a standstill: all that came meanwhile, to its end, before anything is decided by a part of it. Nothing is written.
+    fn look_around(&mut self, happened: &mut Vec<Happening>) -> Result<(), PlatformError> {
+        for _ in 0..LOOKS {
+            let before = happened.len();
+            self.reactor.look(Some(Duration::ZERO), happened).map_err(PlatformError::Loop)?;
+            if happened.len() == before {
+                break;
+            }
+        }
+        Ok(())
+    }
+
     fn handle(&mut self, now: Micros, mut happened: Vec<Happening>) {
         // What the change log tells comes before anything else in the turn: a drain that is known is kept.
         happened.sort_by_key(|h| !self.is_of_log(h));
@@ -278,7 +304,8 @@
 
     fn wait_from(&self, now: Micros) -> Duration {
         let (engine, front, pool) = (self.engine.next_wake(), self.front.next_wake(), self.pool.next_wake());
-        let due = [engine, front, pool, self.resume_at, Some(self.follower.next_wake())];
+        let again = self.read_again.map(|(_, at)| at);
+        let due = [engine, front, pool, self.resume_at, again, Some(self.follower.next_wake())];
         let until = due.into_iter().flatten().min().map_or(i64::MAX, |at| at.0.saturating_sub(now.0).max(0));
         Duration::from_micros(until as u64).min(LONGEST_WAIT)
     }
@@ -319,7 +346,10 @@
                 }
             },
             Happening::Drained(_) | Happening::Woken => {}
-            Happening::Signal(signal_hook::consts::SIGHUP) => self.reload(now),
+            Happening::Signal(signal_hook::consts::SIGHUP) => {
+                self.read_again = Some((READ_AGAIN.0, now));
+                self.reload(now);
+            }
             Happening::Signal(_) => self.begin_stop(now),
             Happening::AcceptFailed { error, .. } => {
                 warn!(%error, "cannot accept connections; those that stand go on");
@@ -479,8 +509,10 @@
         self.pool.tell(now, end, &mut self.engine, &mut self.to_engine);
     }
 
-    /// SIGHUP: the file is read again; what it tells of the change log counts from now on.
+    /// SIGHUP: the file is read again; what it tells of the change log counts from now on. One that cannot be used changes
+    /// nothing, and is looked at again for a while, as it may be half written.
     fn reload(&mut self, now: Micros) {
+        let left = self.read_again.take().map_or(0, |(left, _)| left);
         match load(&self.file) {
             Ok(config) => {
                 info!(changelog = %config.changelog, "configuration read again");
@@ -488,7 +520,12 @@
                 self.follower.advance(now, &mut self.wanted);
                 self.follow(now);
             }
-            Err(e) => error!(%e, "the configuration was not taken; all stays as it was"),
+            Err(e) => {
+                if left == READ_AGAIN.0 || left == 0 {
+                    error!(%e, "the configuration was not taken; all stays as it was");
+                }
+                self.read_again = left.checked_sub(1).map(|left| (left, Micros(now.0 + READ_AGAIN.1 .0)));
+            }
         }
     }
 }
--- a/crates/gateway/tests/platform/crossings.rs
+++ b/crates/gateway/tests/platform/crossings.rs
@@ -74,9 +74,16 @@
     }
 
     fn accept(&mut self, worker: &Bare) -> Peer {
-        let stream = self.until("a connection", |_| worker.listener.accept().ok()).0;
+        self.accept_any(std::slice::from_ref(worker)).1
+    }
+
+    /// The next connection to one of the workers, and which.
+    fn accept_any(&mut self, workers: &[Bare]) -> (usize, Peer) {
+        let (at, stream) = self.until("a connection", |_| {
+            workers.iter().enumerate().find_map(|(n, w)| Some((n, w.listener.accept().ok()?.0)))
+        });
         stream.set_nonblocking(true).unwrap();
-        Peer { stream, text: String::new() }
+        (at, Peer { stream, text: String::new() })
     }
 
     /// The ids of all calls that came to a worker once `last` did.
@@ -235,6 +242,43 @@
     assert_eq!(router.answer(&mut client), End::Error("Throttled".into()), "it never ran");
 }
 
+#[test]
+fn a_call_whose_client_came_and_left_while_the_router_stood_still_is_not_sent() {
+    for leave in LEAVES {
+        let worker = Bare::new();
+        let log = ChangeLog::start(&[("w", worker.address)]);
+        let mut router = Stepped::new(plain(&log, |c| c["settings"]["limits"]["cancel"] = false.into()));
+        let (mut client, mut other) = (router.client(), router.client());
+        // A connection to the worker stands, so that what is decided can leave at once.
+        let mut peer = router.serve(&mut other, &worker, 1);
+        let number = client.send("quote", 1, 2);
+        leave(&mut client, number);
+        std::thread::sleep(Duration::from_millis(60));
+        for _ in 0..5 {
+            router.turn();
+        }
+        other.send("quote", 1, 3);
+        assert_eq!(router.calls_until(&mut peer, 3), [id(1), id(3)]);
+    }
+    // The same with a process that is stopped while it waits.
+    let worker = good();
+    let log = ChangeLog::start(&[("w", worker.address)]);
+    let router = Router::start_with(&plain(&log, |_| {}));
+    ready(&router);
+    let mut other = Client::connect(router.process.address);
+    assert_eq!(other.call("quote", 1, 1), End::Served(b"done".to_vec()));
+    let mut client = Client::connect(router.process.address);
+    assert!(client.is_ready(), "it is known to the router");
+    while_it_stands(&router, || {
+        client.send("quote", 1, 2);
+        client.stream.shutdown(std::net::Shutdown::Both).unwrap();
+        std::thread::sleep(Duration::from_millis(400));
+    });
+    assert_eq!(other.call("quote", 1, 3), End::Served(b"done".to_vec()));
+    let calls: Vec<String> = worker.calls().into_iter().map(|c| c.id).collect();
+    assert_eq!(calls, [id(1), id(3)]);
+}
+
 #[test]
 fn a_worker_that_is_gone_and_back_in_one_event_is_served_by() {
     let worker = Bare::new();
@@ -315,6 +359,112 @@
     assert!(worker.listener.accept().is_err(), "no third");
 }
 
+#[test]
+fn both_copies_of_a_call_answered_in_one_turn_are_one_answer() {
+    let workers = [Bare::new(), Bare::new()];
+    let log = ChangeLog::start(&[("a", workers[0].address), ("b", workers[1].address)]);
+    for first in [0, 1] {
+        let mut router = Stepped::new(plain(&log, |_| {}));
+        let mut client = router.client();
+        client.send("quote", 1, 1);
+        let (home, mut peer) = router.accept_any(&workers);
+        router.calls_until(&mut peer, 1);
+        peer.say(1, "ACK");
+        assert_eq!(router.answer(&mut client), End::Served(vec![]));
+        // Now it is silent for so long that a second copy goes to the other.
+        client.send("quote", 1, 2);
+        router.calls_until(&mut peer, 2);
+        let mut peers = [peer, router.accept(&workers[1 - home])];
+        router.calls_until(&mut peers[1], 2);
+        peers[first].say(2, "ACK");
+        peers[1 - first].say(2, "ACK");
+        assert_eq!(router.answer(&mut client), End::Served(vec![]));
+        client.stream.set_nonblocking(true).unwrap();
+        for _ in 0..5 {
+            router.turn();
+        }
+        assert_eq!(client.answer_now(), None, "one answer");
+        assert_eq!((router.router.sizes()[1..3].to_vec(), router.router.sizes()[5]), (vec![0, 0], 0));
+    }
+}
+
+#[test]
+fn a_retry_decided_in_the_turn_of_a_drain_does_not_go_there() {
+    // Of the two workers, the one drains to which the charge went, or the one to which it would go again; the news come before
+    // the refusal or behind it.
+    for (own, news_first) in [(false, true), (false, false), (true, true), (true, false)] {
+        let workers = [Bare::new(), Bare::new()];
+        let log = ChangeLog::start(&[("a", workers[0].address), ("b", workers[1].address)]);
+        let mut router = Stepped::new(plain(&log, |_| {}));
+        let mut client = router.client();
+        router.until_it_follows(&log);
+        client.send("charge", 1, 1);
+        let (at, mut peer) = router.accept_any(&workers);
+        router.calls_until(&mut peer, 1);
+        let drains = if own { at } else { 1 - at };
+        let tell = || {
+            let told = log.answers();
+            log.tell(&[(["a", "b"][drains], workers[drains].address, "leaving")]);
+            until("the drain to be in the router's socket", || log.answers() > told);
+        };
+        if news_first {
+            tell();
+        }
+        peer.say(1, "NOENT");
+        if !news_first {
+            tell();
+        }
+        // Nothing new to the one that drains, on the connection that stands or on another.
+        let mut again = router.accept(&workers[1 - drains]);
+        assert_eq!(router.calls_until(&mut again, 1), [id(1)]);
+        assert!(workers[drains].listener.accept().is_err(), "own {own}, news first {news_first}");
+        assert_eq!(peer.calls(), [id(1)]);
+        again.say(1, "ACK");
+        assert_eq!(router.answer(&mut client), End::Served(vec![]));
+    }
+}
+
+#[test]
+fn a_change_log_that_tells_a_byte_at_a_time_or_stops_within_an_answer_tells_its_drain() {
+    let worker = Bare::new();
+    let start = ChangeLog::start(&[("w", worker.address)]);
+    let log = Bare::new();
+    let mut router = Stepped::new(plain(&start, |c| c["changelog"] = log.address.to_string().into()));
+    let mut client = router.client();
+    let mut peer = router.serve(&mut client, &worker, 1);
+    let member = json!({"id": "w", "host_port": worker.address.to_string(), "phase": "leaving"});
+    let event = json!({"seq": 2, "fleet": {"revision": 2, "complete": false, "members": [member]}});
+    let body = json!({"seq": 2, "results": [event]}).to_string();
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let (last, most) = answer.as_bytes().split_last().unwrap();
+    let asked = |router: &mut Stepped| {
+        let mut asked = router.accept(&log);
+        router.until("the question", |_| {
+            asked.calls();
+            asked.text.ends_with("\r\n\r\n").then_some(())
+        });
+        assert!(asked.text.contains("since=1&"), "{}", asked.text);
+        asked.stream
+    };
+    // All but the last byte, and then nothing: it is asked again on another connection, from the same event.
+    let mut stopped = asked(&mut router);
+    stopped.write_all(most).unwrap();
+    let mut slow = asked(&mut router);
+    for byte in most {
+        slow.write_all(&[*byte]).unwrap();
+        router.turn();
+    }
+    client.send("charge", 1, 2);
+    assert_eq!(router.calls_until(&mut peer, 2), [id(1), id(2)], "what is not whole counts for nothing");
+    peer.say(2, "ACK");
+    assert_eq!(router.answer(&mut client), End::Served(vec![]));
+    slow.write_all(&[*last]).unwrap();
+    router.turn();
+    client.send("charge", 1, 3);
+    assert_eq!(router.answer(&mut client), End::Error("Throttled".into()));
+    assert_eq!(peer.calls(), [id(1), id(2)], "something new after the drain");
+}
+
 /// A child that is stopped while something happens; then it goes on.
 fn while_it_stands(router: &Router, what: impl FnOnce()) {
     router.process.signal("STOP");
--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -178,6 +178,24 @@
     assert_eq!(a.calls().len(), before, "the drain was told at the new address");
 }
 
+#[test]
+fn a_configuration_that_is_half_written_at_its_signal_counts_once_it_is_whole() {
+    let worker = good();
+    let log = ChangeLog::start(&[("w", worker.address)]);
+    let router = Router::start(&log);
+    ready(&router);
+    let elsewhere = log.elsewhere();
+    let text = config(&elsewhere).to_string();
+    std::fs::write(router.file(), &text[..text.len() / 2]).unwrap();
+    router.process.signal("HUP");
+    until("the error to be logged", || router.log().contains("the configuration was not taken"));
+    std::fs::write(router.file(), text).unwrap();
+    until("the file to be read", || router.log().contains("configuration read again"));
+    assert_eq!(router.log().matches("was not taken").count(), 1, "it is said once");
+    let mut client = Client::connect(router.process.address);
+    assert_eq!(client.call("quote", 1, 1), served());
+}
+
 #[test]
 fn on_sigterm_it_is_not_ready_but_serves_those_who_still_come_and_ends() {
     let worker = Worker::start(|_, _| Act::Later(300, "ACK", b"done".to_vec()));
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -33,6 +33,8 @@
 /// A connection closed in order is read out for so long, and for so many bytes, at most.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 1024 * 1024;
+/// A connection that is to be closed once all is written is closed without it after this: its peer may never read.
+const FINISH: Duration = Duration::from_secs(5);
 /// Connections read out at a time; beyond, the one that is read out for longest is closed.
 pub const LINGERING: usize = 16;
 
@@ -138,6 +140,8 @@
     /// Connections that are read out, since when; the earliest first.
     lingering: VecDeque<(Id, Instant)>,
     most_lingering: usize,
+    /// Connections to be closed once all is written, since when; the earliest first. Some are written and gone already.
+    finishing: VecDeque<(Id, Instant)>,
 }
 
 impl Reactor {
@@ -157,6 +161,7 @@
             unflushed: Vec::new(),
             lingering: VecDeque::new(),
             most_lingering: LINGERING,
+            finishing: VecDeque::new(),
         })
     }
 
@@ -344,20 +349,26 @@
         }
     }
 
-    /// Closes a connection once all that was buffered is written; what it still sends is read and thrown away, for a bounded
-    /// time, so that the peer can read its answers to the end. The end is told as [`Happening::Closed`] at the next turn.
+    /// Closes a connection once all that was buffered is written, or after a bounded time without it; what it still sends is
+    /// read and thrown away, for a bounded time, so that the peer can read its answers to the end. The end is told as
+    /// [`Happening::Closed`] at the next turn.
     pub fn finish(&mut self, id: Id) {
         let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) else { return };
-        if c.reading_out.is_some() {
+        if c.reading_out.is_some() || c.finishing {
             return;
         }
         if c.pending() == 0 {
             return self.half_close(id);
         }
         c.finishing = true;
+        self.finishing.push_back((id, Instant::now()));
         self.pause(id, true);
     }
 
+    fn is_finishing(&self, id: Id) -> bool {
+        matches!(self.sources.get(&id.0), Some(Source::Connection(c)) if c.finishing)
+    }
+
     /// How many connections may be read out at a time; [`LINGERING`] if nothing is said.
     pub fn linger_at_most(&mut self, most: usize) {
         self.most_lingering = most;
@@ -425,9 +436,22 @@
         while self.lingering.front().is_some_and(|l| l.1.elapsed() >= LINGER) {
             self.lingering.pop_front().into_iter().for_each(|(id, _)| drop(self.remove(id)));
         }
-        let lingers = self.lingering.front().map(|l| LINGER.saturating_sub(l.1.elapsed()));
+        // Those that were written have gone on; of the others the earliest is due first.
+        while let Some((id, since)) = self.finishing.front().copied() {
+            let waits = self.is_finishing(id);
+            if waits && since.elapsed() < FINISH {
+                break;
+            }
+            self.finishing.pop_front();
+            if waits {
+                self.end(id);
+            }
+        }
+        let bounded = [(&self.lingering, LINGER), (&self.finishing, FINISH)];
+        let due =
+            bounded.iter().filter_map(|(all, most)| Some(most.saturating_sub(all.front()?.1.elapsed())));
         let timeout = if self.ended.is_empty() { timeout } else { Some(Duration::ZERO) };
-        let timeout = lingers.map_or(timeout, |l| Some(timeout.map_or(l, |t| t.min(l))));
+        let timeout = due.chain(timeout).min();
         self.events.clear();
         match self.poller.wait(&mut self.events, timeout) {
             Ok(_) => {}
--- a/crates/reactor/tests/crossings.rs
+++ b/crates/reactor/tests/crossings.rs
@@ -150,6 +150,34 @@
     assert!(start.elapsed() >= Duration::from_millis(300), "not before its time");
 }
 
+#[test]
+fn a_connection_that_is_to_be_closed_and_whose_peer_reads_nothing_ends_within_a_bounded_time() {
+    let mut l = Loop::new();
+    // More than the kernel takes, to peers that do not read; the last one gets all of it after all.
+    let mut peers: Vec<(Id, TcpStream)> = (0..4).map(|_| l.accepted()).collect();
+    let mut written = 0;
+    for (id, _) in &peers {
+        written = 0;
+        l.until(|l| {
+            l.reactor.write(*id, &[b'a'; 1 << 20]);
+            written += 1 << 20;
+            l.turn();
+            (l.reactor.pending(*id) > 1 << 20).then_some(())
+        });
+        l.reactor.finish(*id);
+        l.reactor.finish(*id);
+    }
+    let (reads, mut reader) = peers.pop().unwrap();
+    let reader = std::thread::spawn(move || reader.read_to_end(&mut Vec::new()).unwrap());
+    l.until(|l| peers.iter().all(|s| l.is_closed(s.0)).then_some(()));
+    assert_eq!(reader.join().unwrap(), written);
+    let ends = |id: Id| {
+        l.happened.iter().filter(|h| matches!(h, Happening::Closed { id: i, .. } if *i == id)).count()
+    };
+    assert!(peers.iter().map(|s| s.0).chain([reads]).all(|id| ends(id) == 1), "each end is told once");
+    assert!(!l.reactor.has_pending(), "nothing is left of them");
+}
+
 #[test]
 fn a_listener_that_closes_takes_what_waits_before() {
     let mut l = Loop::new();
