A drain over connections that are coming up is tested on the MQTT gateway

Change: a worker whose queue of connections is full, so that the kernel drops what the next ones begin with; the table of the kernel says when both wait. No change of the program.

--- a/crates/gateway/tests/operations.rs
+++ b/crates/gateway/tests/operations.rs
@@ -3,9 +3,40 @@
 mod support;
 
 use slatevalve_worker_wire::Reply;
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 use support::*;
 
+/// Connections of this machine to a port that are still coming up.
+fn coming_up(port: u16) -> usize {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let rows = table.lines().map(|l| l.split_whitespace().collect::<Vec<_>>());
+    let (port, syn_sent) = (format!(":{port:04X}"), "02");
+    rows.filter(|row| row[2].ends_with(&port) && row[3] == syn_sent).count()
+}
+
+#[test]
+fn a_drain_takes_back_what_waits_for_a_connection_that_is_coming_up() {
+    // A worker whose queue of connections is full: the kernel drops what the next ones begin with, and they stay under way.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let worker = socket.local_addr().unwrap().as_socket().unwrap();
+    let _full = TcpStream::connect(worker).unwrap();
+    let waits = "(limits (probes no))\n(pool (connect-timeout-ms 4000))\n(route \"quote/+\"";
+    let gateway = Gateway::start(&SITE.replace("(route \"quote/+\"", waits), &[("w", worker, "")]);
+    let mut client = Client::connect(gateway.address(), "a", false);
+    client.publish("charge/card", 1, Some("k"), "c1", false);
+    until("the order to load and the call to wait", || coming_up(worker.port()) == 2);
+    gateway.relist(&[("w", worker, "(state draining)")]);
+    // From here on the worker takes connections again; those that are still under way come up.
+    socket.accept().unwrap();
+    until("nothing to be under way any more", || coming_up(worker.port()) == 0);
+    socket.set_nonblocking(true).unwrap();
+    assert!(socket.accept().is_err(), "what waited was given up before it came up");
+    assert_eq!(client.answer().outcome, "refused", "it never ran and goes nowhere");
+}
+
 #[test]
 fn after_a_drain_told_by_sighup_nothing_new_reaches_the_worker() {
     let slow = |_: &slatevalve_worker_wire::Call, _: usize| {
