One line of the change log that cannot be read keeps no drain from being heard

Another deployment's list may well name a zone that the settings do not. Change: zones and kinds that are not listed are ones of their own; of an event with a line that cannot be read all other lines count at once, the event is asked for again as one before a gap is, and passed over after three times.

--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -201,7 +201,10 @@
             wanted: Vec::new(),
         };
         let now = clock.now();
-        for change in known {
+        for e in known.unread {
+            warn!(%e, "a line of the events of the start could not be read");
+        }
+        for change in known.changes {
             router.change(now, change);
         }
         router.settle(now);
@@ -392,7 +395,12 @@
                     }
                     Wanted::Close => self.log.take().into_iter().for_each(|id| self.reactor.close(id)),
                     Wanted::Change(change) => self.change(now, change),
-                    Wanted::Unread(e) => warn!(%e, "an answer of the change log could not be read"),
+                    Wanted::Unread(e) => {
+                        self.unusable += 1;
+                        if self.unusable <= LOGGED {
+                            warn!(%e, "an answer of the change log, or a line of it, could not be read");
+                        }
+                    }
                 }
             }
         }
--- a/crates/platform/src/changes.rs
+++ b/crates/platform/src/changes.rs
@@ -3,8 +3,8 @@
 //! It guards against missing a drain: the log is asked with short waits; one that stops telling is given up just beyond
 //! the wait and asked again on a new connection from the last event that came whole; a break is followed by the next
 //! question at once, further failures by drawn pauses ([`slatevalve_pacing`]). What is cut off counts for nothing. An answer
-//! that leaves out numbers is taken, but asked for again from the last event before the gap. Called by the gateway's loop,
-//! which owns the connection.
+//! that leaves out numbers is taken, but asked for again from the last event before the gap; so is one with a line that cannot be
+//! read, of which all other lines count. Called by the gateway's loop, which owns the connection.
 
 use crate::after;
 use serde_json::Value;
@@ -12,7 +12,7 @@
 use slatevalve_engine::worker_id;
 use slatevalve_http::{Limits, Message, MessageReader, Side};
 use slatevalve_pacing::{Limits as PaceLimits, Pace};
-use slatevalve_site::object::{flag, list, number_or, object, opt, place, text, unknown, whole, Obj};
+use slatevalve_site::object::{flag, list, number_or, object, opt, text, unknown, whole, Obj};
 use slatevalve_site::{FieldError, Names};
 use std::net::SocketAddr;
 
@@ -33,7 +33,8 @@
     longest_us: 400_000,
     free: 1,
 };
-/// Answers in a row that may leave out the same numbers; after that these are taken for numbers that nothing has.
+/// Answers in a row that may leave out the same numbers, or hold the same line that cannot be read; after that these are taken for
+/// numbers that nothing has, and the line for one that never can be.
 const GAPS: u32 = 3;
 /// The longest answer: thousands of workers.
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
@@ -66,6 +67,15 @@
     }
 }
 
+/// What an answer brought.
+#[derive(Debug, Default)]
+pub struct Told {
+    /// Its events, in order.
+    pub changes: Vec<Change>,
+    /// What is wrong with the lines that could not be read; the workers that they name are passed over.
+    pub unread: Vec<FieldError>,
+}
+
 /// What the loop is to do.
 #[derive(Debug)]
 pub enum Wanted {
@@ -77,7 +87,7 @@
     Close,
     /// An event came whole.
     Change(Change),
-    /// An answer could not be read; the log is asked again.
+    /// An answer, or a line of one, could not be read; the log is asked again.
     Unread(FieldError),
 }
 
@@ -119,7 +129,7 @@
         address: SocketAddr,
         known: &Obj,
         seed: u64,
-    ) -> Result<(Self, Vec<Change>), FieldError> {
+    ) -> Result<(Self, Told), FieldError> {
         let state = State::Apart(Micros(0));
         // The list of routers is not told here: the draw after the first failure is over none but this one.
         let pace = Pace::new(AGAIN, 1, seed);
@@ -127,8 +137,8 @@
             Follower { names, at_unix_ms, address, seq: 0, state, reader: reader(), pace, gaps: 0 };
         // Numbers begin where the events of the start do, whatever these are.
         follower.gaps = GAPS;
-        let changes = follower.read(known)?;
-        Ok((follower, changes))
+        let told = follower.read(known)?;
+        Ok((follower, told))
     }
 
     /// The number of the last event that came whole.
@@ -209,8 +219,9 @@
             Err(_) => Err(FieldError::NotObject("the answer".into())),
         };
         match read {
-            Ok(changes) => {
-                out.extend(changes.into_iter().map(Wanted::Change));
+            Ok(told) => {
+                out.extend(told.changes.into_iter().map(Wanted::Change));
+                out.extend(told.unread.into_iter().map(Wanted::Unread));
                 if self.gaps > 0 {
                     return false;
                 }
@@ -238,24 +249,27 @@
 
     /// Reads `{"seq":N,"results":[...]}`: the events after the last one, all of them or none. Where numbers are left out, those
     /// behind them are given too, as late news are better than none, but the last event stays the one before the gap; it is
-    /// told again with what was left out. A whole list closes any gap before it.
-    fn read(&mut self, o: &Obj) -> Result<Vec<Change>, FieldError> {
+    /// told again with what was left out. A whole list closes any gap before it. An event with a line that cannot be read is such a
+    /// gap as well: one line must not keep the drain in the next from being heard.
+    fn read(&mut self, o: &Obj) -> Result<Told, FieldError> {
         let last = whole(o, "seq")?;
         let (mut reached, mut seq) = (self.seq, self.seq);
-        let mut changes = Vec::new();
+        let mut told = Told::default();
         for v in list(o, "results")? {
             let event = object(v, "results")?;
             let number = whole(event, "seq")?;
             if number <= reached {
                 continue; // told before
             }
-            let change = opt(event, "fleet").map(|f| self.change(object(f, "fleet")?)).transpose()?;
+            let before = told.unread.len();
+            let fleet = opt(event, "fleet").map(|f| object(f, "fleet")).transpose()?;
+            let change = fleet.map(|f| self.change(f, &mut told.unread)).transpose()?;
             let whole = change.as_ref().is_some_and(|c| c.complete);
-            if whole || number == seq + 1 {
+            if (whole || number == seq + 1) && told.unread.len() == before {
                 seq = number;
             }
             reached = number;
-            changes.extend(change);
+            told.changes.extend(change);
         }
         reached = reached.max(last);
         self.gaps = match reached > seq {
@@ -266,12 +280,14 @@
             }
         };
         self.seq = seq;
-        Ok(changes)
+        Ok(told)
     }
 
-    fn change(&self, fleet: &Obj) -> Result<Change, FieldError> {
-        let lines = list(fleet, "members")?.iter().map(|v| self.line(object(v, "members")?));
-        Ok(Change { complete: flag(fleet, "complete", false)?, lines: lines.collect::<Result<_, _>>()? })
+    fn change(&self, fleet: &Obj, unread: &mut Vec<FieldError>) -> Result<Change, FieldError> {
+        let complete = flag(fleet, "complete", false)?;
+        let read = list(fleet, "members")?.iter().map(|v| self.line(object(v, "members")?));
+        let lines = read.filter_map(|line| line.map_err(|e| unread.push(e)).ok()).collect();
+        Ok(Change { complete, lines })
     }
 
     fn line(&self, o: &Obj) -> Result<Line, FieldError> {
@@ -289,8 +305,12 @@
                 Some(address.parse().map_or_else(|_| unknown("host_port", address), Ok)?)
             }
         };
+        // One that the settings do not list is a zone or kind like any other: it has a place beyond them, the same at all routers.
         let named = |names: &[String], name: &str| -> Result<usize, FieldError> {
-            opt(o, name).map_or(Ok(0), |_| place(names, o, name))
+            let Some(_) = opt(o, name) else { return Ok(0) };
+            let word = text(o, name)?;
+            let beyond = || names.len() + (worker_id(word).0 >> 32) as usize;
+            Ok(names.iter().position(|n| n == word).unwrap_or_else(beyond))
         };
         let since = number_or(o, "up_since_ms", 0.0)?;
         let entry = WorkerEntry {
