Both loops wait by one piece that looks through a standstill before it writes

Need: the MQTT gateway's loop wrote by old news after a standstill between deciding and writing; the platform's router looked first by lines of its own, and both reckoned the age of what they read. Change: turns.rs, called by both; decisions and bounds of the platform's router are as they were.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod plugins;
 pub mod settings;
 pub mod shell;
+mod turns;
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -10,6 +10,7 @@
 use crate::clock::Clock;
 use crate::settings::PoolSettings;
 use crate::shell::pool::{Pool, TaskEnd};
+use crate::turns::{Turn, Turns};
 use slatevalve::{Micros, WorkerId, WorkerState};
 use slatevalve_engine::{Engine, EngineSettings, FunctionTraits, Output};
 use slatevalve_platform::changes::{Change, Follower, Wanted};
@@ -40,12 +41,6 @@
 const MARGIN: Micros = Micros(4_000);
 /// Functions whose names are held; one unused for longest makes room.
 const FUNCTIONS: usize = 8_192;
-/// The part of a drain's grace after which what was decided is old news: a process that stood still for so long between
-/// deciding and writing looks at what came meanwhile before it writes. And the time where there is no grace.
-const OLD_NEWS: (i64, Micros) = (5, Micros(50_000));
-/// Looks after a standstill until nothing more comes, at most: one read of a connection brings what was sent, the next one
-/// that its client left since.
-const LOOKS: usize = 4;
 /// A configuration that cannot be used at SIGHUP may be half written: it is read again so often, so long after each other.
 const READ_AGAIN: (u32, Micros) = (20, Micros(100_000));
 /// Unusable things that a log line is spent on.
@@ -108,11 +103,7 @@
     /// Workers that the log told of and that are not gone.
     workers: HashMap<WorkerId, WorkerState>,
     age: Micros,
-    /// When the turn before decided what it left to be written, and after which time that is old news.
-    decided: Micros,
-    old_after: Micros,
-    /// The turn before only looked: this one writes, whatever it took.
-    looked: bool,
+    turns: Turns,
     stop: Stop,
     resume_at: Option<Micros>,
     /// How often, and when, a configuration that could not be used is read again.
@@ -140,8 +131,7 @@
         let site = config.site;
         let module = site.settings;
         let stop = Stop::new(module.classes.iter().map(|c| c.deadline).max().unwrap_or_default());
-        let grace = module.rules.drain_grace.0;
-        let old_after = if grace > 0 { Micros(grace / OLD_NEWS.0) } else { OLD_NEWS.1 };
+        let turns = Turns::new(clock.now(), module.rules.drain_grace);
         let free = config.limits.sockets.saturating_sub(OTHER_DESCRIPTORS).max(8);
         // Usual clients hold a third of all descriptors at most; the rest of this share is for those who are not usual.
         let clients = free * 9 / 20;
@@ -189,9 +179,7 @@
             next_link: 0,
             workers: HashMap::new(),
             age: Micros(0),
-            decided: clock.now(),
-            old_after,
-            looked: false,
+            turns,
             stop,
             resume_at: None,
             read_again: None,
@@ -239,28 +227,10 @@
     /// # Errors
     /// When the poller fails.
     pub fn turn(&mut self, most: Duration) -> Result<bool, PlatformError> {
-        let before = self.clock.now();
-        let worked = before.0 - self.decided.0;
-        let mut happened = Vec::new();
-        let mut wait = self.wait_from(before).min(most);
-        if worked > self.old_after.0 && !self.looked {
-            // The process stood still after it had decided: what came meanwhile may forbid what is about to be written.
-            self.look_around(&mut happened)?;
-            wait = Duration::ZERO;
-        }
-        self.looked = !happened.is_empty();
-        if !self.looked {
-            self.reactor.turn(Some(wait), &mut happened).map_err(PlatformError::Loop)?;
-        }
-        // What is read now may have come while the turn before was at work, or while the process stood still
-        // beyond the wait that it asked for.
-        let overslept = (self.clock.now().0 - before.0 - wait.as_micros() as i64).max(0);
-        if overslept > self.old_after.0 {
-            self.look_around(&mut happened)?;
-        }
-        let now = self.clock.now();
-        self.decided = now;
-        self.age = Micros(worked + overslept);
+        let wait = self.wait_from(self.clock.now()).min(most);
+        let turn = self.turns.wait(&self.clock, &mut self.reactor, wait).map_err(PlatformError::Loop)?;
+        let Turn { now, age, happened } = turn;
+        self.age = age;
         let quiet = !happened.iter().any(|h| self.is_of_client(h));
         self.handle(now, happened);
         self.follower.advance(now, &mut self.wanted);
@@ -282,18 +252,6 @@
         Ok(self.has_stopped(now, quiet))
     }
 
-    /// After a standstill: all that came meanwhile, to its end, before anything is decided by a part of it. Nothing is written.
-    fn look_around(&mut self, happened: &mut Vec<Happening>) -> Result<(), PlatformError> {
-        for _ in 0..LOOKS {
-            let before = happened.len();
-            self.reactor.look(Some(Duration::ZERO), happened).map_err(PlatformError::Loop)?;
-            if happened.len() == before {
-                break;
-            }
-        }
-        Ok(())
-    }
-
     fn handle(&mut self, now: Micros, mut happened: Vec<Happening>) {
         // What the change log tells comes before anything else in the turn: a drain that is known is kept.
         happened.sort_by_key(|h| !self.is_of_log(h));
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -12,6 +12,7 @@
 use crate::members::{Recorder, Source, Starts};
 use crate::plugins::folder::FolderError;
 use crate::settings::{Site, WorkerLine};
+use crate::turns::{Turn, Turns};
 use admin::Admin;
 use plugins::PluginHost;
 use pool::{Pool, TaskEnd};
@@ -186,19 +187,13 @@
     /// # Errors
     /// When the poller fails.
     pub fn run(&mut self) -> Result<(), ShellError> {
-        let mut happened = Vec::new();
-        let mut worked = Micros(0);
+        let mut turns = Turns::new(self.clock.now(), self.site.engine.module.rules.drain_grace);
         loop {
-            let before = self.clock.now();
-            let wait = self.wait_from(before);
-            self.reactor.turn(Some(wait), &mut happened).map_err(ShellError::Loop)?;
-            let now = self.clock.now();
-            // What is read now may have come while the turn before was at work, or while the process stood still
-            // beyond the wait that it asked for.
-            let waited = now.0 - before.0;
-            let overslept = (waited - wait.as_micros() as i64).max(0);
-            self.age = Micros(worked.0 + overslept);
-            for happening in happened.drain(..) {
+            let wait = self.wait_from(self.clock.now());
+            let turn = turns.wait(&self.clock, &mut self.reactor, wait).map_err(ShellError::Loop)?;
+            let Turn { now, age, happened } = turn;
+            self.age = age;
+            for happening in happened {
                 self.happened(now, happening);
             }
             self.front.advance(now, &mut self.to_front);
@@ -225,7 +220,6 @@
             if self.stopping && self.engine.is_idle() {
                 return self.leave(now);
             }
-            worked = Micros(self.clock.now().0 - now.0);
         }
     }
 
