A crowd that a worker told refuses a call whether it was met or not; only silence waits

There the condition of a worker heard from also passed by a crowd told with an answer that is no good one (Brain::report notes the queue, not that it was heard). Change: the condition counts while a question is out alone.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -704,8 +704,8 @@
         // Where even the best of those asked is crowded, the answer comes too late. Silence tells so after part
         // of the aim, but not at one never heard from, whose connection may still be coming up.
         let (most, tells) = (REFUSE.2 * self.patience(o), micros(HEAR * secs(self.class(o).aim)));
-        let best = self.workers.get(&worker).filter(|w| o.attempts.is_empty() && w.heard.is_some());
-        if let Some(w) = best.filter(|w| self.crowd(w) > most) {
+        let best = self.workers.get(&worker).filter(|w| w.heard.is_some() || w.asked.is_none());
+        if let Some(w) = best.filter(|w| o.attempts.is_empty() && self.crowd(w) > most) {
             let at = w.asked.map_or(self.now, |t| after(t, tells));
             return if at > self.now { self.hold(id, at, out) } else { self.give_up(id, out) };
         }
