--- a/src/brain.rs
+++ b/src/brain.rs
@@ -701,8 +701,8 @@
             return;
         }
         let Some(o) = self.open.get(&id) else { return };
-        // Where even the best of those asked is crowded, the answer comes too late. Silence tells so after part
-        // of the aim, but not at one never heard from, whose connection may still be coming up.
+        // Where even the best of those asked is crowded, the answer comes too late. Silence tells so only
+        // after part of the aim, and not at one never heard from, whose connection may still be coming up.
         let (most, tells) = (REFUSE.2 * self.patience(o), micros(HEAR * secs(self.class(o).aim)));
         let best = self.workers.get(&worker).filter(|w| w.heard.is_some() || w.asked.is_none());
         if let Some(w) = best.filter(|w| o.attempts.is_empty() && self.crowd(w) > most) {
