--- a/crates/gateway/tests/platform/crossings.rs
+++ b/crates/gateway/tests/platform/crossings.rs
@@ -51,6 +51,10 @@
         assert!(!self.router.turn(Duration::from_millis(10)).unwrap(), "it goes on");
     }
 
+    fn turns(&mut self, count: usize) {
+        (0..count).for_each(|_| self.turn());
+    }
+
     fn until<T>(&mut self, what: &str, mut find: impl FnMut(&mut Loop) -> Option<T>) -> T {
         let start = Instant::now();
         loop {
@@ -158,9 +162,7 @@
             let mut peer = router.accept(&worker);
             leave(&mut client, number);
             // The same connection serves the next call; nothing came before it.
-            for _ in 0..5 {
-                router.turn();
-            }
+            router.turns(5);
             other.send("quote", 1, 2);
             assert_eq!(router.calls_until(&mut peer, 2), [id(2)], "cancel allowed: {cancel}");
             peer.say(2, "ACK");
@@ -177,9 +179,7 @@
     let mut client = router.client();
     let mut peer = router.serve(&mut client, &worker, 1);
     client.send_and_interrupt("charge", 1, 2);
-    for _ in 0..5 {
-        router.turn();
-    }
+    router.turns(5);
     client.send("charge", 1, 3);
     assert_eq!(router.calls_until(&mut peer, 3), [id(1), id(3)]);
 }
@@ -196,9 +196,7 @@
         router.calls_until(&mut peer, 1);
         peer.say(1, "NOENT");
         client.interrupt(number);
-        for _ in 0..5 {
-            router.turn();
-        }
+        router.turns(5);
         other.send("quote", 1, 2);
         // Where it was taken off in time its connection was given up with it.
         let mut all = peer.calls();
@@ -230,14 +228,10 @@
     client.send("charge", 1, 2);
     // Decided, and not written yet.
     router.until("the decision", |r| (r.sizes()[5] == 1).then_some(()));
-    let told = log.answers();
-    log.tell(&[("w", worker.address, "leaving")]);
-    until("the drain to be in the router's socket", || log.answers() > told);
+    log.tell_whole(&[("w", worker.address, "leaving")]);
     // Beyond the part of the grace (250 ms) after which its decision is old.
     std::thread::sleep(Duration::from_millis(60));
-    for _ in 0..10 {
-        router.turn();
-    }
+    router.turns(10);
     assert_eq!(peer.calls(), [id(1)], "something new after the drain");
     assert_eq!(router.answer(&mut client), End::Error("Throttled".into()), "it never ran");
 }
@@ -254,9 +248,7 @@
         let number = client.send("quote", 1, 2);
         leave(&mut client, number);
         std::thread::sleep(Duration::from_millis(60));
-        for _ in 0..5 {
-            router.turn();
-        }
+        router.turns(5);
         other.send("quote", 1, 3);
         assert_eq!(router.calls_until(&mut peer, 3), [id(1), id(3)]);
     }
@@ -304,9 +296,7 @@
     router.until_it_follows(&log);
     client.send("charge", 1, 1);
     let mut stale = router.accept(&old);
-    let told = log.answers();
-    log.tell(&[("w", new.address, "active")]);
-    until("the move to be in the router's socket", || log.answers() > told);
+    log.tell_whole(&[("w", new.address, "active")]);
     let mut peer = router.accept(&new);
     assert_eq!(router.calls_until(&mut peer, 1), [id(1)]);
     assert!(stale.calls().is_empty(), "it may be another's by now");
@@ -332,9 +322,7 @@
         }
         assert_eq!(router.answer(&mut client), End::Served(vec![]), "sockets come before timers");
         client.stream.set_nonblocking(true).unwrap();
-        for _ in 0..5 {
-            router.turn();
-        }
+        router.turns(5);
         assert_eq!(client.answer_now(), None, "one answer");
         assert_eq!(router.router.sizes()[1..3], [0, 0]);
         assert_eq!(router.router.sizes()[5], 0, "no attempt is left");
@@ -382,9 +370,7 @@
         peers[1 - first].say(2, "ACK");
         assert_eq!(router.answer(&mut client), End::Served(vec![]));
         client.stream.set_nonblocking(true).unwrap();
-        for _ in 0..5 {
-            router.turn();
-        }
+        router.turns(5);
         assert_eq!(client.answer_now(), None, "one answer");
         assert_eq!((router.router.sizes()[1..3].to_vec(), router.router.sizes()[5]), (vec![0, 0], 0));
     }
@@ -405,9 +391,7 @@
         router.calls_until(&mut peer, 1);
         let drains = if own { at } else { 1 - at };
         let tell = || {
-            let told = log.answers();
-            log.tell(&[(["a", "b"][drains], workers[drains].address, "leaving")]);
-            until("the drain to be in the router's socket", || log.answers() > told);
+            log.tell_whole(&[(["a", "b"][drains], workers[drains].address, "leaving")]);
         };
         if news_first {
             tell();
--- a/crates/gateway/tests/platform/standins.rs
+++ b/crates/gateway/tests/platform/standins.rs
@@ -265,6 +265,13 @@
         told.notify_all();
     }
 
+    /// The same to a follower whose question waits, until the answer has been written to it whole.
+    pub fn tell_whole(&self, changes: &[(&str, SocketAddr, &str)]) {
+        let told = self.answers();
+        self.tell(changes);
+        until("the news to be in the router's socket", || self.answers() > told);
+    }
+
     /// The next answers break off in the middle.
     pub fn break_off(&self, times: usize) {
         *self.breaks.lock().unwrap() = times;
