The test of a drain told by SIGHUP counts what was sent, not what was read

Cause: the last run of the checks failed here ("left: 22, right: 20"). Repeated with twelve busy loops beside it on two cores: 10 of 40 runs failed, each with 22 (once 12) calls at the end whatever had been counted at first (3 to 18), and never with a call that was published after the drain. So the gateway had sent them all before it read the list, and the test's worker, a thread a connection, had not yet counted what lay in its kernel's queues; nothing in shell/mod.rs `reload` or `take_list` sends after the log line, and `hold_back` takes back what no byte of has left. The fault is in the test.

Change: as strict, by other means. The gateway is stopped once its log says that the list was read; the worker is waited for until nothing is unread in its kernel's queues and no reader is between reading and counting; then what it had is noted and the gateway goes on. Besides, no call that was published after the drain may have reached the worker at all.

With the drain planted as not told to the engine the test fails.

--- a/crates/gateway/tests/operations.rs
+++ b/crates/gateway/tests/operations.rs
@@ -54,7 +54,12 @@
     }
     until("the first to have had calls", || workers[0].calls() > 0);
     gateway.relist(&list("(state draining)"));
+    // What was sent before the list was read may still be on its way to be counted: it is waited for, and nothing can be sent
+    // meanwhile.
+    gateway.process.signal("STOP");
+    workers[0].settled();
     let seen = workers[0].all();
+    gateway.process.signal("CONT");
     for n in 30..60 {
         client.publish(&format!("quote/fare-{n}"), n + 1, None, &format!("q{n}"), false);
     }
@@ -62,6 +67,8 @@
         assert_eq!(client.answer().outcome, "served");
     }
     assert_eq!(workers[0].all(), seen, "something new came after the list was read");
+    let late = (30..60).map(|n| format!("q{n}")).filter(|q| workers[0].payloads().contains(q));
+    assert_eq!(late.count(), 0, "a call that came after the drain was told went there");
     gateway.relist(&list(""));
     for n in 60..90 {
         assert_eq!(client.call(&format!("quote/fare-{n}"), n + 1, None, "q").outcome, "served");
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -211,6 +211,8 @@
     pub address: SocketAddr,
     calls: Arc<Mutex<Vec<(Instant, slatevalve_worker_wire::Call)>>>,
     orders: Arc<Mutex<Vec<Order>>>,
+    /// Readers that have taken bytes and not yet counted what they say.
+    reading: Arc<AtomicUsize>,
     stop: Arc<AtomicBool>,
 }
 
@@ -222,6 +224,7 @@
             address: listener.local_addr().unwrap(),
             calls: Arc::default(),
             orders: Arc::default(),
+            reading: Arc::default(),
             stop: Arc::default(),
         };
         let (shared, act) = (worker.clone(), Arc::new(act));
@@ -243,28 +246,26 @@
         let mut reader = MessageReader::new(Side::Request, Limits::default());
         let mut bytes = [0; 4096];
         loop {
-            let count = match stream.read(&mut bytes) {
-                Ok(0) | Err(_) => return,
-                Ok(count) => count,
+            // Bytes are with the kernel, or with a reader that says so: see `settled`.
+            let waited = stream.peek(&mut bytes[..1]);
+            self.reading.fetch_add(1, Ordering::SeqCst);
+            let message = match waited.and_then(|_| stream.read(&mut bytes)) {
+                Ok(0) | Err(_) => Err(()),
+                Ok(count) => reader.feed(&bytes[..count]).map_err(|_| ()),
             };
-            let Ok(message) = reader.feed(&bytes[..count]) else { return };
-            let Some(message) = message else { continue };
-            let order = Asked::read(message).unwrap().order;
+            let order = message.map(|m| m.map(|m| Asked::read(m).unwrap().order));
+            let before = match &order {
+                Ok(Some(order)) => self.count(order),
+                _ => 0,
+            };
+            self.reading.fetch_sub(1, Ordering::SeqCst);
+            let Ok(order) = order else { return };
             let act = match order {
-                Order::Infer(call) => {
-                    let before = {
-                        let mut calls = self.calls.lock().unwrap();
-                        calls.push((Instant::now(), call.clone()));
-                        calls.len() - 1
-                    };
-                    act(&call, before)
-                }
-                Order::Ready => Act::Answer(Reply::Ready),
-                Order::Load { copies, .. } => {
-                    self.orders.lock().unwrap().push(order);
-                    Act::Answer(Reply::Copies(copies))
-                }
-                _ => Act::Answer(Reply::Copies(0)),
+                None => continue,
+                Some(Order::Infer(call)) => act(&call, before),
+                Some(Order::Ready) => Act::Answer(Reply::Ready),
+                Some(Order::Load { copies, .. }) => Act::Answer(Reply::Copies(copies)),
+                Some(_) => Act::Answer(Reply::Copies(0)),
             };
             let done = match act {
                 Act::Answer(reply) => stream.write_all(&reply.encode(None, None)).is_err(),
@@ -288,6 +289,31 @@
         }
     }
 
+    /// Counts a call or an order to load, and gives how many calls came before.
+    fn count(&self, order: &Order) -> usize {
+        let mut calls = self.calls.lock().unwrap();
+        let before = calls.len();
+        match order {
+            Order::Infer(call) => calls.push((Instant::now(), call.clone())),
+            Order::Load { .. } => self.orders.lock().unwrap().push(order.clone()),
+            _ => {}
+        }
+        before
+    }
+
+    /// Waits until all that was written to this worker so far is counted: none of it is with the kernel, none with a reader.
+    pub fn settled(&self) {
+        let port = format!(":{:04X}", self.address.port());
+        until("the worker to have read what came", || {
+            let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+            let rows = table.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+            // Of a row: the local address, the state (0A listens: its queue holds connections), and "sent:unread" in hex.
+            let unread = |row: &Vec<&str>| row[3] != "0A" && !row[4].ends_with(":00000000");
+            !rows.filter(|row| row[1].ends_with(&port)).any(|row| unread(&row))
+                && self.reading.load(Ordering::SeqCst) == 0
+        });
+    }
+
     /// How many calls came.
     pub fn calls(&self) -> usize {
         self.calls.lock().unwrap().len()
