Commands on settings with versions: check, diff, publish, drive, status, rollback

Change: SharedSettings reads a document by the same text as a router's own file and makes its terms; `slatevalve settings` reads state and rights at one revision, publishes by one transaction and drives the change. The session with a registry is shared with `members`. Templates of routes can be written out. Rights of routers whose names have slashes are read.

--- a/crates/agreement/src/document.rs
+++ b/crates/agreement/src/document.rs
@@ -228,8 +228,9 @@
             let read = match rest.split('/').collect::<Vec<_>>()[..] {
                 ["state"] => json(key, value).map(|value| reading.state = Some(Entry { value, revision })),
                 ["documents", _] => json(key, value).and_then(|d| reading.take_document(keys, key, d)),
-                ["rights", name, life] => {
-                    let id = (name.to_string(), life.to_string());
+                // A name may have slashes, a life has none.
+                ["rights", ref name @ .., life] => {
+                    let id = (name.join("/"), life.to_string());
                     json(key, value)
                         .map(|value| drop(reading.rights.insert(id.clone(), Entry { value, revision })))
                         .inspect_err(|_| reading.unread_rights.push(id))
--- a/crates/gateway/src/commands/members.rs
+++ b/crates/gateway/src/commands/members.rs
@@ -1,42 +1,24 @@
 //! The `members` sub-commands: who is in the registry, what changes there, and drains.
 
-use super::login::LoginArguments;
+use super::session::{RegistryArguments, Res, Session, WITHIN_US};
 use super::Outcome;
-use crate::clock::Clock;
 use clap::{Args, Subcommand};
 use serde_json::{json, Value};
-use slatevalve_pacing::Limits;
-use slatevalve_reactor::Reactor;
 use slatevalve_registry::wire::{
     Bytes, Compare, KeyValue, PlainResponse, PutRequest, RangeRequest, RangeResponse, RequestOp, TxnRequest,
     RANGE, TXN,
 };
-use slatevalve_registry::{
-    read_member, worker_key, Change, ClientSettings, Follow, FollowerSettings, Heard, Login, Member,
-    MemberState, RegistrationSettings,
-};
-use slatevalve_registry_link::Link;
-use std::error::Error;
+use slatevalve_registry::{read_member, worker_key, Change, Follow, Heard, Member, MemberState};
 use std::io::{self, Write};
-use std::net::ToSocketAddrs;
 use std::process::ExitCode;
-use std::time::Duration;
 
-/// A command that was not answered by then is given up.
-const WITHIN_US: i64 = 10_000_000;
 /// Times that a drain is tried again as somebody else changed the worker's entry meanwhile.
 const TRIES: usize = 5;
 
 #[derive(Args)]
 pub(super) struct MembersArguments {
-    /// A member of the registry, HOST:PORT; may be given several times
-    #[arg(long, required = true)]
-    registry: Vec<String>,
-    /// What the keys begin with, as `(members (prefix ...))` has it
-    #[arg(long, default_value = "/slatevalve/")]
-    prefix: String,
     #[command(flatten)]
-    login: LoginArguments,
+    registry: RegistryArguments,
     /// Print JSON
     #[arg(long)]
     json: bool,
@@ -66,24 +48,13 @@
     },
 }
 
-/// A client on a loop of its own.
-struct Session {
-    link: Link,
-    reactor: Reactor,
-    clock: Clock,
-    prefix: String,
-}
-
-type Res<T> = Result<T, Box<dyn Error>>;
-
 pub(super) fn members(arguments: MembersArguments) -> Outcome {
-    let MembersArguments { registry, prefix, login, json, command } = arguments;
+    let MembersArguments { registry, json, command } = arguments;
     let follow = match command {
         MembersCommand::List | MembersCommand::Watch { .. } => Follow::All,
         _ => Follow::Nothing,
     };
-    let login = login.read()?.map(|(name, password)| Login { name, password });
-    let mut session = Session::new(registry, prefix, login, follow)?;
+    let mut session = Session::new(registry, follow)?;
     match command {
         MembersCommand::List => {
             let changes = session.first_list()?;
@@ -116,62 +87,6 @@
 }
 
 impl Session {
-    fn new(endpoints: Vec<String>, prefix: String, login: Option<Login>, follow: Follow) -> Res<Self> {
-        let mut addresses = Vec::new();
-        for endpoint in &endpoints {
-            let found = endpoint.to_socket_addrs().map_err(|e| format!("{endpoint}: {e}"))?.next();
-            addresses.push(found.ok_or_else(|| format!("{endpoint} has no address"))?);
-        }
-        let settings = ClientSettings {
-            endpoints,
-            relays: 0,
-            prefix: prefix.clone(),
-            login,
-            follow,
-            own: None,
-            follower: FollowerSettings::default(),
-            registration: RegistrationSettings { ttl_s: 10 },
-            pace: Limits::default(),
-            askers: 1,
-            drain_within_us: 12_000_000,
-            timeout_us: 2_000_000,
-            seed: u64::from(std::process::id()),
-        };
-        let reactor = Reactor::new(1 << 24)?;
-        Ok(Session { link: Link::new(settings, addresses), reactor, clock: Clock::start(), prefix })
-    }
-
-    /// One turn; gives what was heard.
-    fn turn(&mut self) -> Res<Vec<Heard>> {
-        let now = self.clock.now().0;
-        self.link.advance(now, &mut self.reactor);
-        let wait = (self.link.next_wake(now) - now).clamp(0, 100_000) as u64;
-        let mut happened = Vec::new();
-        self.reactor.turn(Some(Duration::from_micros(wait)), &mut happened)?;
-        let now = self.clock.now().0;
-        for happening in &happened {
-            self.link.happened(now, &mut self.reactor, happening);
-        }
-        Ok(self.link.take_heard())
-    }
-
-    /// Turns until `found` finds what is waited for; what failed last is the error where nothing comes.
-    fn until<T>(&mut self, mut found: impl FnMut(&Self, Heard) -> Option<Res<T>>) -> Res<T> {
-        let until = self.clock.now().0 + WITHIN_US;
-        let mut failed = "the registry does not answer".to_string();
-        while self.clock.now().0 < until {
-            for heard in self.turn()? {
-                if let Heard::Failed(words) = &heard {
-                    failed.clone_from(words);
-                }
-                if let Some(end) = found(self, heard) {
-                    return end;
-                }
-            }
-        }
-        Err(failed.into())
-    }
-
     fn first_list(&mut self) -> Res<Vec<Change>> {
         let until = self.clock.now().0 + WITHIN_US;
         let mut failed = "the registry does not answer".to_string();
@@ -238,19 +153,6 @@
         Ok(())
     }
 
-    fn ask<T: serde::de::DeserializeOwned>(
-        &mut self,
-        path: &'static str,
-        body: &impl serde::Serialize,
-    ) -> Res<T> {
-        let ticket = self.link.client_mut().ask(path, body);
-        let body = self.until(|_, heard| match heard {
-            Heard::Answered(t, answer) if t == ticket => Some(answer.map_err(Into::into)),
-            _ => None,
-        })?;
-        Ok(serde_json::from_slice(&body)?)
-    }
-
     /// Writes a worker's state into its entry as it is, under the lease that it has; tried again where somebody else wrote
     /// it in between.
     fn set_state(&mut self, worker: &str, state: MemberState, json: bool) -> Res<()> {
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -7,6 +7,8 @@
 mod registry;
 mod rehearsal;
 mod relay;
+mod session;
+mod settings;
 
 use crate::badday::{self, script::Script};
 use crate::clock::Clock;
@@ -124,6 +126,10 @@
     Plugin(plugin::PluginArguments),
     /// Who is in the key-value registry: list, watch, drain a worker
     Members(members::MembersArguments),
+    /// Settings with versions: check, compare and publish documents, see who has said yes
+    ///
+    /// Exits with 1 where documents contradict, with 2 where something is wrong, with 3 where a change is prepared and waits.
+    Settings(settings::SettingsArguments),
     /// Run a stand-in key-value registry that speaks etcd's JSON mapping, for trying things out
     ///
     /// Prints "ready ADDRESS" on standard output. Nothing is kept on disk.
@@ -284,6 +290,7 @@
         Command::Badday { script, seed, keep, json } => bad_day(script, seed, keep, json, cli.log_level),
         Command::Plugin(arguments) => plugin::plugin(arguments),
         Command::Members(arguments) => members::members(arguments),
+        Command::Settings(arguments) => settings::settings(arguments),
         Command::Kv { listen, compact_after_ms, plan } => {
             let plan = match plan {
                 Some(plan) => serde_json::from_str(&plan)?,
--- /dev/null
+++ b/crates/gateway/src/commands/settings.rs
@@ -0,0 +1,488 @@
+//! The `settings` sub-commands: check and compare documents, publish one and drive its change, take it back, see who said yes.
+//!
+//! They decide nothing: what contradicts, what is published and when a change is committed is `slatevalve-agreement`'s. A
+//! command may be killed at any step; `settings drive` goes on with the change.
+
+use super::session::{RegistryArguments, Res, Session};
+use super::Outcome;
+use crate::clock::Clock;
+use crate::settings::SharedSettings;
+use clap::{Args, Subcommand};
+use serde_json::{json, Value};
+use slatevalve_agreement::{
+    contradictions, Awaited, Document, Driver, Edition, Keys, Next, Reading, Stance, State, Terms, Txn, Wait,
+};
+use slatevalve_registry::wire::{
+    prefix_end, Bytes, Compare, DeleteRequest, KeyValue, PlainResponse, PutRequest, RangeRequest,
+    RangeResponse, RequestOp, TxnRequest, RANGE, TXN,
+};
+use slatevalve_registry::Follow;
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::{self, IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+/// What waits is looked at again after this.
+const LOOK: Duration = Duration::from_millis(200);
+/// A change is prepared and not committed.
+const WAITS: u8 = 3;
+
+#[derive(Args)]
+pub(super) struct SettingsArguments {
+    #[command(flatten)]
+    registry: RegistryArguments,
+    /// Print JSON
+    #[arg(long)]
+    json: bool,
+    #[command(subcommand)]
+    command: SettingsCommand,
+}
+
+#[derive(Subcommand)]
+enum SettingsCommand {
+    /// Check a document, without a registry
+    Check {
+        /// The file
+        file: PathBuf,
+    },
+    /// Say in which fields two documents contradict each other, and what is refused while one replaces the other
+    ///
+    /// Each is a file, or the number of a published document. Exits with 1 where they contradict.
+    Diff {
+        /// The old one
+        old: String,
+        /// The new one
+        new: String,
+    },
+    /// Publish a document and drive the change until it is committed
+    Publish {
+        /// The file
+        file: PathBuf,
+        /// Why
+        #[arg(long)]
+        why: String,
+        /// Who publishes it
+        #[arg(long, default_value = "operator")]
+        who: String,
+        /// Give a number above this one; for a registry that was put back to an older content
+        #[arg(long, default_value_t = 0)]
+        above: u64,
+        /// Stop waiting after so many seconds; the change stays prepared
+        #[arg(long, default_value_t = 60.0)]
+        wait_s: f64,
+    },
+    /// Drive a change that somebody else began, until it is committed
+    Drive {
+        /// Stop waiting after so many seconds
+        #[arg(long, default_value_t = 60.0)]
+        wait_s: f64,
+    },
+    /// Show what counts, what is prepared, and who has said yes
+    Status,
+    /// List the published documents
+    History,
+    /// Take a prepared change back; where none is, publish an older document anew
+    Rollback {
+        /// The document; the parent of the one that counts if none is named
+        number: Option<u64>,
+        /// Stop waiting after so many seconds
+        #[arg(long, default_value_t = 60.0)]
+        wait_s: f64,
+    },
+    /// Take a router's right to act out, by your word that it sends nothing any more
+    DeclareGone {
+        /// Its name
+        name: String,
+        /// One life of it; all if none is named
+        #[arg(long)]
+        life: Option<String>,
+    },
+}
+
+pub(super) fn settings(arguments: SettingsArguments) -> Outcome {
+    let SettingsArguments { registry, json, command } = arguments;
+    let print = |value: Value, words: String| match json {
+        true => println!("{value}"),
+        false => println!("{words}"),
+    };
+    match command {
+        SettingsCommand::Check { file } => {
+            let (text, shared) = read_file(&file)?;
+            let (classes, routes) = (shared.site.classes.len(), shared.site.front.routes.routes.len());
+            let digest = Document::digest_of(&text);
+            let words = format!("{}: {classes} classes, {routes} routes, digest {digest}", file.display());
+            print(json!({"classes": classes, "routes": routes, "digest": digest}), words);
+        }
+        SettingsCommand::Diff { old, new } => return diff(registry, json, &old, &new),
+        SettingsCommand::Publish { file, why, who, above, wait_s } => {
+            let (text, shared) = read_file(&file)?;
+            let mut desk = Desk::new(registry, json)?;
+            let number = desk.publish(&text, &shared, (who, why), above)?;
+            return desk.drive(Some(number), wait_s);
+        }
+        SettingsCommand::Drive { wait_s } => return Desk::new(registry, json)?.drive(None, wait_s),
+        SettingsCommand::Status => {
+            let mut desk = Desk::new(registry, json)?;
+            let reading = desk.read()?;
+            let rows = desk.status(&reading);
+            print(rows.clone(), status_words(&rows));
+        }
+        SettingsCommand::History => {
+            let all = Desk::new(registry, json)?.history()?;
+            let row = |d: &Document| {
+                let (number, parent, digest) = (d.number, d.parent, &d.digest);
+                json!({"number": number, "parent": parent, "digest": digest, "who": d.who, "why": d.why})
+            };
+            let line = |d: &Document| {
+                format!("{:>6} of {:<6} {:.12} {}: {}", d.number, d.parent, d.digest, d.who, d.why)
+            };
+            let words: Vec<String> = all.iter().map(line).collect();
+            print(all.iter().map(row).collect(), words.join("\n"));
+        }
+        SettingsCommand::Rollback { number, wait_s } => {
+            let mut desk = Desk::new(registry, json)?;
+            let reading = desk.read()?;
+            if let (Some(txn), None) = (reading.withdraw(&desk.keys), number) {
+                desk.must(&txn)?;
+                print(json!({"withdrawn": true}), "the prepared change is taken back".into());
+                return Ok(ExitCode::SUCCESS);
+            }
+            let state = reading.state.as_ref().ok_or("nothing was published yet")?;
+            let committed = &state.value.stance.committed;
+            let parent = reading.document(committed).map_or(0, |d| d.parent);
+            let wanted = desk.document(number.unwrap_or(parent))?;
+            let shared = read_text("document", &wanted.text)?;
+            let why = format!("back to document {}", wanted.number);
+            let number = desk.publish(&wanted.text, &shared, ("rollback".into(), why), 0)?;
+            return desk.drive(Some(number), wait_s);
+        }
+        SettingsCommand::DeclareGone { name, life } => {
+            let mut desk = Desk::new(registry, json)?;
+            let reading = desk.read()?;
+            let txn = reading.declare_gone(&desk.keys, &name, life.as_deref());
+            let txn = txn.ok_or_else(|| format!("{name} has no right to act in the registry"))?;
+            desk.must(&txn)?;
+            let lives = txn.deletes.len();
+            print(
+                json!({"gone": name, "lives": lives}),
+                format!("{name} is declared gone, {lives} of its lives"),
+            );
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn read_text(name: &str, text: &str) -> Res<SharedSettings> {
+    Ok(SharedSettings::parse(name, text, &Clock::start())?)
+}
+
+fn read_file(path: &Path) -> Res<(String, SharedSettings)> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    let shared = read_text(&name, &text)?;
+    Ok((text, shared))
+}
+
+fn diff(registry: RegistryArguments, json: bool, old: &str, new: &str) -> Outcome {
+    let mut desk = None;
+    let published = |name: &str| name.parse::<u64>().ok().filter(|_| !Path::new(name).exists());
+    if published(old).or(published(new)).is_some() {
+        desk = Some(Desk::new(registry, json)?);
+    }
+    let mut terms = |name: &str| -> Res<Terms> {
+        match (published(name), desk.as_mut()) {
+            (Some(number), Some(desk)) => Ok(read_text(name, &desk.document(number)?.text)?.terms()),
+            _ => Ok(read_file(Path::new(name))?.1.terms()),
+        }
+    };
+    let (old, new) = (terms(old)?, terms(new)?);
+    let found = contradictions(&old, &new);
+    let meet = old.meet(&new);
+    // Classes that lose something, and topics' classes that only one side knows.
+    let stricter = meet.classes.iter().filter(|(name, class)| {
+        let sides = [old.classes.get(*name), new.classes.get(*name)];
+        sides.iter().any(|side| {
+            side.is_none_or(|s| s.repeat != class.repeat || s.attempts.most != class.attempts.most)
+        })
+    });
+    let stricter: Vec<&String> = stricter.map(|(name, _)| name).collect();
+    if json {
+        let rows: Vec<Value> = found.iter().map(|c| json!({"field": c.field, "reason": c.reason})).collect();
+        println!("{}", json!({"contradictions": rows, "stricter-meanwhile": stricter}));
+    } else {
+        found.iter().for_each(|c| println!("{c}"));
+        if found.is_empty() {
+            println!("nothing contradicts: the change waits for nobody");
+        } else {
+            println!("until all routers have said yes: what is named above is refused or kept to by the stricter side");
+            println!("classes under stricter rules meanwhile: {stricter:?}");
+        }
+    }
+    Ok(if found.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// A session with what was read of documents, which never change.
+struct Desk {
+    session: Session,
+    keys: Keys,
+    json: bool,
+    documents: BTreeMap<u64, Document>,
+    terms: BTreeMap<Edition, Option<Terms>>,
+}
+
+impl Desk {
+    fn new(registry: RegistryArguments, json: bool) -> Res<Self> {
+        let keys = Keys::new(&registry.prefix);
+        let session = Session::new(registry, Follow::Nothing)?;
+        Ok(Desk { session, keys, json, documents: BTreeMap::new(), terms: BTreeMap::new() })
+    }
+
+    fn range(&mut self, key: &str, prefix: bool, revision: i64) -> Res<(Vec<KeyValue>, i64)> {
+        let range_end = Bytes(if prefix { prefix_end(key.as_bytes()) } else { Vec::new() });
+        let ask = RangeRequest { key: Bytes::of(key), range_end, revision, ..RangeRequest::default() };
+        let answer: RangeResponse = self.session.ask(RANGE, &ask)?;
+        Ok((answer.kvs, answer.header.revision))
+    }
+
+    /// State and rights at one revision, and the documents that they name.
+    fn read(&mut self) -> Res<Reading> {
+        let (mut entries, revision) = self.range(&self.keys.rights(), true, 0)?;
+        entries.extend(self.range(&self.keys.state(), false, revision)?.0);
+        let mut reading = self.reading(&entries);
+        let state = reading.state.iter().flat_map(|s| s.value.stance.editions());
+        let rights = reading.rights.values().flat_map(|r| r.value.stance.editions());
+        let named: Vec<Edition> = state.chain(rights).cloned().collect();
+        for edition in named {
+            if let Ok(document) = self.document(edition.number) {
+                reading.documents.insert(document.number, document);
+            }
+        }
+        Ok(reading)
+    }
+
+    fn reading(&self, entries: &[KeyValue]) -> Reading {
+        let text = |kv: &KeyValue| String::from_utf8_lossy(&kv.key.0).into_owned();
+        let keys: Vec<String> = entries.iter().map(text).collect();
+        let each = keys.iter().zip(entries).map(|(k, e)| (k.as_str(), e.value.0.as_slice(), e.mod_revision));
+        Reading::of(&self.keys, each)
+    }
+
+    fn document(&mut self, number: u64) -> Res<Document> {
+        if let Some(document) = self.documents.get(&number) {
+            return Ok(document.clone());
+        }
+        let (found, _) = self.range(&self.keys.document(number), false, 0)?;
+        let mut reading = self.reading(&found);
+        let document = reading.documents.remove(&number).ok_or_else(|| match reading.unread.first() {
+            Some(error) => error.to_string(),
+            None => format!("there is no document {number}"),
+        })?;
+        self.documents.insert(number, document.clone());
+        Ok(document)
+    }
+
+    fn history(&mut self) -> Res<Vec<Document>> {
+        // One after the other: an answer with all of them may be larger than any limit.
+        let reading = self.read()?;
+        let last = reading.state.map_or(0, |s| s.value.last);
+        Ok((1..=last).filter_map(|number| self.document(number).ok()).collect())
+    }
+
+    /// Whether a transaction was done.
+    fn write(&mut self, txn: &Txn) -> Res<bool> {
+        let compare = |(key, mod_revision): &(String, i64)| Compare {
+            target: "MOD".into(),
+            result: "EQUAL".into(),
+            key: Bytes::of(key),
+            mod_revision: *mod_revision,
+        };
+        let put = |(key, value): &(String, Vec<u8>)| RequestOp {
+            request_put: Some(PutRequest { key: Bytes::of(key), value: Bytes(value.clone()), lease: 0 }),
+            request_delete_range: None,
+        };
+        let delete = |key: &String| RequestOp {
+            request_put: None,
+            request_delete_range: Some(DeleteRequest { key: Bytes::of(key), range_end: Bytes::default() }),
+        };
+        let success = txn.puts.iter().map(put).chain(txn.deletes.iter().map(delete)).collect();
+        let ask = TxnRequest { compare: txn.compares.iter().map(compare).collect(), success };
+        let answer: PlainResponse = self.session.ask(TXN, &ask)?;
+        Ok(answer.succeeded)
+    }
+
+    fn must(&mut self, txn: &Txn) -> Res<()> {
+        match self.write(txn)? {
+            true => Ok(()),
+            false => {
+                Err("somebody else changed it at the same time; look at the status and try again".into())
+            }
+        }
+    }
+
+    fn publish(
+        &mut self,
+        text: &str,
+        shared: &SharedSettings,
+        (who, why): (String, String),
+        above: u64,
+    ) -> Res<u64> {
+        let reading = self.read()?;
+        let (doubt, right_us) = (shared.doubt, shared.right.0);
+        let (digest, text) = (String::new(), text.to_string());
+        let draft = Document { number: 0, parent: 0, digest, text, who, why, doubt, right_us };
+        let (document, txn) = reading.publish(&self.keys, &draft, above)?;
+        self.must(&txn).map_err(|e| format!("document {} may not be published: {e}", document.number))?;
+        Ok(document.number)
+    }
+
+    fn terms_of(&mut self, reading: &Reading) -> BTreeMap<Edition, Terms> {
+        let state = reading.state.iter().flat_map(|s| s.value.stance.editions());
+        let rights = reading.rights.values().flat_map(|r| r.value.stance.editions());
+        let mut found = BTreeMap::new();
+        for edition in state.chain(rights) {
+            let document = reading.document(edition);
+            let read = || read_text("document", &document?.text).ok().map(|s| s.terms());
+            if let Some(terms) = self.terms.entry(edition.clone()).or_insert_with(read) {
+                found.insert(edition.clone(), terms.clone());
+            }
+        }
+        found
+    }
+
+    /// Drives a change until it is committed, or time is up.
+    fn drive(&mut self, wanted: Option<u64>, wait_s: f64) -> Outcome {
+        let until = Instant::now() + Duration::from_secs_f64(wait_s.clamp(0.0, 86_400.0));
+        let (mut driver, mut shown) = (None, Vec::new());
+        loop {
+            let reading = self.read();
+            let waits = match reading {
+                Ok(reading) => {
+                    let Some(state) = reading.state.as_ref().map(|s| s.value.clone()) else {
+                        return Err("nothing was published yet".into());
+                    };
+                    let Some(prepared) = state.stance.prepared.clone() else {
+                        return self.ended(wanted, &state);
+                    };
+                    let clock_error =
+                        self.document(prepared.number).and_then(|d| read_text("document", &d.text));
+                    let ppm = clock_error.map_or(500_000, |s| s.clock_error_ppm);
+                    let driver = driver.get_or_insert_with(|| Driver::new(self.keys.clone(), ppm));
+                    let terms = self.terms_of(&reading);
+                    let of = |stance: &Stance| {
+                        let each =
+                            stance.editions().map(|e| terms.get(e).cloned()).collect::<Option<Vec<_>>>()?;
+                        each.into_iter().reduce(|a, b| a.meet(&b))
+                    };
+                    let now_us = self.session.clock.now().0;
+                    match driver.look(now_us, &reading, of) {
+                        Next::Commit(txn) => {
+                            // Whether it was done shows at the next look, whoever did it.
+                            self.write(&txn)?;
+                            continue;
+                        }
+                        Next::Wait(awaited) => (awaited, reading.rights.len()),
+                        Next::Nothing => (Vec::new(), 0),
+                    }
+                }
+                // The registry may come back; the change stays as it is.
+                Err(error) if Instant::now() < until => {
+                    eprintln!("registry: {error}");
+                    (Vec::new(), 0)
+                }
+                Err(error) => return Err(error),
+            };
+            self.show(&waits, &mut shown);
+            if Instant::now() >= until {
+                if self.json {
+                    let names: Vec<&str> = waits.0.iter().map(|a| a.name.as_str()).collect();
+                    println!("{}", json!({"committed": false, "awaited": names}));
+                }
+                return Ok(ExitCode::from(WAITS));
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    fn ended(&self, wanted: Option<u64>, state: &State) -> Outcome {
+        let committed = state.stance.committed.number;
+        if wanted.is_some_and(|number| number > committed) {
+            return Err("the change was taken back by somebody else".into());
+        }
+        match self.json {
+            true => println!("{}", json!({"committed": true, "number": committed})),
+            false => println!("document {committed} counts"),
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+
+    /// Who is awaited, where that has changed; a bar on a terminal.
+    fn show(&self, (awaited, routers): &(Vec<Awaited>, usize), shown: &mut Vec<Awaited>) {
+        if self.json || awaited == shown {
+            return;
+        }
+        let all = (*routers).max(awaited.len()).max(1);
+        let said = all - awaited.len();
+        let names: Vec<String> = awaited.iter().take(5).map(awaited_words).collect();
+        let mut out = io::stderr().lock();
+        let bar = if out.is_terminal() {
+            let full = said * 20 / all;
+            format!("[{}{}] ", "#".repeat(full), ".".repeat(20 - full))
+        } else {
+            String::new()
+        };
+        let _ = writeln!(out, "{bar}{said} of {all} routers have said yes; awaited: {}", names.join(", "));
+        shown.clone_from(awaited);
+    }
+
+    fn status(&mut self, reading: &Reading) -> Value {
+        let Some(state) = &reading.state else { return json!({"published": false}) };
+        let stance = &state.value.stance;
+        let known = |e: &Edition| {
+            let document = reading.document(e);
+            let words = |f: fn(&Document) -> String| document.map(f);
+            json!({"number": e.number, "digest": e.digest, "who": words(|d| d.who.clone()),
+                "why": words(|d| d.why.clone()), "in-doubt": document.map(|d| d.doubt)})
+        };
+        let right = |((name, life), entry): (&(String, String), &slatevalve_agreement::Entry<_>)| {
+            let right: &slatevalve_agreement::Right = &entry.value;
+            let yes = right.step == state.value.step && right.stance == *stance;
+            let numbers: Vec<u64> = right.stance.editions().map(|e| e.number).collect();
+            json!({"router": name, "life": life, "acts-by": numbers, "said-yes": yes, "in-doubt": right.doubt})
+        };
+        let unread: Vec<String> = reading.unread.iter().map(ToString::to_string).collect();
+        json!({"published": true, "step": state.value.step, "committed": known(&stance.committed),
+            "prepared": stance.prepared.as_ref().map(known),
+            "routers": reading.rights.iter().map(right).collect::<Vec<_>>(), "unread": unread})
+    }
+}
+
+fn awaited_words(awaited: &Awaited) -> String {
+    let why = match awaited.wait {
+        Wait::ForItsWord => "goes on by the rules it has",
+        Wait::UntilItsRightEnds(_) => "until its right ends",
+        Wait::Unread => "what it wrote cannot be read here",
+    };
+    format!("{} ({why})", awaited.name)
+}
+
+fn status_words(rows: &Value) -> String {
+    if rows["published"] == false {
+        return "nothing is published".into();
+    }
+    let edition = |v: &Value| format!("document {} ({}: {})", v["number"], v["who"], v["why"]);
+    let mut lines = vec![format!("counts: {}", edition(&rows["committed"]))];
+    if !rows["prepared"].is_null() {
+        lines.push(format!("prepared: {}", edition(&rows["prepared"])));
+    }
+    for router in rows["routers"].as_array().into_iter().flatten() {
+        let word = if router["said-yes"] == true { "yes" } else { "awaited" };
+        let name = router["router"].as_str().unwrap_or_default();
+        lines.push(format!("router {name:<32} {word:<8} acts by {}", router["acts-by"]));
+    }
+    for unread in rows["unread"].as_array().into_iter().flatten() {
+        lines.push(format!("cannot be read: {unread}"));
+    }
+    lines.join("\n")
+}
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -4,10 +4,12 @@
 //! again on SIGHUP.
 
 mod classes;
+mod document;
 mod members;
 mod plugins;
 mod workers;
 
+pub use document::SharedSettings;
 pub use members::MemberSource;
 pub use plugins::PluginSettings;
 pub use workers::WorkerLine;
@@ -88,6 +90,10 @@
 }
 
 impl Places {
+    pub(crate) fn name(&self, place: usize) -> &str {
+        self.0.get(place).map_or("", String::as_str)
+    }
+
     pub(crate) fn of(&mut self, name: &str) -> usize {
         match self.0.iter().position(|n| n == name) {
             Some(at) => at,
@@ -120,8 +126,10 @@
     /// # Errors
     /// With file, line and form of the first thing that is wrong.
     pub fn parse(file: &str, text: &str, clock: &Clock, named: Named) -> Res<Self> {
-        let file = File::parse(file, text)?;
-        let mut top = file.forms()?;
+        Site::of_forms(File::parse(file, text)?.forms()?, clock, named)
+    }
+
+    fn of_forms(mut top: Fields<'_>, clock: &Clock, named: Named) -> Res<Self> {
         let Named { mut zones, mut kinds } = named;
         let mut gateway = top.need("gateway")?.fields()?;
         let name = gateway.or("name", "gateway".to_string(), header_text)?;
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -79,15 +79,7 @@
     }
 
     fn post(&self, path: &str, body: &Value) {
-        use std::io::{Read, Write};
-        let mut stream = std::net::TcpStream::connect(&self.address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        let body = body.to_string();
-        let head = format!("POST {path} HTTP/1.1\r\nHost: r\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        stream.write_all(head.as_bytes()).unwrap();
-        let mut answer = [0; 12];
-        stream.read_exact(&mut answer).unwrap();
-        assert_eq!(&answer, b"HTTP/1.1 200");
+        ask_registry(&self.address, path, body);
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,318 @@
+//! Documents of settings in a registry, by several processes: who wins, who is awaited, what a killed driver leaves.
+
+mod support;
+
+use serde_json::{json, Value};
+use slatevalve_agreement::{Ask, Doubt, Holder, HolderSettings, Keys, May, Reading, Txn, TxnEnd};
+use slatevalve_registry::wire::{
+    Bytes, Compare, PlainResponse, PutRequest, RangeRequest, RangeResponse, RequestOp, TxnRequest, RANGE, TXN,
+};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Instant;
+use support::*;
+
+const CLASSES: &str = r#"
+(class "quote" (effect safe) (aim-ms 1000) (deadline-ms 5000))
+(route "quote/+" (class "quote") (function "{2}"))
+(route "charge/+" (class "charge") (function "{2}"))
+(agreement (right-ms 600) (in-doubt DOUBT))
+"#;
+const UNSAFE: &str = r#"(class "charge" (effect unsafe) (aim-ms 1000) (deadline-ms 5000))"#;
+const KEYED: &str =
+    r#"(class "charge" (effect keyed (group cell) (window-ms 9000)) (aim-ms 1000) (deadline-ms 5000))"#;
+
+struct Fleet {
+    registry: Process,
+    directory: tempfile::TempDir,
+    doubt: &'static str,
+    began: Instant,
+}
+
+impl Fleet {
+    fn start(doubt: &'static str) -> Self {
+        let registry = Process::start(&["kv"], None);
+        Fleet { registry, directory: tempfile::tempdir().unwrap(), doubt, began: Instant::now() }
+    }
+
+    fn file(&self, name: &str, class: &str) -> PathBuf {
+        let path = self.directory.path().join(name);
+        std::fs::write(&path, format!("{class}{}", CLASSES.replace("DOUBT", self.doubt))).unwrap();
+        path
+    }
+
+    fn arguments(&self, more: &[&str]) -> Vec<String> {
+        let address = self.registry.address.to_string();
+        let first = ["settings", "--json", "--registry", &address];
+        first.iter().chain(more).map(ToString::to_string).collect()
+    }
+
+    fn output(&self, more: &[&str]) -> Output {
+        let all = self.arguments(more);
+        command(&all.iter().map(String::as_str).collect::<Vec<_>>())
+    }
+
+    /// Exit code, and what was printed.
+    fn settings(&self, more: &[&str]) -> (Option<i32>, Value) {
+        let output = self.output(more);
+        (output.status.code(), serde_json::from_slice(&output.stdout).unwrap_or(Value::Null))
+    }
+
+    fn publish(&self, name: &str, class: &str, wait_s: &str) -> (Option<i32>, Value) {
+        let file = self.file(name, class);
+        self.settings(&["publish", file.to_str().unwrap(), "--why", name, "--wait-s", wait_s])
+    }
+
+    fn spawn(&self, more: &[&str]) -> Child {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_slatevalve"));
+        command.args(self.arguments(more)).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        command.spawn().unwrap()
+    }
+
+    fn status(&self) -> Value {
+        self.settings(&["status"]).1
+    }
+
+    fn committed(&self) -> u64 {
+        self.status()["committed"]["number"].as_u64().unwrap()
+    }
+
+    fn router(&self, name: &str) -> Router<'_> {
+        let (keys, life) = (Keys::new("/slatevalve/"), format!("life-of-{}", name.replace('/', "-")));
+        let id = (name.to_string(), life.clone());
+        let settings = HolderSettings { keys, name: name.into(), life, before: vec![] };
+        Router { fleet: self, holder: Holder::new(settings), id }
+    }
+}
+
+/// A router's right to act, without a router around it.
+struct Router<'a> {
+    fleet: &'a Fleet,
+    holder: Holder,
+    /// Name and life.
+    id: (String, String),
+}
+
+impl Router<'_> {
+    fn now(&self) -> i64 {
+        self.fleet.began.elapsed().as_micros() as i64
+    }
+
+    fn may(&self) -> May {
+        self.holder.may(self.now())
+    }
+
+    /// Numbers of the documents that it acts by.
+    fn acts_by(&self) -> Vec<u64> {
+        self.holder.stance().unwrap().editions().map(|e| e.number).collect()
+    }
+
+    fn read(&self) -> Reading {
+        let address = self.fleet.registry.address.to_string();
+        let (key, range_end) = (Bytes::of("/slatevalve/agreement/"), Bytes::of("/slatevalve/agreement0"));
+        let body = ask_registry(&address, RANGE, &RangeRequest { key, range_end, ..RangeRequest::default() });
+        let answer: RangeResponse = serde_json::from_slice(&body).unwrap();
+        let text = |b: &Bytes| String::from_utf8(b.0.clone()).unwrap();
+        let all: Vec<_> = answer.kvs.iter().map(|e| (text(&e.key), &e.value.0, e.mod_revision)).collect();
+        Reading::of(&Keys::new("/slatevalve/"), all.iter().map(|(k, v, r)| (k.as_str(), v.as_slice(), *r)))
+    }
+
+    /// Hears what stands there, and asks for what it wants until it wants nothing.
+    fn turn(&mut self) {
+        loop {
+            let reading = self.read();
+            if let Some(state) = &reading.state {
+                let of = |e| reading.document(e).map(|d| (d.doubt, d.right_us)).unwrap();
+                let documents: Vec<(Doubt, i64)> = state.value.stance.editions().map(of).collect();
+                let _ = self.holder.heard(state, &documents);
+            }
+            match self.holder.ask(self.now()) {
+                None => return,
+                Some(Ask::Read) => {
+                    let _ = self.holder.read(reading.rights.get(&self.id).map(|e| e.revision));
+                }
+                Some(Ask::Write(txn)) => {
+                    let end = self.write(txn);
+                    self.holder.written(end);
+                }
+            }
+        }
+    }
+
+    fn write(&self, txn: Txn) -> TxnEnd {
+        let (target, result) = ("MOD".to_string(), "EQUAL".to_string());
+        let compare = txn.compares.into_iter().map(|(key, mod_revision)| Compare {
+            target: target.clone(),
+            result: result.clone(),
+            key: Bytes::of(&key),
+            mod_revision,
+        });
+        let success = txn.puts.into_iter().map(|(key, value)| RequestOp {
+            request_put: Some(PutRequest { key: Bytes::of(&key), value: Bytes(value), lease: 0 }),
+            request_delete_range: None,
+        });
+        let ask = TxnRequest { compare: compare.collect(), success: success.collect() };
+        let body = ask_registry(&self.fleet.registry.address.to_string(), TXN, &ask);
+        let answer: PlainResponse = serde_json::from_slice(&body).unwrap();
+        if answer.succeeded {
+            TxnEnd::Done(answer.header.revision)
+        } else {
+            TxnEnd::Overtaken
+        }
+    }
+}
+
+#[test]
+fn a_document_is_checked_whole_and_compared_before_anybody_acts_by_it() {
+    let fleet = Fleet::start("go-on");
+    let (one, two) = (fleet.file("one.scm", UNSAFE), fleet.file("two.scm", KEYED));
+    let (one, two) = (one.to_str().unwrap(), two.to_str().unwrap());
+    assert_eq!(fleet.settings(&["check", one]).1["classes"], 2);
+    let (code, found) = fleet.settings(&["diff", one, two]);
+    assert_eq!((code, &found["contradictions"][0]["field"]), (Some(1), &json!("class \"charge\" effect")));
+    assert_eq!(found["stricter-meanwhile"], json!(["charge"]));
+    // Another worth contradicts nothing.
+    let worth = fleet.file("worth.scm", &UNSAFE.replace("(aim-ms", "(worth 5) (aim-ms"));
+    assert_eq!(fleet.settings(&["diff", one, worth.to_str().unwrap()]).0, Some(0));
+    let whole = format!("{UNSAFE}{}", CLASSES.replace("DOUBT", "go-on"));
+    let own = "(mqtt (listen \"127.0.0.1:1\"))";
+    for (wrong, words) in [
+        (format!("{own}{whole}"), "wrong.scm:1: (mqtt ...): is a router's own and stands in no document"),
+        (
+            whole.replace("(effect unsafe)", "(effect sometimes)"),
+            "wrong.scm:1: (effect ...): expected safe, unsafe",
+        ),
+        (whole.replace("600", "1"), "wrong.scm:5: (agreement ...): a right lasts for 100 ms at least"),
+        (whole.replace("go-on", "perhaps"), "expected go-on or give-up, found perhaps"),
+        (whole.clone() + "(later-form 1)", "(later-form ...) is not known here"),
+        (whole.clone() + "(class \"open\"", "wrong.scm"),
+    ] {
+        let path = fleet.directory.path().join("wrong.scm");
+        std::fs::write(&path, wrong).unwrap();
+        let output = fleet.output(&["publish", path.to_str().unwrap(), "--why", "wrong"]);
+        let told = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && told.contains(words), "{words}: {told}");
+    }
+    assert_eq!(fleet.status(), json!({"published": false}), "nothing of it was published");
+}
+
+#[test]
+fn routers_act_by_both_documents_until_all_have_said_yes() {
+    let fleet = Fleet::start("go-on");
+    assert_eq!(fleet.publish("one", UNSAFE, "5").1, json!({"committed": true, "number": 1}));
+    let mut routers = ["a", "b/1", "c"].map(|name| fleet.router(name));
+    routers.iter_mut().for_each(Router::turn);
+    assert!(routers.iter().all(|r| r.may() == May::All));
+    let (code, told) = fleet.publish("two", KEYED, "0");
+    assert_eq!((code, told["awaited"].clone()), (Some(3), json!(["a", "b/1", "c"])));
+    routers[0].turn();
+    assert_eq!((routers[0].acts_by(), routers[1].acts_by()), (vec![1, 2], vec![1]));
+    let (code, told) = fleet.settings(&["drive", "--wait-s", "0"]);
+    assert_eq!((code, told["awaited"].clone()), (Some(3), json!(["b/1", "c"])));
+    let rows = fleet.status()["routers"].clone();
+    assert_eq!(
+        rows[0],
+        json!({"router": "a", "life": "life-of-a", "acts-by": [1, 2], "said-yes": true, "in-doubt": "go-on"})
+    );
+    // Only one change at a time; and a document that was not committed can be taken back.
+    let other = fleet.file("three", &KEYED.replace("9000", "8000"));
+    let output = fleet.output(&["publish", other.to_str().unwrap(), "--why", "three"]);
+    assert!(String::from_utf8_lossy(&output.stderr).contains("document 2 is prepared and not yet committed"));
+    routers[1..].iter_mut().for_each(Router::turn);
+    assert_eq!(fleet.settings(&["drive"]).1, json!({"committed": true, "number": 2}));
+    routers.iter_mut().for_each(Router::turn);
+    assert!(routers.iter().all(|r| r.acts_by() == [2] && r.may() == May::All));
+    // Back to the document before, under a number of its own, while all say yes.
+    let rollback = fleet.settings(&["rollback", "--wait-s", "0"]);
+    assert_eq!(rollback.0, Some(3));
+    assert_eq!(fleet.settings(&["rollback"]).1, json!({"withdrawn": true}));
+    routers.iter_mut().for_each(Router::turn);
+    assert!(routers.iter().all(|r| r.acts_by() == [2]));
+    let numbers =
+        |v: &Value| v.as_array().unwrap().iter().map(|d| d["number"].as_u64().unwrap()).collect::<Vec<_>>();
+    let history = fleet.settings(&["history"]).1;
+    assert_eq!(numbers(&history), [1, 2, 3]);
+    assert_eq!(history[2]["digest"], history[0]["digest"]);
+}
+
+#[test]
+fn a_driver_that_is_killed_leaves_a_change_that_any_other_ends() {
+    let fleet = Fleet::start("go-on");
+    fleet.publish("one", UNSAFE, "5");
+    let mut router = fleet.router("a");
+    router.turn();
+    let file = fleet.file("two", KEYED);
+    let mut killed = fleet.spawn(&["publish", file.to_str().unwrap(), "--why", "two"]);
+    until("the change to be prepared", || !fleet.status()["prepared"].is_null());
+    killed.kill().unwrap();
+    killed.wait().unwrap();
+    assert_eq!(fleet.committed(), 1);
+    // Two others at once end it as one.
+    let mut others = [fleet.spawn(&["drive"]), fleet.spawn(&["drive"])];
+    router.turn();
+    for other in &mut others {
+        assert!(other.wait().unwrap().success());
+    }
+    assert_eq!((fleet.committed(), fleet.status()["step"].clone()), (2, json!(3)));
+}
+
+#[test]
+fn of_two_documents_published_at_once_one_wins() {
+    let fleet = Fleet::start("go-on");
+    fleet.publish("one", UNSAFE, "5");
+    let mut router = fleet.router("a");
+    router.turn();
+    let files =
+        [9001, 9002, 9003, 9004].map(|w| fleet.file(&w.to_string(), &KEYED.replace("9000", &w.to_string())));
+    let all = files
+        .each_ref()
+        .map(|f| fleet.spawn(&["publish", f.to_str().unwrap(), "--why", "race", "--wait-s", "0"]));
+    let mut codes = all.map(|mut child| child.wait().unwrap().code().unwrap());
+    codes.sort_unstable();
+    assert_eq!(codes.iter().filter(|c| **c == 3).count(), 1, "{codes:?}");
+    assert_eq!(fleet.status()["prepared"]["number"], 2);
+    router.turn();
+    assert_eq!(fleet.settings(&["drive"]).0, Some(0));
+}
+
+#[test]
+fn who_never_says_yes_is_waited_for_until_declared_gone() {
+    let fleet = Fleet::start("go-on");
+    fleet.publish("one", UNSAFE, "5");
+    let (mut gone, mut stays) = (fleet.router("gone"), fleet.router("stays"));
+    gone.turn();
+    stays.turn();
+    let (code, told) = fleet.publish("two", KEYED, "0");
+    stays.turn();
+    assert_eq!((code, told["committed"].clone()), (Some(3), json!(false)));
+    let (code, told) = fleet.settings(&["drive", "--wait-s", "1"]);
+    assert_eq!((code, told["awaited"].clone()), (Some(3), json!(["gone"])), "longer than a right lasts");
+    assert_eq!(gone.may(), May::All, "it goes on by the rules it has");
+    assert_eq!(fleet.settings(&["declare-gone", "nobody"]).0, Some(2));
+    assert_eq!(fleet.settings(&["declare-gone", "gone"]).1, json!({"gone": "gone", "lives": 1}));
+    assert_eq!(fleet.settings(&["drive"]).1, json!({"committed": true, "number": 2}));
+    // Should it be alive after all, it finds that out by its next question and acts by the new document alone.
+    gone.turn();
+    assert_eq!((gone.acts_by(), gone.may()), (vec![2], May::All));
+}
+
+#[test]
+fn a_right_that_was_given_up_holds_nothing_up_and_binds_until_it_ends() {
+    let fleet = Fleet::start("give-up");
+    fleet.publish("one", UNSAFE, "5");
+    let mut cut = fleet.router("cut");
+    cut.turn();
+    let (asked, may) = (cut.now(), cut.may());
+    assert_eq!(may, May::All);
+    let (code, _) = fleet.publish("two", KEYED, "20");
+    let committed = cut.now();
+    assert_eq!((code, fleet.committed()), (Some(0), 2));
+    assert!(
+        committed - asked >= 550_000,
+        "committed while the right may have stood: {} us",
+        committed - asked
+    );
+    assert_eq!(cut.may(), May::Safe, "what it may have been in doubt about it does not send");
+    cut.turn();
+    assert_eq!((cut.acts_by(), cut.may()), (vec![2], May::All));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -69,6 +69,31 @@
     }
 }
 
+/// Asks a registry something by its JSON mapping and gives the body of its answer, which must be a good one.
+pub fn ask_registry(address: &str, path: &str, body: &impl serde::Serialize) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let body = serde_json::to_string(body).unwrap();
+    let head = format!("POST {path} HTTP/1.1\r\nHost: r\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut answer = BufReader::new(stream);
+    let (mut length, mut line) = (0, String::new());
+    answer.read_line(&mut line).unwrap();
+    assert!(line.starts_with("HTTP/1.1 200"), "{line}");
+    while line != "\r\n" {
+        line.clear();
+        assert!(answer.read_line(&mut line).unwrap() > 0, "the answer ends within its head");
+        if let Some((name, value)) =
+            line.split_once(':').filter(|(n, _)| n.eq_ignore_ascii_case("content-length"))
+        {
+            length = value.trim().parse().unwrap_or_else(|_| panic!("{name}: {value}"));
+        }
+    }
+    let mut bytes = vec![0; length];
+    answer.read_exact(&mut bytes).unwrap();
+    bytes
+}
+
 /// A child that says "ready ADDRESS".
 pub struct Process {
     pub child: Child,
--- a/crates/mqtt/src/topics.rs
+++ b/crates/mqtt/src/topics.rs
@@ -127,6 +127,15 @@
 
 impl std::error::Error for TemplateError {}
 
+impl fmt::Display for Template {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.parts.iter().try_for_each(|part| match part {
+            Part::Text(text) => f.write_str(text),
+            Part::Level(level) => write!(f, "{{{level}}}"),
+        })
+    }
+}
+
 impl Template {
     /// Reads a template.
     ///
