Engine and module take other settings while calls are open, none by looser rules

Change: Brain::settle (state, no decision) keeps what is known of classes, tenants and workers. Engine::settle; more attempts count once all calls that were open are closed; a class that got another place keeps its keys (key_spaces). Engine::withhold: keyed and unsafe calls are refused as not sent, also further attempts of open ones; answers on record are given as ever.

Nothing calls it yet: the gateway behaves as before.

--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -86,6 +86,8 @@
     NoRoute,
     /// The gateway is stopping.
     Stopping,
+    /// The gateway's right to act by its settings has ended.
+    NoRight,
     /// No attempt gave a result in time; the call may have run.
     NoResult,
     /// It was served, but the result is no longer held.
@@ -115,6 +117,7 @@
             Reason::UnknownTenant => "unknown tenant",
             Reason::NoRoute => "no route takes this topic",
             Reason::Stopping => "the gateway is stopping",
+            Reason::NoRight => "not sent: the gateway cannot tell whether its settings still count",
             Reason::NoResult => "no result in time; it may have run",
             Reason::ResultForgotten => "it ran; its result is no longer held",
             Reason::ClientLeft => "called off as its client left; it may have run",
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -51,6 +51,9 @@
     pub seed: u64,
     /// One for each class of the module's settings, in their order.
     pub classes: Vec<ClassPolicy>,
+    /// For each class, the one under which its keys are known, where that is another one: a class may get a new place when its
+    /// rules change, and keeps its keys.
+    pub key_spaces: Vec<ClassId>,
     /// What is known of functions, by name.
     pub functions: HashMap<String, FunctionTraits>,
     /// What holds for functions not named.
@@ -196,9 +199,9 @@
 }
 
 #[derive(Debug)]
-struct Open {
+pub(crate) struct Open {
     tickets: Vec<(Ticket, ClientRef)>,
-    body: Arc<RunBody>,
+    pub(crate) body: Arc<RunBody>,
     function: FunctionId,
     key: Option<KeyDigest>,
     /// Whether its answer goes on record: its class may not repeat freely.
@@ -209,6 +212,10 @@
 }
 
 impl Open {
+    pub(crate) fn is_recorded(&self) -> bool {
+        self.recorded
+    }
+
     fn may_have_run(&self) -> bool {
         self.attempts.iter().any(|a| !a.outcome.is_some_and(Outcome::proves_never_ran))
     }
@@ -220,16 +227,20 @@
 
 /// See the module's documentation.
 pub struct Engine {
-    settings: EngineSettings,
-    brain: Brain,
+    pub(crate) settings: EngineSettings,
+    pub(crate) brain: Brain,
     now: Micros,
-    next: u64,
-    open: BTreeMap<RequestId, Open>,
+    pub(crate) next: u64,
+    pub(crate) open: BTreeMap<RequestId, Open>,
     tickets: HashMap<Ticket, RequestId>,
     names: Names,
     keys: DuplicateTable,
     timers: Timers<Timer>,
     stopping: bool,
+    /// See [`Engine::withhold`].
+    pub(crate) withheld: bool,
+    /// Attempts that a call may have once all before this one are closed.
+    pub(crate) looser: Option<(RequestId, usize)>,
     statistics: Statistics,
     /// Reused for the module's actions.
     actions: Vec<Action>,
@@ -248,6 +259,8 @@
             keys: DuplicateTable::new(settings.duplicates.unwrap_or_default()),
             timers: Timers::default(),
             stopping: false,
+            withheld: false,
+            looser: None,
             statistics: Statistics::default(),
             actions: Vec::new(),
             settings,
@@ -274,7 +287,8 @@
         let own_key = call.key.as_ref().filter(|_| remembers);
         let mut key = own_key.map(|k| {
             let fingerprint = Fingerprint::new(&call.function, &call.payload);
-            (KeyDigest::new(call.tenant, call.class, k), fingerprint)
+            let space = self.settings.key_spaces.get(call.class.0).copied().unwrap_or(call.class);
+            (KeyDigest::new(call.tenant, space, k), fingerprint)
         });
         if remembers && key.is_none() && !safe {
             return Err(Reason::KeyMissing);
@@ -306,6 +320,9 @@
         if self.stopping {
             return Err(Reason::Stopping);
         }
+        if self.withheld && !safe {
+            return Err(Reason::NoRight);
+        }
         let kept_back = self.settings.margin.0.saturating_add(call.age.0.max(0));
         let budget = Micros(call.budget.0.min(deadline.0).saturating_sub(kept_back));
         if budget.0 <= 0 {
@@ -531,6 +548,7 @@
     /// Lets time pass: fires what is due.
     pub fn advance(&mut self, now: Micros, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        self.loosen();
         // As many as stood at the start: whatever is set meanwhile, even for now, waits for the next turn.
         for _ in 0..self.timers.len() {
             let Some(timer) = self.timers.pop(self.now) else { return };
@@ -714,6 +732,14 @@
             return Some(Event::Answer(answer));
         };
         let attempt = AttemptRef { request: id, attempt: open.attempts.len() };
+        if self.withheld && open.recorded {
+            open.attempts.push(Attempt { worker, sent: now, outcome: Some(Outcome::NotSent) });
+            let (attempt, latency, crowd) = (attempt.attempt, Micros(0), None);
+            let (closed, load_failed, report, outcome) = (false, false, None, Outcome::NotSent);
+            let answer =
+                AttemptAnswer { id, attempt, worker, outcome, closed, latency, crowd, load_failed, report };
+            return Some(Event::Answer(answer));
+        }
         open.attempts.push(Attempt { worker, sent: now, outcome: None });
         self.statistics.attempts += 1;
         let time_left = Micros(open.until.0.saturating_sub(now.0));
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -15,6 +15,7 @@
 mod duplicates;
 mod engine;
 mod names;
+mod settle;
 mod timers;
 
 pub use answer::{Answer, Reason, Verdict};
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -525,3 +525,97 @@
     engine.left(Micros(300_000), Ticket(1), &mut out);
     assert!(out.iter().any(|o| matches!(o, Output::Cancel(_))), "what nobody waits for is called off");
 }
+
+/// The settings of a bench with other classes.
+fn other_settings(classes: Vec<Class>, spaces: &[usize], max_attempts: usize) -> EngineSettings {
+    let base = settings(Micros(2_000_000));
+    let policies = vec![ClassPolicy { remember: Micros(2_000_000) }; classes.len()];
+    let limits = Limits { max_attempts, ..base.module.limits.clone() };
+    let module = Settings { classes, limits, ..base.module };
+    EngineSettings {
+        module,
+        classes: policies,
+        key_spaces: spaces.iter().map(|s| ClassId(*s)).collect(),
+        ..base
+    }
+}
+
+#[test]
+fn an_open_call_goes_by_stricter_rules_at_once_and_by_more_attempts_never() {
+    let classes = settings(Micros(0)).module.classes;
+    let mut b = Bench::new();
+    let open = b.call(1, KEYED, Some("k"), Repeat::Unmarked);
+    let mut stricter = classes.clone();
+    stricter[KEYED.0].effect = Effect::Unsafe;
+    b.engine.settle(other_settings(stricter, &[], 3));
+    b.answer_first(Outcome::Reset);
+    b.pass(200_000);
+    assert_eq!((b.words(open), b.sent.len()), (vec!["failed"], 1), "it is not sent again");
+    // One attempt, then many: what was taken under one stays with one, and what comes after it as well until that is closed.
+    let mut b = Bench::new();
+    b.engine.settle(other_settings(classes.clone(), &[], 1));
+    let open = b.call(1, SAFE, None, Repeat::Unmarked);
+    b.engine.settle(other_settings(classes, &[], 5));
+    b.answer_first(Outcome::Full);
+    b.pass(500_000);
+    assert_eq!((b.words(open).len(), b.sent.len()), (1, 1));
+    b.pass(1_000_000);
+    assert!(b.engine.is_idle());
+    b.call(1, SAFE, None, Repeat::Unmarked);
+    b.answer_first(Outcome::Full);
+    b.pass(900_000);
+    assert!(b.sent.len() > 2, "now there may be more");
+}
+
+#[test]
+fn a_class_that_got_another_place_keeps_its_keys() {
+    let mut classes = settings(Micros(0)).module.classes;
+    classes.push(Class { effect: Effect::Safe, ..classes[UNSAFE.0] });
+    let mut b = Bench::new();
+    let first = b.call(1, UNSAFE, Some("k"), Repeat::Unmarked);
+    b.engine.settle(other_settings(classes, &[0, 1, 2, 2], 3));
+    assert_eq!(b.engine.open_classes(), BTreeSet::from([UNSAFE]));
+    let again = b.call(2, ClassId(3), Some("k"), Repeat::Unmarked);
+    let other = b.call(2, KEYED, Some("k"), Repeat::Unmarked);
+    assert_eq!(
+        b.sent.len(),
+        2,
+        "the repeat starts no second run, the other class's call has a key of its own"
+    );
+    b.answer_first(Outcome::Ok);
+    b.answer_first(Outcome::Ok);
+    for ticket in [first, again, other] {
+        assert_eq!(b.words(ticket), ["served"]);
+    }
+    let late = b.call(3, ClassId(3), Some("k"), Repeat::Unmarked);
+    assert!(b.answers[&late][0].recorded);
+}
+
+#[test]
+fn while_they_are_withheld_only_safe_calls_are_sent_and_records_are_given() {
+    let mut b = Bench::new();
+    b.call(1, UNSAFE, Some("old"), Repeat::Unmarked);
+    b.answer_first(Outcome::Ok);
+    let open = b.call(1, KEYED, Some("open"), Repeat::Unmarked);
+    assert_eq!(b.sent.len(), 2);
+    let request = b.waiting[0].0.request;
+    assert!(!b.engine.is_withheld(request));
+    b.engine.withhold(true);
+    assert!(b.engine.is_withheld(request));
+    let record = b.call(1, UNSAFE, Some("old"), Repeat::Unmarked);
+    let new = b.call(1, UNSAFE, Some("new"), Repeat::Unmarked);
+    let safe = b.call(1, SAFE, None, Repeat::Unmarked);
+    assert_eq!((b.words(record), b.reason(new)), (vec!["served"], Some(Reason::NoRight)));
+    assert_eq!(b.sent.len(), 3, "the safe one");
+    b.answer_first(Outcome::Full);
+    b.pass(300_000);
+    assert_eq!(b.sent.len(), 3, "the open one is not sent again");
+    b.answer_first(Outcome::Ok);
+    b.pass(1_000_000);
+    assert_eq!((b.words(open), b.words(safe)), (vec!["refused"], vec!["served"]), "it never ran");
+    b.engine.withhold(false);
+    let new = b.call(1, UNSAFE, Some("new"), Repeat::Unmarked);
+    b.answer_first(Outcome::Ok);
+    assert_eq!(b.words(new), ["served"]);
+    assert!(b.engine.is_idle());
+}
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -151,6 +151,7 @@
             module,
             seed: config.seed,
             classes: Vec::new(),
+            key_spaces: Vec::new(),
             functions: HashMap::new(),
             other_functions: FunctionTraits::default(),
             duplicates: None,
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -163,6 +163,7 @@
             module,
             seed: gateway.or("seed", 1, |f| f.whole(u64::from(u32::MAX)))?,
             classes: classes.iter().map(|c| ClassPolicy { remember: c.remember }).collect(),
+            key_spaces: Vec::new(),
             functions,
             other_functions,
             duplicates: Some(duplicates(&mut top)?),
--- a/src/state.rs
+++ b/src/state.rs
@@ -230,3 +230,22 @@
     /// Stands in for a class that the settings lack: the most careful one.
     pub(crate) unknown: Class,
 }
+
+impl Brain {
+    /// Takes other settings while calls are open. A class or tenant keeps its place, with what is known of it; new ones stand
+    /// behind them. Calls that are open in a class go by what it says from now on. A list of workers is to follow where it
+    /// changes their weights. The number of routers stays, as it is told by itself.
+    pub fn settle(&mut self, settings: Settings) {
+        let fresh = Brain::new(settings, self.salt);
+        let (classes, tenants) = (fresh.s.classes.len(), fresh.s.tenants.len());
+        self.class_work.extend(fresh.class_work.into_iter().skip(self.class_work.len()));
+        self.tenants.extend(fresh.tenants.into_iter().skip(self.tenants.len()));
+        self.class_work.truncate(classes);
+        self.tenants.truncate(tenants);
+        self.workers.values_mut().for_each(|w| w.classes.resize(classes, Record::default()));
+        if fresh.s.weights != self.s.weights {
+            self.ring_unit = 0.0;
+        }
+        self.s = Settings { routers: self.s.routers, ..fresh.s };
+    }
+}
