--- a/crates/agreement/src/terms.rs
+++ b/crates/agreement/src/terms.rs
@@ -64,7 +64,8 @@
         other.needs.is_subset(&self.needs) && self.within_us <= other.within_us
     }
 
-    fn meet(&self, other: &Repeat) -> Repeat {
+    /// What both allow.
+    pub fn meet(&self, other: &Repeat) -> Repeat {
         let within_us = self.within_us.min(other.within_us);
         if within_us == 0 {
             return Repeat::never();
--- a/crates/agreement/tests/model.rs
+++ b/crates/agreement/tests/model.rs
@@ -531,7 +531,7 @@
 fn no_move_of_a_larger_fleet_breaks_the_agreement() {
     for doubt in [Doubt::GiveUp, Doubt::GoOn] {
         let fleet = Fleet { doubt, ..SMALL };
-        checked("two slow routers", Fleet { prompt: 0, asks: 3, ..SHORT });
+        checked("two slow routers", Fleet { prompt: 0, asks: 3, doubt, ..SHORT });
         checked("losses", Fleet { losses: 1, ..fleet.clone() });
         checked("crashes", Fleet { crashes: 1, ..fleet.clone() });
         checked("two documents", Fleet { publishes: 2, ..fleet.clone() });
--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -88,6 +88,8 @@
     Stopping,
     /// The gateway's right to act by its settings has ended.
     NoRight,
+    /// Two documents of settings that are both in use differ on the topic.
+    InChange,
     /// No attempt gave a result in time; the call may have run.
     NoResult,
     /// It was served, but the result is no longer held.
@@ -118,6 +120,7 @@
             Reason::NoRoute => "no route takes this topic",
             Reason::Stopping => "the gateway is stopping",
             Reason::NoRight => "not sent: the gateway cannot tell whether its settings still count",
+            Reason::InChange => "not sent: the settings of this topic are being changed",
             Reason::NoResult => "no result in time; it may have run",
             Reason::ResultForgotten => "it ran; its result is no longer held",
             Reason::ClientLeft => "called off as its client left; it may have run",
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -687,7 +687,8 @@
             Action::Send { id, worker, timeout: _ } => return self.send(id, worker, out),
             // Advice on when to come back has no place in the answers yet; the module gives none.
             Action::Refuse { id, retry_after: _ } => {
-                self.finish(id, Verdict::Refused(Reason::NoCapacity), out);
+                let reason = if self.is_withheld(id) { Reason::NoRight } else { Reason::NoCapacity };
+                self.finish(id, Verdict::Refused(reason), out);
                 self.sweep(id);
             }
             Action::Fail { id } => {
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -13,7 +13,7 @@
 use crate::badday::{self, script::Script};
 use crate::clock::Clock;
 use crate::platform::{PlatformError, Router};
-use crate::settings::{Named, Site};
+use crate::settings::{Agreed, Named, Site};
 use crate::shell::Shell;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use serde_json::json;
@@ -246,8 +246,10 @@
     match cli.command {
         Command::Run { settings } => {
             let clock = Clock::start();
-            let site = Site::load(&settings, &clock, Named::default())?;
-            let mut shell = Shell::new(site, Some(settings), clock)?;
+            let mut shell = match Agreed::read(&settings)? {
+                Some((agreed_by, agreed)) => Shell::agreed(agreed_by, agreed, clock)?,
+                None => Shell::new(Site::load(&settings, &clock, Named::default())?, Some(settings), clock)?,
+            };
             say_ready(shell.address())?;
             shell.run()?;
             Ok(ExitCode::SUCCESS)
--- a/crates/gateway/src/commands/settings.rs
+++ b/crates/gateway/src/commands/settings.rs
@@ -7,14 +7,14 @@
 use super::Outcome;
 use crate::clock::Clock;
 use crate::settings::SharedSettings;
+use crate::shell::agreement::request;
 use clap::{Args, Subcommand};
 use serde_json::{json, Value};
 use slatevalve_agreement::{
     contradictions, Awaited, Document, Driver, Edition, Keys, Next, Reading, Stance, State, Terms, Txn, Wait,
 };
 use slatevalve_registry::wire::{
-    prefix_end, Bytes, Compare, DeleteRequest, KeyValue, PlainResponse, PutRequest, RangeRequest,
-    RangeResponse, RequestOp, TxnRequest, RANGE, TXN,
+    prefix_end, Bytes, KeyValue, PlainResponse, RangeRequest, RangeResponse, RANGE, TXN,
 };
 use slatevalve_registry::Follow;
 use std::collections::BTreeMap;
@@ -292,22 +292,7 @@
 
     /// Whether a transaction was done.
     fn write(&mut self, txn: &Txn) -> Res<bool> {
-        let compare = |(key, mod_revision): &(String, i64)| Compare {
-            target: "MOD".into(),
-            result: "EQUAL".into(),
-            key: Bytes::of(key),
-            mod_revision: *mod_revision,
-        };
-        let put = |(key, value): &(String, Vec<u8>)| RequestOp {
-            request_put: Some(PutRequest { key: Bytes::of(key), value: Bytes(value.clone()), lease: 0 }),
-            request_delete_range: None,
-        };
-        let delete = |key: &String| RequestOp {
-            request_put: None,
-            request_delete_range: Some(DeleteRequest { key: Bytes::of(key), range_end: Bytes::default() }),
-        };
-        let success = txn.puts.iter().map(put).chain(txn.deletes.iter().map(delete)).collect();
-        let ask = TxnRequest { compare: txn.compares.iter().map(compare).collect(), success };
+        let ask = request(txn);
         let answer: PlainResponse = self.session.ask(TXN, &ask)?;
         Ok(answer.succeeded)
     }
--- a/crates/gateway/src/settings/document.rs
+++ b/crates/gateway/src/settings/document.rs
@@ -11,9 +11,9 @@
 use std::collections::BTreeMap;
 
 /// Forms that are one router's own and stand in no document.
-const OWN: [&str; 5] = ["gateway", "mqtt", "bridge", "members", "plugins"];
+const OWN: [&str; 6] = ["agreed", "gateway", "mqtt", "bridge", "members", "plugins"];
 /// What is read in their place.
-const NOBODY: &str = "\n(gateway (name \"document\"))\n(mqtt (listen \"127.0.0.1:0\"))\n";
+const NOBODY: &str = "(gateway (name \"document\"))\n(mqtt (listen \"127.0.0.1:0\"))\n";
 
 /// What a document says.
 #[derive(Clone, Debug)]
@@ -34,13 +34,22 @@
     /// # Errors
     /// With the first thing that is wrong, and where.
     pub fn parse(name: &str, text: &str, clock: &Clock) -> Res<Self> {
+        SharedSettings::with_own(name, text, NOBODY, clock, Named::default())
+    }
+
+    /// The same with the text of a router's own forms, and with the names that it knows already.
+    ///
+    /// # Errors
+    /// With the first thing that is wrong, and where.
+    pub(crate) fn with_own(name: &str, text: &str, own: &str, clock: &Clock, named: Named) -> Res<Self> {
         let alone = File::parse(name, text)?;
         let mut forms = alone.forms()?;
         if let Some(own) = OWN.iter().flat_map(|n| forms.take_all(n)).next() {
             return Err(own.error("is a router's own and stands in no document"));
         }
-        let whole = File::parse(name, &format!("{text}{NOBODY}"))?;
+        let whole = File::parse(name, &format!("{text}\n{own}"))?;
         let mut top = whole.forms()?;
+        top.take("agreed")?;
         let (mut doubt, mut right, mut clock_error_ppm) = (Doubt::GoOn, Micros(3_000_000), 20_000_u64);
         if let Some(form) = top.take("agreement")? {
             let mut fields = form.fields()?;
@@ -53,7 +62,7 @@
             }
         }
         Ok(SharedSettings {
-            site: Site::of_forms(top, clock, Named::default())?,
+            site: Site::of_forms(top, clock, named)?,
             doubt,
             right,
             clock_error_ppm: clock_error_ppm as i64,
@@ -116,7 +125,7 @@
     }
 }
 
-fn repeat(effect: Effect) -> Repeat {
+pub(super) fn repeat(effect: Effect) -> Repeat {
     match effect {
         Effect::Safe => Repeat::freely(),
         Effect::Unsafe => Repeat::never(),
--- a/crates/gateway/src/settings/members.rs
+++ b/crates/gateway/src/settings/members.rs
@@ -7,7 +7,7 @@
 use slatevalve_registry::{
     CensusSettings, ClientSettings, Follow, FollowerSettings, Login, RegistrationSettings,
 };
-use std::net::ToSocketAddrs;
+use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::PathBuf;
 
 type Res<T> = Result<T, FormError>;
@@ -35,6 +35,27 @@
         fields.finish()?;
         return Ok(Some(MemberSource::Replay(path)));
     }
+    let (client, addresses) = client(&mut fields, &form, seed, name, routers)?;
+    let census_base = CensusSettings::default();
+    let census = CensusSettings {
+        least: fields.or("least-routers", 1, |f| f.whole(1_000_000))?.max(1) as usize,
+        hold_us: fields.or("fewer-routers-after-ms", Micros(census_base.hold_us), Form::millis)?.0,
+        ..census_base
+    };
+    let remember = fields.take("remember")?.map(|f| f.text()).transpose()?.map(PathBuf::from);
+    let record = fields.take("record")?.map(|f| f.text()).transpose()?.map(PathBuf::from);
+    fields.finish()?;
+    Ok(Some(MemberSource::Registry(Box::new(MemberSettings { client, addresses, census, remember, record }))))
+}
+
+/// What is said of the connection to a registry, and its members' addresses.
+pub(super) fn client(
+    fields: &mut Fields<'_>,
+    form: &Form<'_>,
+    seed: u64,
+    name: &str,
+    routers: usize,
+) -> Res<(ClientSettings, Vec<SocketAddr>)> {
     let registry = fields.need("registry")?;
     let mut endpoints = Vec::new();
     let mut addresses = Vec::new();
@@ -56,19 +77,13 @@
     if !prefix.ends_with('/') {
         return Err(form.error("the prefix ends with /"));
     }
-    let login = super::login(&mut fields, &form)?.map(|(name, password)| Login { name, password });
+    let login = super::login(fields, form)?.map(|(name, password)| Login { name, password });
     let base = FollowerSettings::default();
     let follower = FollowerSettings {
         look_us: fields.or("look-ms", Micros(base.look_us), Form::millis)?.0.max(1_000),
         silence_us: fields.or("silence-ms", Micros(base.silence_us), Form::millis)?.0,
         ..base
     };
-    let census_base = CensusSettings::default();
-    let census = CensusSettings {
-        least: fields.or("least-routers", 1, |f| f.whole(1_000_000))?.max(1) as usize,
-        hold_us: fields.or("fewer-routers-after-ms", Micros(census_base.hold_us), Form::millis)?.0,
-        ..census_base
-    };
     let ttl_s = fields.or("ttl-s", 30, |f| f.whole(86_400))?.max(1) as i64;
     let timeout_us = fields.or("timeout-ms", Micros(2_000_000), Form::millis)?.0;
     let base = Limits::default();
@@ -83,9 +98,6 @@
         return Err(form.error("drain-within-ms is longer than timeout-ms and half a second together"));
     }
     let pace = Limits { per_second, longest_us, few_us: base.few_us.min(longest_us), ..base };
-    let remember = fields.take("remember")?.map(|f| f.text()).transpose()?.map(PathBuf::from);
-    let record = fields.take("record")?.map(|f| f.text()).transpose()?.map(PathBuf::from);
-    fields.finish()?;
     let client = ClientSettings {
         endpoints,
         relays,
@@ -101,5 +113,5 @@
         timeout_us,
         seed: seed_of(seed, name),
     };
-    Ok(Some(MemberSource::Registry(Box::new(MemberSettings { client, addresses, census, remember, record }))))
+    Ok((client, addresses))
 }
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -3,12 +3,14 @@
 //! Forms and their meaning are listed in `docs/operators/router.md`. Read at the start and, for its worker list,
 //! again on SIGHUP.
 
+mod agreed;
 mod classes;
 mod document;
 mod members;
 mod plugins;
 mod workers;
 
+pub use agreed::{Agreed, AgreedError, AgreedSettings};
 pub use document::SharedSettings;
 pub use members::MemberSource;
 pub use plugins::PluginSettings;
@@ -75,6 +77,8 @@
     pub zone: String,
     /// The zones and kinds that the file names.
     pub named: Named,
+    /// The tenants' names, in the order of their ids.
+    pub tenants: Vec<String>,
 }
 
 /// Names that become places in lists, in the order in which they appear.
@@ -157,6 +161,7 @@
         let routes = Routes {
             routes: classes::routes(&mut top, &classes, !tenants.is_empty())?,
             tenants: tenants.iter().map(|t| (t.name.clone(), t.id)).collect(),
+            ..Routes::default()
         };
         let (functions, other_functions) = functions(&mut top)?;
         let engine = EngineSettings {
@@ -187,6 +192,7 @@
         }
         top.finish()?;
         let classes = classes.into_iter().map(|c| c.name).collect();
+        let tenants = tenants.into_iter().map(|t| t.name).collect();
         let named = Named { zones, kinds };
         Ok(Site {
             name,
@@ -204,6 +210,7 @@
             stop_within,
             zone: zone_name,
             named,
+            tenants,
         })
     }
 }
--- /dev/null
+++ b/crates/gateway/src/shell/agreement.rs
@@ -0,0 +1,411 @@
+//! The shell's part in the agreement on settings: documents are read and carried out, the right to act is asked for, and what
+//! may be sent is looked at before each turn writes.
+//!
+//! It guards the order of things: a state is said yes to only after it is acted by, and nothing unsafe or keyed is written
+//! after the right to act has ended. It decides nothing: [`Holder`] says what may be sent and what is asked, [`Agreed`] what a
+//! document means here. Called by the loop once a turn, and by the start before clients can connect.
+
+use super::{Shell, ShellError};
+use crate::clock::Clock;
+use crate::settings::{Agreed, AgreedSettings, Site};
+use slatevalve::{ClassId, Micros, Scope};
+use slatevalve_agreement::{
+    Ask, Document, Edition, Entry, Holder, HolderSettings, Keys, May, Reading, State, Txn, TxnEnd,
+};
+use slatevalve_reactor::{Happening, Reactor};
+use slatevalve_registry::wire::{
+    Bytes, Compare, DeleteRequest, PlainResponse, PutRequest, RangeRequest, RangeResponse, RequestOp,
+    TxnRequest, RANGE, TXN,
+};
+use slatevalve_registry::Heard;
+use slatevalve_registry_link::Link;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Seek, Write};
+use std::path::Path;
+use std::time::Duration;
+use tracing::{error, info, warn};
+
+/// What could not be read is asked for again after this, in microseconds.
+const AGAIN: i64 = 300_000;
+/// A gateway that starts waits so long for its right, in microseconds; after that it serves what needs none.
+const FIRST_RIGHT: i64 = 2_000_000;
+/// Earlier lives of a name that are remembered.
+const LIVES: usize = 8;
+
+/// What a question to the registry was for.
+enum For {
+    State,
+    Own,
+    Document(u64),
+    Write,
+    Leave,
+}
+
+/// See the module's documentation.
+pub(crate) struct Agreement {
+    link: Link,
+    keys: Keys,
+    own_key: String,
+    holder: Holder,
+    agreed: Agreed,
+    documents: BTreeMap<u64, Document>,
+    questions: BTreeMap<u64, For>,
+    /// A state that is known and not yet acted by.
+    news: Option<Entry<State>>,
+    /// The state is to be read, from then on; and the holder waits for it and its own entry.
+    read_at: Option<i64>,
+    holder_reads: bool,
+    /// The step that could not be carried out, so that it is said once.
+    refused: Option<u64>,
+    may: May,
+    left: bool,
+    /// Held locked while this life lasts.
+    _lives: Option<File>,
+}
+
+impl Agreement {
+    /// One that knows nothing yet.
+    ///
+    /// # Errors
+    /// Where the file of lives cannot be had, or another process that lives holds it.
+    pub(crate) fn new(settings: AgreedSettings, agreed: Agreed) -> io::Result<Self> {
+        let AgreedSettings { client, addresses, prefix, lives, name } = settings;
+        let mut bytes = [0; 8];
+        getrandom::fill(&mut bytes).map_err(|e| io::Error::other(e.to_string()))?;
+        let life: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
+        let (lives, before) = match lives {
+            Some(path) => {
+                let (file, before) = begin_life(&path, &life)?;
+                (Some(file), before)
+            }
+            None => (None, Vec::new()),
+        };
+        let keys = Keys::new(&prefix);
+        let own_key = keys.right(&name, &life);
+        let holder = Holder::new(HolderSettings { keys: keys.clone(), name, life, before });
+        Ok(Agreement {
+            link: Link::new(client, addresses),
+            keys,
+            own_key,
+            holder,
+            agreed,
+            documents: BTreeMap::new(),
+            questions: BTreeMap::new(),
+            news: None,
+            read_at: Some(i64::MIN),
+            holder_reads: false,
+            refused: None,
+            may: May::Nothing,
+            left: false,
+            _lives: lives,
+        })
+    }
+
+    /// Waits for the documents that count and, for a bounded time, for the right to act by them; gives the settings by them.
+    /// Meanwhile signals end the process as they do by themselves.
+    ///
+    /// # Errors
+    /// When the poller fails.
+    fn first_site(&mut self, clock: &Clock, reactor: &mut Reactor) -> io::Result<Site> {
+        info!("waiting for the settings");
+        let (mut site, mut until): (Option<Site>, Option<Micros>) = (None, None);
+        loop {
+            let now = clock.now();
+            if let Some(newer) = self.advance(now, reactor, &BTreeSet::new(), clock) {
+                until.get_or_insert(Micros(now.0 + FIRST_RIGHT));
+                site = Some(newer);
+            }
+            if self.may(now) == May::All || until.is_some_and(|at| at <= now) {
+                if let Some(site) = site.take() {
+                    return Ok(site);
+                }
+            }
+            let wait = (self.next_wake(now).0 - now.0).clamp(0, 100_000) as u64;
+            let mut happened = Vec::new();
+            reactor.turn(Some(Duration::from_micros(wait)), &mut happened)?;
+            let now = clock.now();
+            for happening in &happened {
+                self.link.happened(now.0, reactor, happening);
+            }
+        }
+    }
+
+    /// What may be sent now.
+    pub(crate) fn may(&self, now: Micros) -> May {
+        self.holder.may(now.0)
+    }
+
+    /// When [`Agreement::advance`] is due.
+    pub(crate) fn next_wake(&self, now: Micros) -> Micros {
+        let read_at = self.read_at.filter(|_| !self.asks(|f| matches!(f, For::State)));
+        let due = [Some(self.link.next_wake(now.0)), self.holder.due_us(), read_at];
+        Micros(due.into_iter().flatten().min().unwrap_or(i64::MAX).max(now.0))
+    }
+
+    /// Takes a happening on one of its sockets.
+    pub(crate) fn happened(&mut self, now: Micros, reactor: &mut Reactor, happening: &Happening) -> bool {
+        self.link.happened(now.0, reactor, happening)
+    }
+
+    /// Lets time pass. Gives other settings where the documents have changed that this router acts by; they are acted by before
+    /// anything is said of them.
+    pub(crate) fn advance(
+        &mut self,
+        now: Micros,
+        reactor: &mut Reactor,
+        open: &BTreeSet<ClassId>,
+        clock: &Clock,
+    ) -> Option<Site> {
+        for heard in self.link.take_heard() {
+            match heard {
+                // Which state stands there is read, with its revision.
+                Heard::Changes(_) => self.read_at = Some(now.0),
+                Heard::Answered(ticket, answer) => self.answered(now, ticket, answer),
+                _ => {}
+            }
+        }
+        if self.read_at.is_some_and(|at| at <= now.0) && !self.asks(|f| matches!(f, For::State)) {
+            self.read_at = None;
+            self.ask_range(&self.keys.state(), For::State);
+        }
+        let site = self.take_news(now, open, clock);
+        if self.left {
+            self.link.advance(now.0, reactor);
+            return site;
+        }
+        match self.holder.ask(now.0) {
+            Some(Ask::Read) => {
+                self.holder_reads = true;
+                self.read_at = Some(now.0);
+            }
+            Some(Ask::Write(txn)) => self.ask_write(&txn, For::Write),
+            None => {}
+        }
+        self.link.advance(now.0, reactor);
+        site
+    }
+
+    fn asks(&self, what: impl Fn(&For) -> bool) -> bool {
+        self.questions.values().any(what)
+    }
+
+    fn ask_range(&mut self, key: &str, what: For) {
+        let ask = RangeRequest { key: Bytes::of(key), ..RangeRequest::default() };
+        let ticket = self.link.client_mut().ask(RANGE, &ask);
+        self.questions.insert(ticket, what);
+    }
+
+    fn ask_write(&mut self, txn: &Txn, what: For) {
+        let ticket = self.link.client_mut().ask(TXN, &request(txn));
+        self.questions.insert(ticket, what);
+    }
+
+    fn answered(&mut self, now: Micros, ticket: u64, answer: Result<Vec<u8>, String>) {
+        let Some(what) = self.questions.remove(&ticket) else { return };
+        let range = |body: &Vec<u8>| serde_json::from_slice::<RangeResponse>(body).ok();
+        let body = answer.ok();
+        match what {
+            For::State => match body.as_ref().and_then(range) {
+                Some(found) => {
+                    let reading = self.reading(&found);
+                    reading.unread.iter().for_each(|error| error!(%error, "the state of the settings"));
+                    self.news = reading.state.or(self.news.take());
+                    if std::mem::take(&mut self.holder_reads) {
+                        self.ask_range(&self.own_key.clone(), For::Own);
+                    }
+                }
+                None => self.read_at = Some(now.0 + AGAIN),
+            },
+            For::Document(number) => match body.as_ref().and_then(range) {
+                Some(found) => {
+                    let mut reading = self.reading(&found);
+                    reading.unread.iter().for_each(|error| error!(%error, "a document of the settings"));
+                    match reading.documents.remove(&number) {
+                        Some(document) => drop(self.documents.insert(number, document)),
+                        None => (self.news, self.read_at) = (None, Some(now.0 + AGAIN)),
+                    }
+                }
+                None => self.read_at = Some(now.0 + AGAIN),
+            },
+            For::Own => {
+                // Without an answer the holder asks again by itself.
+                let Some(found) = body.as_ref().and_then(range) else { return };
+                if let Err(trouble) = self.holder.read(found.kvs.first().map(|e| e.mod_revision)) {
+                    warn!(%trouble, "settings");
+                }
+            }
+            For::Write => {
+                let read = |body: Vec<u8>| serde_json::from_slice::<PlainResponse>(&body).ok();
+                self.holder.written(match body.and_then(read) {
+                    Some(answer) if answer.succeeded => TxnEnd::Done(answer.header.revision),
+                    Some(_) => TxnEnd::Overtaken,
+                    None => TxnEnd::Unknown,
+                });
+            }
+            For::Leave => self.left = true,
+        }
+    }
+
+    fn reading(&self, found: &RangeResponse) -> Reading {
+        let key = |e: &Bytes| String::from_utf8_lossy(&e.0).into_owned();
+        let entries: Vec<_> = found.kvs.iter().map(|e| (key(&e.key), &e.value.0, e.mod_revision)).collect();
+        Reading::of(&self.keys, entries.iter().map(|(k, v, r)| (k.as_str(), v.as_slice(), *r)))
+    }
+
+    /// Acts by the newest state that is known, once its documents are.
+    fn take_news(&mut self, now: Micros, open: &BTreeSet<ClassId>, clock: &Clock) -> Option<Site> {
+        let state = self.news.take()?;
+        if self.refused == Some(state.value.step) {
+            return None;
+        }
+        let known = |e: &Edition| self.documents.get(&e.number).filter(|d| d.digest == e.digest);
+        let missing: Vec<u64> =
+            state.value.stance.editions().filter(|e| known(e).is_none()).map(|e| e.number).collect();
+        if !missing.is_empty() {
+            for number in missing {
+                if !self.asks(|f| matches!(f, For::Document(n) if *n == number)) {
+                    self.ask_range(&self.keys.document(number), For::Document(number));
+                }
+            }
+            self.news = Some(state);
+            return None;
+        }
+        let documents: Vec<Document> = state.value.stance.editions().filter_map(known).cloned().collect();
+        let terms: Vec<_> = documents.iter().map(|d| (d.doubt, d.right_us)).collect();
+        let before = self.holder.stance().cloned();
+        let mut holder = self.holder.clone();
+        match holder.heard(&state, &terms) {
+            Err(trouble) => {
+                warn!(%trouble, "settings");
+                self.refused = Some(state.value.step);
+                return None;
+            }
+            Ok(_) if before.as_ref() == Some(&state.value.stance) => {
+                self.holder = holder;
+                return None;
+            }
+            Ok(_) => {}
+        }
+        let site = match self.agreed.site(&documents.iter().collect::<Vec<_>>(), open, clock) {
+            Ok(site) => site,
+            Err(error) => {
+                error!(%error, step = state.value.step, "settings that cannot be acted by here; the rules stay as they are");
+                self.refused = Some(state.value.step);
+                // A router that starts has no rules to stay with: it looks again for others.
+                self.read_at = before.is_none().then_some(now.0 + AGAIN);
+                return None;
+            }
+        };
+        let numbers: Vec<u64> = documents.iter().map(|d| d.number).collect();
+        info!(documents = ?numbers, step = state.value.step, "settings");
+        (self.holder, self.refused) = (holder, None);
+        self.documents.retain(|number, _| numbers.contains(number));
+        Some(site)
+    }
+
+    /// Takes the right to act out of the registry.
+    pub(crate) fn leave(&mut self) {
+        match self.holder.leave() {
+            Some(txn) => self.ask_write(&txn, For::Leave),
+            None => self.left = true,
+        }
+    }
+
+    pub(crate) fn has_left(&self) -> bool {
+        self.left
+    }
+}
+
+/// A transaction as the registry's protocol has it.
+pub(crate) fn request(txn: &Txn) -> TxnRequest {
+    let compare = |(key, mod_revision): &(String, i64)| Compare {
+        target: "MOD".into(),
+        result: "EQUAL".into(),
+        key: Bytes::of(key),
+        mod_revision: *mod_revision,
+    };
+    let put = |(key, value): &(String, Vec<u8>)| RequestOp {
+        request_put: Some(PutRequest { key: Bytes::of(key), value: Bytes(value.clone()), lease: 0 }),
+        request_delete_range: None,
+    };
+    let delete = |key: &String| RequestOp {
+        request_put: None,
+        request_delete_range: Some(DeleteRequest { key: Bytes::of(key), range_end: Bytes::default() }),
+    };
+    let success = txn.puts.iter().map(put).chain(txn.deletes.iter().map(delete)).collect();
+    TxnRequest { compare: txn.compares.iter().map(compare).collect(), success }
+}
+
+/// Locks the file of lives for as long as this process lasts, which proves that all lives in it have ended, and writes this one
+/// behind them.
+fn begin_life(path: &Path, life: &str) -> io::Result<(File, Vec<String>)> {
+    let mut file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)?;
+    file.try_lock().map_err(|e| io::Error::other(format!("another process that lives holds it: {e}")))?;
+    let mut text = String::new();
+    Read::by_ref(&mut file).take(1 << 16).read_to_string(&mut text)?;
+    let before: Vec<String> =
+        text.lines().map(str::to_string).filter(|l| !l.is_empty() && !l.contains('/')).collect();
+    let before = before[before.len().saturating_sub(LIVES)..].to_vec();
+    let all: String = before.iter().map(String::as_str).chain([life]).map(|l| format!("{l}\n")).collect();
+    file.set_len(0)?;
+    file.rewind()?;
+    file.write_all(all.as_bytes())?;
+    file.sync_all()?;
+    Ok((file, before))
+}
+
+impl Shell {
+    /// A gateway that acts by documents: it waits for them first.
+    ///
+    /// # Errors
+    /// As [`Shell::new`], and where the file of lives cannot be had.
+    pub fn agreed(settings: AgreedSettings, agreed: Agreed, clock: Clock) -> Result<Self, ShellError> {
+        let lives = settings.lives.clone().unwrap_or_default();
+        let mut agreement = Agreement::new(settings, agreed).map_err(|e| ShellError::Record(lives, e))?;
+        let mut reactor = Reactor::new(super::MAX_BUFFERED).map_err(ShellError::Loop)?;
+        let site = agreement.first_site(&clock, &mut reactor).map_err(ShellError::Loop)?;
+        let mut shell = Shell::with(site, None, clock, reactor)?;
+        shell.agreement = Some(agreement);
+        Ok(shell)
+    }
+
+    /// Before a turn writes: what may not be sent any more is taken back.
+    pub(super) fn look_at_right(&mut self) {
+        let now = self.clock.now();
+        let Some(agreement) = &mut self.agreement else { return };
+        let may = agreement.may(now);
+        if may == std::mem::replace(&mut agreement.may, may) {
+            return;
+        }
+        self.engine.withhold(may != May::All);
+        if may == May::All {
+            info!("the right to act by the settings stands");
+            return;
+        }
+        warn!("no right to act by the settings: keyed and unsafe calls are not sent");
+        let engine = &self.engine;
+        let ends = self.pool.take_back_where(now, &mut self.reactor, |of| engine.is_withheld(of.request));
+        for end in ends {
+            self.ended(now, end);
+        }
+        self.settle(now);
+    }
+
+    /// The agreement's part of a turn.
+    pub(super) fn agree(&mut self, now: Micros) {
+        let Some(agreement) = &mut self.agreement else { return };
+        let open = self.engine.open_classes();
+        let Some(mut site) = agreement.advance(now, &mut self.reactor, &open, &self.clock) else { return };
+        self.front.take_routes(site.front.routes.clone());
+        self.engine.settle(site.engine.clone());
+        // What a gateway is told at its start alone stays; the number of routers is told by itself.
+        site.listen = self.site.listen;
+        let list = self.source.is_none().then(|| site.workers.clone());
+        site.named = if self.source.is_none() { site.named } else { std::mem::take(&mut self.site.named) };
+        self.site = site;
+        if let Some(workers) = list {
+            self.take_list(Scope::Full, &workers);
+        }
+    }
+}
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -4,6 +4,7 @@
 //! a gateway that stood still finds the answers that were there in time before it finds that time is up.
 
 mod admin;
+pub(crate) mod agreement;
 mod members;
 mod plugins;
 pub(crate) mod pool;
@@ -14,6 +15,7 @@
 use crate::settings::{Site, WorkerLine};
 use crate::turns::{Turn, Turns};
 use admin::Admin;
+use agreement::Agreement;
 use plugins::PluginHost;
 use pool::{Pool, TaskEnd};
 use slatevalve::{Listing, Micros, Scope, WorkerId, WorkerState};
@@ -79,6 +81,8 @@
     bridge: Option<BridgeLink>,
     plugins: Option<PluginHost>,
     admin: Option<Admin>,
+    /// Where the settings come from, where they are documents.
+    agreement: Option<Agreement>,
     /// Where the list of workers comes from, where that is not the settings file.
     source: Option<Box<dyn Source>>,
     recorder: Option<Recorder>,
@@ -116,7 +120,16 @@
     /// # Errors
     /// When a socket, the poller or a signal cannot be had.
     pub fn new(site: Site, settings_file: Option<PathBuf>, clock: Clock) -> Result<Self, ShellError> {
-        let mut reactor = Reactor::new(MAX_BUFFERED).map_err(ShellError::Loop)?;
+        let reactor = Reactor::new(MAX_BUFFERED).map_err(ShellError::Loop)?;
+        Shell::with(site, settings_file, clock, reactor)
+    }
+
+    fn with(
+        site: Site,
+        settings_file: Option<PathBuf>,
+        clock: Clock,
+        mut reactor: Reactor,
+    ) -> Result<Self, ShellError> {
         for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT, signal_hook::consts::SIGHUP]
         {
             reactor.signal(signal).map_err(ShellError::Loop)?;
@@ -150,6 +163,7 @@
             }),
             plugins,
             admin,
+            agreement: None,
             source,
             recorder,
             names: HashMap::new(),
@@ -189,10 +203,13 @@
     pub fn run(&mut self) -> Result<(), ShellError> {
         let mut turns = Turns::new(self.clock.now(), self.site.engine.module.rules.drain_grace);
         loop {
+            self.look_at_right();
             let wait = self.wait_from(self.clock.now());
             let turn = turns.wait(&self.clock, &mut self.reactor, wait).map_err(ShellError::Loop)?;
             let Turn { now, age, happened } = turn;
             self.age = age;
+            // The wait may have been long.
+            self.look_at_right();
             for happening in happened {
                 self.happened(now, happening);
             }
@@ -204,6 +221,9 @@
                 source.advance(now, &mut self.reactor);
                 self.take_news(now);
             }
+            self.agree(now);
+            turns.graced(self.site.engine.module.rules.drain_grace);
+            self.look_at_right();
             for end in self.pool.advance(now, &mut self.reactor) {
                 self.ended(now, end);
             }
@@ -227,7 +247,8 @@
         let bridge = self.bridge.as_ref().and_then(|l| l.bridge.next_wake());
         let source = self.source.as_ref().map(|s| s.next_wake(now));
         let (engine, front, pool) = (self.engine.next_wake(), self.front.next_wake(), self.pool.next_wake());
-        let due = [engine, front, pool, self.resume_at, bridge, source];
+        let agreement = self.agreement.as_ref().map(|a| a.next_wake(now));
+        let due = [engine, front, pool, self.resume_at, bridge, source, agreement];
         match due.into_iter().flatten().min() {
             Some(at) => Duration::from_micros(at.0.saturating_sub(now.0).max(0) as u64).min(LONGEST_WAIT),
             None => LONGEST_WAIT,
@@ -238,6 +259,9 @@
         if self.source.as_mut().is_some_and(|s| s.happened(now, &mut self.reactor, &happening)) {
             return self.take_news(now);
         }
+        if self.agreement.as_mut().is_some_and(|a| a.happened(now, &mut self.reactor, &happening)) {
+            return;
+        }
         match happening {
             Happening::Accepted { listener, connection, .. } if listener != self.listener => {
                 self.admin.iter_mut().for_each(|a| a.accepted(&mut self.reactor, connection));
@@ -476,11 +500,15 @@
 
     /// All is answered: says goodbye to the clients and writes out what waits, for a bounded time.
     fn leave(&mut self, now: Micros) -> Result<(), ShellError> {
+        self.agreement.iter_mut().for_each(Agreement::leave);
         self.front.stop(now, &mut self.to_front);
         self.settle(now);
         let until = Micros(now.0 + 1_000_000);
         let mut happened = Vec::new();
-        let staying = |s: &Self| s.source.as_ref().is_some_and(|source| !source.has_left());
+        let staying = |s: &Self| {
+            let agrees = s.agreement.as_ref().is_some_and(|a| !a.has_left());
+            agrees || s.source.as_ref().is_some_and(|source| !source.has_left())
+        };
         let unsent = |s: &Self| s.bridge.as_ref().is_some_and(|l| l.bridge.is_up() && l.bridge.unsent() > 0);
         while (self.reactor.has_pending() || unsent(self) || staying(self)) && self.clock.now() < until {
             self.reactor.turn(Some(Duration::from_millis(10)), &mut happened).map_err(ShellError::Loop)?;
@@ -488,6 +516,7 @@
             for happening in happened.drain(..) {
                 self.happened(now, happening);
             }
+            self.agree(now);
         }
         let counts = self.engine.statistics();
         if counts.overdue > 0 {
--- a/crates/gateway/src/shell/pool.rs
+++ b/crates/gateway/src/shell/pool.rs
@@ -180,6 +180,20 @@
         ends
     }
 
+    /// Takes back the attempts that `which` names and of which no byte has left.
+    pub fn take_back_where(
+        &mut self,
+        now: Micros,
+        reactor: &mut Reactor,
+        which: impl Fn(&AttemptRef) -> bool,
+    ) -> Vec<TaskEnd> {
+        let mut found: Vec<(Id, Tag)> =
+            self.attempts.iter().filter(|(of, _)| which(of)).map(|(_, at)| *at).collect();
+        // The last of a connection first, so that none has to move up before it goes.
+        found.sort_unstable_by_key(|(_, tag)| std::cmp::Reverse(*tag));
+        found.into_iter().filter_map(|(id, tag)| self.take_back(now, reactor, id, tag)).collect()
+    }
+
     /// Takes a request back of which no byte has left, as if it had never been handed in; nothing for one that began to
     /// leave. Others on its connection are not touched.
     fn take_back(&mut self, now: Micros, reactor: &mut Reactor, id: Id, tag: Tag) -> Option<TaskEnd> {
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -38,8 +38,14 @@
 impl Turns {
     /// For a loop that starts now, before workers whose drains have this grace.
     pub(crate) fn new(now: Micros, drain_grace: Micros) -> Self {
-        let old_after = if drain_grace.0 > 0 { Micros(drain_grace.0 / OLD_NEWS.0) } else { OLD_NEWS.1 };
-        Turns { decided: now, old_after, looked: false }
+        let mut turns = Turns { decided: now, old_after: OLD_NEWS.1, looked: false };
+        turns.graced(drain_grace);
+        turns
+    }
+
+    /// The drains of the workers have this grace from now on.
+    pub(crate) fn graced(&mut self, drain_grace: Micros) {
+        self.old_after = if drain_grace.0 > 0 { Micros(drain_grace.0 / OLD_NEWS.0) } else { OLD_NEWS.1 };
     }
 
     /// Writes what the turn before decided, unless that is old news, and waits at most for `wait`.
--- /dev/null
+++ b/crates/gateway/tests/agreed.rs
@@ -0,0 +1,348 @@
+//! Gateways that act by documents, over sockets: changes under calls, a registry that is away, a process that stood still.
+
+mod support;
+
+use serde_json::{json, Value};
+use slatevalve_worker_wire::Reply;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use support::*;
+
+const COMMON: &str = r#"
+(class "quote" (effect safe) (aim-ms 1000) (deadline-ms 5000))
+(route "quote/+" (class "quote") (function "{2}"))
+(route "charge/+" (class "charge") (function "{2}"))
+"#;
+const UNSAFE: &str = r#"(class "charge" (effect unsafe) (aim-ms 1000) (deadline-ms 5000))"#;
+const KEYED: &str =
+    r#"(class "charge" (effect keyed (group all) (window-ms 9000)) (aim-ms 1000) (deadline-ms 5000))"#;
+
+struct Fleet {
+    registry: Process,
+    directory: tempfile::TempDir,
+    workers: Vec<(String, SocketAddr)>,
+    doubt: &'static str,
+}
+
+/// A gateway that acts by the fleet's documents.
+struct Router {
+    process: Process,
+    log: PathBuf,
+}
+
+impl Router {
+    fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Fleet {
+    fn start(doubt: &'static str, workers: &[(&str, &Worker)]) -> Self {
+        let workers = workers.iter().map(|(name, w)| (name.to_string(), w.address)).collect();
+        let registry = Process::start(&["kv"], None);
+        Fleet { registry, directory: tempfile::tempdir().unwrap(), workers, doubt }
+    }
+
+    fn settings(&self, more: &[&str]) -> (Option<i32>, Value) {
+        let address = self.registry.address.to_string();
+        let output = command(&[&["settings", "--json", "--registry", &address], more].concat());
+        (output.status.code(), serde_json::from_slice(&output.stdout).unwrap_or(Value::Null))
+    }
+
+    /// Publishes a document of these forms, and gives the exit code.
+    fn publish(&self, forms: &str, wait_s: &str) -> Option<i32> {
+        let workers = self.workers.iter().map(|(n, a)| format!("(worker \"{n}\" (address \"{a}\"))"));
+        let agreement = format!("(agreement (right-ms 600) (in-doubt {}))", self.doubt);
+        let text = format!("{forms}{COMMON}{}{agreement}", workers.collect::<String>());
+        let path = self.directory.path().join("document.scm");
+        std::fs::write(&path, text).unwrap();
+        self.settings(&["publish", path.to_str().unwrap(), "--why", "test", "--wait-s", wait_s]).0
+    }
+
+    /// The documents that a router has said it acts by.
+    fn acts_by(&self, name: &str) -> Vec<Value> {
+        let rows = self.settings(&["status"]).1["routers"].clone();
+        let rows = rows.as_array().cloned().unwrap_or_default();
+        rows.into_iter().filter(|r| r["router"] == name).map(|r| r["acts-by"].clone()).collect()
+    }
+
+    fn router(&self, name: &str) -> Router {
+        let file = self.directory.path().join(format!("{name}.scm"));
+        let (log, lives) = (
+            self.directory.path().join(format!("{name}.log")),
+            self.directory.path().join(format!("{name}.lives")),
+        );
+        let own = format!(
+            "(gateway (name \"{name}\")) (mqtt (listen \"127.0.0.1:0\"))\n(agreed (registry \"{}\") (lives \"{}\") (timeout-ms 500) (look-ms 200))",
+            self.registry.address,
+            lives.display()
+        );
+        std::fs::write(&file, own).unwrap();
+        Router { process: Process::start(&["run", path(&file)], Some(&log)), log }
+    }
+}
+
+fn path(path: &Path) -> &str {
+    path.to_str().unwrap()
+}
+
+fn honest() -> Worker {
+    Worker::start(|call, _| Act::Answer(Reply::Served { payload: call.payload.clone(), ran: None }))
+}
+
+#[test]
+fn a_document_replaces_another_under_calls_without_a_restart() {
+    let worker = honest();
+    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    assert_eq!(fleet.publish(UNSAFE, "5"), Some(0));
+    let routers = ["a", "b"].map(|name| fleet.router(name));
+    let mut clients = routers.each_ref().map(|r| Client::connect(r.process.address, "c", false));
+    for (n, client) in clients.iter_mut().enumerate() {
+        let heard = client.call("charge/visa", 1, Some(&format!("k{n}")), "c");
+        assert_eq!(heard.outcome, "served", "{heard:?} {}", routers[n].log());
+    }
+    // Charges go on while ten documents follow each other.
+    for round in 0..10 {
+        let window = 9_000 + round;
+        let forms = if round % 2 == 0 { KEYED.replace("9000", &window.to_string()) } else { UNSAFE.into() };
+        for (n, client) in clients.iter_mut().enumerate() {
+            for call in 0..5u16 {
+                let key = format!("r{round}-{n}-{call}");
+                client.publish("charge/visa", 10 + round * 10 + call, Some(&key), &key, false);
+            }
+        }
+        assert_eq!(fleet.publish(&forms, "20"), Some(0), "{}", routers[0].log());
+        for client in &mut clients {
+            for _ in 0..5 {
+                assert_eq!(client.answer().outcome, "served");
+            }
+        }
+    }
+    let mut payloads = worker.payloads();
+    let all = payloads.len();
+    payloads.sort();
+    payloads.dedup();
+    assert_eq!((payloads.len(), all), (101, 102), "each once; two clients share the first name");
+    for name in ["a", "b"] {
+        until("both to act by the last document alone", || fleet.acts_by(name) == [json!([11])]);
+    }
+}
+
+#[test]
+fn a_topic_on_which_documents_differ_is_refused_until_the_change_is_committed() {
+    let worker = honest();
+    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    fleet.publish(UNSAFE, "5");
+    let (gone, router) = (fleet.router("gone"), fleet.router("a"));
+    let mut client = Client::connect(router.process.address, "c", false);
+    // One router stands still: the change is prepared and waits for it.
+    gone.process.signal("STOP");
+    let moved = format!("{UNSAFE}(route \"charge/visa\" (class \"quote\") (function \"visa\"))");
+    assert_eq!(fleet.publish(&moved, "0"), Some(3));
+    until("the router to act by both", || fleet.acts_by("a") == [json!([1, 2])]);
+    let heard = client.call("charge/visa", 1, Some("k1"), "c");
+    assert_eq!(
+        (heard.outcome.as_str(), heard.reason.as_deref()),
+        ("refused", Some("not sent: the settings of this topic are being changed"))
+    );
+    assert_eq!(client.call("charge/other", 2, Some("k2"), "c").outcome, "served");
+    assert_eq!(client.call("quote/fare", 3, None, "q").outcome, "served");
+    assert_eq!(
+        fleet.settings(&["drive", "--wait-s", "1"]),
+        (Some(3), json!({"committed": false, "awaited": ["gone"]}))
+    );
+    gone.process.signal("CONT");
+    assert_eq!(fleet.settings(&["drive"]).0, Some(0));
+    until("the router to act by the new one", || fleet.acts_by("a") == [json!([2])]);
+    assert_eq!(client.call("charge/visa", 4, None, "q").outcome, "served", "it is a quote now");
+}
+
+#[test]
+fn a_router_that_stood_still_sends_nothing_by_a_right_that_ended() {
+    let worker = honest();
+    let fleet = Fleet::start("give-up", &[("w", &worker)]);
+    fleet.publish(UNSAFE, "5");
+    let router = fleet.router("a");
+    let mut client = Client::connect(router.process.address, "c", false);
+    assert_eq!(client.call("charge/visa", 1, Some("k1"), "first").outcome, "served");
+    router.process.signal("STOP");
+    client.publish("charge/visa", 2, Some("k2"), "late", false);
+    assert_eq!(fleet.publish(KEYED, "20"), Some(0), "the change goes on without it");
+    // The registry is away when it wakes, so that it cannot have a new right.
+    fleet.registry.signal("STOP");
+    router.process.signal("CONT");
+    let heard = client.answer();
+    let reason = heard.reason.unwrap_or_default();
+    assert!(heard.outcome == "refused" && reason.starts_with("not sent"), "{reason} {}", router.log());
+    assert_eq!(client.call("quote/fare", 3, None, "q").outcome, "served", "safe calls are served in doubt");
+    assert_eq!(worker.payloads().iter().filter(|p| *p != "q").count(), 1);
+    fleet.registry.signal("CONT");
+    until("a new right", || client.call("charge/visa", 4, Some("k3"), "again").outcome == "served");
+    assert_eq!(fleet.acts_by("a"), [json!([2])]);
+}
+
+#[test]
+fn a_registry_that_is_away_costs_no_call_where_routers_go_on() {
+    let worker = honest();
+    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    fleet.publish(UNSAFE, "5");
+    let router = fleet.router("a");
+    let mut client = Client::connect(router.process.address, "c", false);
+    fleet.registry.signal("STOP");
+    // Longer than two rights.
+    std::thread::sleep(Duration::from_millis(1_500));
+    for n in 0..5u16 {
+        assert_eq!(client.call("charge/visa", n + 1, Some(&format!("k{n}")), "c").outcome, "served");
+    }
+    fleet.registry.signal("CONT");
+    assert_eq!(fleet.publish(KEYED, "20"), Some(0));
+}
+
+#[test]
+fn a_router_that_was_killed_and_is_back_takes_its_old_right_out_and_one_that_leaves_too() {
+    let worker = honest();
+    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    fleet.publish(UNSAFE, "5");
+    let killed = fleet.router("a");
+    drop(killed);
+    assert_eq!(fleet.acts_by("a"), [json!([1])], "a dead router's right stays");
+    assert_eq!(fleet.publish(KEYED, "0"), Some(3));
+    // It starts in the middle of the change.
+    let mut router = fleet.router("a");
+    assert_eq!(fleet.settings(&["drive"]).0, Some(0), "{}", router.log());
+    until("one right of one life", || fleet.acts_by("a") == [json!([2])]);
+    // A second process under the same name and file cannot start.
+    let file = fleet.directory.path().join("a.scm");
+    let output = command(&["run", path(&file)]);
+    assert!(String::from_utf8_lossy(&output.stderr).contains("another process that lives holds it"));
+    router.process.signal("TERM");
+    assert_eq!(router.process.wait(), Some(0));
+    assert_eq!(fleet.acts_by("a"), Vec::<Value>::new());
+}
+
+#[test]
+fn a_document_that_a_router_cannot_carry_out_is_not_said_yes_to_and_it_is_named() {
+    let worker = honest();
+    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    fleet.publish(UNSAFE, "5");
+    let router = fleet.router("a");
+    // Its own file has a list of workers from elsewhere only in another life; here it is put in by hand, as an older program
+    // would read what it does not know.
+    let reading = fleet.settings(&["status"]).1;
+    assert_eq!(reading["committed"]["number"], 1);
+    let text = format!("{KEYED}{COMMON}(of-a-later-program 1)");
+    let digest = slatevalve_agreement::Document::digest_of(&text);
+    let document = json!({"number": 2, "parent": 1, "digest": digest, "text": text, "who": "op", "why": "later",
+        "doubt": "go-on", "right_us": 600_000});
+    let edition = |n: u64, digest: &Value| json!({"number": n, "digest": digest});
+    let state = json!({"step": 2, "last": 2, "stance": {"committed": edition(1, &reading["committed"]["digest"]),
+        "prepared": edition(2, &json!(digest))}});
+    for (key, value) in [("documents/0000000002", document), ("state", state)] {
+        let bytes = |text: &str| serde_json::to_value(slatevalve_registry::wire::Bytes::of(text)).unwrap();
+        let (key, value) = (bytes(&format!("/slatevalve/agreement/{key}")), bytes(&value.to_string()));
+        ask_registry(&fleet.registry.address.to_string(), "/v3/kv/put", &json!({"key": key, "value": value}));
+    }
+    until("it to say why", || router.log().contains("(of-a-later-program ...) is not known here"));
+    let (code, told) = fleet.settings(&["drive", "--wait-s", "1"]);
+    assert_eq!((code, told["awaited"].clone()), (Some(3), json!(["a"])));
+    let mut client = Client::connect(router.process.address, "c", false);
+    assert_eq!(client.call("charge/visa", 1, Some("k"), "c").outcome, "served", "it goes on by what it has");
+    assert_eq!(fleet.settings(&["rollback"]).1, json!({"withdrawn": true}));
+    assert_eq!(fleet.publish(KEYED, "20"), Some(0), "{}", router.log());
+}
+
+/// A router's reading of documents, without a router.
+struct Reader(slatevalve_gateway::settings::Agreed);
+
+impl Reader {
+    fn new() -> Self {
+        let directory = tempfile::tempdir().unwrap();
+        let file = directory.path().join("own.scm");
+        std::fs::write(
+            &file,
+            "(gateway (name \"g\")) (mqtt (listen \"127.0.0.1:0\")) (agreed (registry \"127.0.0.1:1\"))",
+        )
+        .unwrap();
+        Reader(slatevalve_gateway::settings::Agreed::read(&file).unwrap().unwrap().1)
+    }
+
+    fn site(&mut self, texts: &[&str], open: &[usize]) -> slatevalve_gateway::settings::Site {
+        let document = |(n, text): (usize, &&str)| {
+            let (text, digest, who, why) =
+                (format!("{text}{COMMON}"), String::new(), String::new(), String::new());
+            let (number, doubt, right_us) = (n as u64 + 1, slatevalve_agreement::Doubt::GoOn, 1);
+            slatevalve_agreement::Document { number, parent: 0, digest, text, who, why, doubt, right_us }
+        };
+        let documents: Vec<_> = texts.iter().enumerate().map(document).collect();
+        let open = open.iter().map(|c| slatevalve::ClassId(*c)).collect();
+        let clock = slatevalve_gateway::clock::Clock::start();
+        self.0.site(&documents.iter().collect::<Vec<_>>(), &open, &clock).unwrap()
+    }
+}
+
+/// The place of the class of charges, its effect, and the effect of every place of that name.
+fn charge(site: &slatevalve_gateway::settings::Site) -> (usize, slatevalve::Effect, Vec<slatevalve::Effect>) {
+    let place = site.front.routes.find("charge/visa").unwrap().class.0;
+    let effect = |at: usize| site.engine.module.classes[at].effect;
+    let named = site.classes.iter().enumerate().filter(|(_, name)| *name == "charge");
+    (place, effect(place), named.map(|(at, _)| effect(at)).collect())
+}
+
+#[test]
+fn a_class_gets_another_place_only_where_open_calls_would_be_loosened() {
+    use slatevalve::{Effect, Group, Micros};
+    let keyed = Effect::Keyed { group: Group::All, memory: Micros(9_000_000) };
+    let mut reader = Reader::new();
+    let (first, effect, _) = charge(&reader.site(&[UNSAFE], &[]));
+    assert_eq!(effect, Effect::Unsafe);
+    // Nothing is open: it becomes looser in its place, and stricter in the meet and after it.
+    assert_eq!(charge(&reader.site(&[KEYED], &[])), (first, keyed, vec![keyed]));
+    assert_eq!(
+        charge(&reader.site(&[KEYED, UNSAFE], &[first])),
+        (first, Effect::Unsafe, vec![Effect::Unsafe])
+    );
+    assert_eq!(charge(&reader.site(&[UNSAFE], &[first])).0, first);
+    // Calls are open: what is looser is for those that come.
+    let site = reader.site(&[KEYED], &[first]);
+    let (second, effect, all) = charge(&site);
+    assert!(second != first && effect == keyed && all.contains(&Effect::Unsafe) && all.len() == 2);
+    assert_eq!(site.engine.key_spaces[first], site.engine.key_spaces[second], "the keys are the same");
+    assert_ne!(
+        site.engine.key_spaces[first],
+        site.engine.key_spaces[site.front.routes.find("quote/x").unwrap().class.0]
+    );
+    // Open calls of the earlier place become stricter with the class, never looser.
+    let shorter = KEYED.replace("9000", "4000");
+    let (third, _, _) = charge(&reader.site(&[&shorter], &[first, second]));
+    assert_eq!(third, second);
+    let all = charge(&reader.site(&[UNSAFE], &[first, second])).2;
+    assert_eq!(all, vec![Effect::Unsafe; 2]);
+    // A place that nobody has calls in is used again: places do not grow with the number of changes.
+    for _ in 0..50 {
+        let at = charge(&reader.site(&[UNSAFE], &[])).0;
+        let site = reader.site(&[KEYED], &[at]);
+        assert!(site.classes.len() <= 4, "{:?}", site.classes);
+    }
+}
+
+#[test]
+fn the_rules_of_two_documents_are_the_strictest_of_both() {
+    let one = format!("{UNSAFE}(limits (max-attempts 2)) (rules (drain-grace-ms 300)) (worker \"w\" (address \"127.0.0.1:1\") (cell 1))
+        (loading (ration (window-ms 1000) (free 5) (share 0.5)))");
+    let two = format!("{KEYED}(limits (max-attempts 5)) (rules (drain-grace-ms 200)) (worker \"w\" (address \"127.0.0.1:1\") (cell 2))
+        (worker \"new\" (address \"127.0.0.1:2\")) (loading (ration (window-ms 2000) (free 9) (share 0.1)))");
+    let site = Reader::new().site(&[&one, &two], &[]);
+    let module = &site.engine.module;
+    assert_eq!((module.limits.max_attempts, module.rules.drain_grace.0), (2, 200_000));
+    let loading = &module.loading;
+    assert_eq!((loading.ration_window.0, loading.ration_free, loading.ration_share), (2_000_000, 5.0, 0.1));
+    let states: Vec<_> = site.workers.iter().map(|w| w.entry.state).collect();
+    assert_eq!(
+        states,
+        [slatevalve::WorkerState::Draining; 2],
+        "where one is and whether the other is there is in doubt"
+    );
+    let after = Reader::new().site(&[&two], &[]);
+    assert!(after.workers.iter().all(|w| w.entry.state == slatevalve::WorkerState::Ready));
+}
--- a/crates/mqtt/src/front.rs
+++ b/crates/mqtt/src/front.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Takes other routes; they count for publishes that come from now on.
+    pub fn take_routes(&mut self, routes: Routes) {
+        self.settings.routes = routes;
+    }
+
     /// A client connected.
     pub fn opened(&mut self, now: Micros, id: LinkId) {
         let size = self.settings.max_packet;
--- a/crates/mqtt/src/intake.rs
+++ b/crates/mqtt/src/intake.rs
@@ -105,7 +105,13 @@
     client_id: Option<&str>,
     publish: &Inbound,
 ) -> Result<Result<Asked, Reason>, Rejection> {
-    let route = routes.find(&publish.topic).ok_or(Rejection::NoRoute)?;
+    let Some(route) = routes.find(&publish.topic) else {
+        return if routes.is_known(&publish.topic) {
+            Ok(Err(Reason::InChange))
+        } else {
+            Err(Rejection::NoRoute)
+        };
+    };
     let (mut response_topic, mut correlation, mut expiry) = (None, None, None);
     let (mut key, mut budget, mut repeat) = (None, None, publish.dup);
     for property in &publish.properties {
--- a/crates/mqtt/src/routes.rs
+++ b/crates/mqtt/src/routes.rs
@@ -2,7 +2,7 @@
 
 use crate::topics::{Template, TopicFilter};
 use slatevalve::{ClassId, TenantId};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 
 /// One route; the first whose filter matches a topic takes it.
@@ -42,6 +42,12 @@
 impl std::error::Error for RouteError {}
 
 impl Route {
+    /// Whether it does the same with a topic as another one.
+    pub fn does_as(&self, other: &Route) -> bool {
+        (self.class, &self.tenant, &self.function, &self.key)
+            == (other.class, &other.tenant, &other.function, &other.key)
+    }
+
     /// Checks that each matching topic has all levels that are asked for.
     ///
     /// # Errors
@@ -62,13 +68,28 @@
 pub struct Routes {
     /// In the order in which they are tried.
     pub routes: Vec<Route>,
+    /// Other lists that must agree: a topic is taken only where the first route that matches it in each gives it to the same
+    /// class, and the same function, tenant and key of it. Empty but while one list replaces another.
+    pub others: Vec<Vec<Route>>,
+    /// Classes of which only the class must agree: their calls are safe.
+    pub safe: BTreeSet<ClassId>,
     /// The site's tenants.
     pub tenants: HashMap<String, TenantId>,
 }
 
 impl Routes {
+    /// Whether any of the lists has a route for a topic.
+    pub fn is_known(&self, topic: &str) -> bool {
+        std::iter::once(&self.routes).chain(&self.others).flatten().any(|r| r.filter.matches(topic))
+    }
+
     /// The first route that takes a topic.
     pub fn find(&self, topic: &str) -> Option<&Route> {
-        self.routes.iter().find(|r| r.filter.matches(topic))
+        let first = |list: &'_ [Route]| list.iter().position(|r| r.filter.matches(topic));
+        let route = &self.routes[first(&self.routes)?];
+        let safe = self.safe.contains(&route.class);
+        let same = |r: &Route| if safe { r.class == route.class } else { r.does_as(route) };
+        let agrees = |list: &Vec<Route>| first(list).is_some_and(|at| same(&list[at]));
+        self.others.iter().all(agrees).then_some(route)
     }
 }
--- a/crates/mqtt/tests/bridge.rs
+++ b/crates/mqtt/tests/bridge.rs
@@ -32,7 +32,7 @@
             function: Template::parse("{2}").unwrap(),
             key: None,
         };
-        let routes = Routes { routes: vec![route], tenants: Default::default() };
+        let routes = Routes { routes: vec![route], ..Routes::default() };
         let settings = BridgeSettings { routes, group: Some("g".into()), ..BridgeSettings::default() };
         let (heard, sent, calls) = (Vec::new(), Vec::new(), Vec::new());
         let broker = Connection::new(Version::V5_0);
--- a/crates/mqtt/tests/front.rs
+++ b/crates/mqtt/tests/front.rs
@@ -38,7 +38,7 @@
     let routes =
         vec![route("quote/+", 0, None), route("charge/+", 1, None), route("old/+/+", 1, Some("{3}"))];
     FrontSettings {
-        routes: Routes { routes, tenants: Default::default() },
+        routes: Routes { routes, ..Routes::default() },
         max_packet: 2_000,
         receive_maximum: u16::MAX,
         session_quota: 4,
