Attempts and answers tell their settings' numbers, and a rule checks them at the workers

Change: X-Settings on attempts, the user property `settings` in answers, `settings` in the trace. crates/rules has a rule of agreement: nothing keyed or unsafe by documents that a contradicting newer one overtook, later than the bound. Stand-in workers turn such calls away on `--refuse-overtaken-ms`. A rehearsal test: three routers, two workers with taps, six changes, one router stopped through three of them and woken without a registry, one killed.

--- a/crates/gateway/src/badday/day.rs
+++ b/crates/gateway/src/badday/day.rs
@@ -436,6 +436,7 @@
             ration_window_us: module.loading.ration_window.0,
             ration_free: module.loading.ration_free,
             ration_share: module.loading.ration_share,
+            settings: None,
         }
     }
 }
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -211,6 +211,9 @@
     /// Everything as JSON, with faults; the other options are passed by
     #[arg(long, hide = true)]
     plan: Option<String>,
+    /// Turn calls away that are sent by settings documents which were overtaken for longer than this
+    #[arg(long)]
+    refuse_overtaken_ms: Option<u32>,
 }
 
 /// Runs the command line of this process.
@@ -336,6 +339,7 @@
                 ..ServicePlan::default()
             },
             trace: arguments.trace,
+            refuse_overtaken_us: arguments.refuse_overtaken_ms.map(|ms| i64::from(ms) * 1_000),
             register: (!arguments.registry.is_empty()).then(|| RegisterPlan {
                 endpoints: arguments.registry,
                 prefix: arguments.prefix,
--- a/crates/gateway/src/settings/agreed.rs
+++ b/crates/gateway/src/settings/agreed.rs
@@ -143,6 +143,9 @@
         let others: Vec<Site> = read.into_iter().map(|s| s.site).collect();
         strictest(&mut site, &others, &terms);
         self.named = named;
+        site.documents = documents.iter().map(|d| d.number).collect();
+        let numbers: Vec<String> = site.documents.iter().map(u64::to_string).collect();
+        site.front.documents = Some(numbers.join(","));
         self.place(&mut site, others, open);
         Ok(site)
     }
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -79,6 +79,8 @@
     pub named: Named,
     /// The tenants' names, in the order of their ids.
     pub tenants: Vec<String>,
+    /// Numbers of the settings documents that this is of; none for a file.
+    pub documents: Vec<u64>,
 }
 
 /// Names that become places in lists, in the order in which they appear.
@@ -211,6 +213,7 @@
             zone: zone_name,
             named,
             tenants,
+            documents: Vec::new(),
         })
     }
 }
@@ -266,6 +269,7 @@
     let front = FrontSettings {
         number: 1,
         routes,
+        documents: None,
         max_packet: mqtt.or("max-packet", u64::from(base.max_packet), |f| f.whole(256 * 1024 * 1024))? as u32,
         receive_maximum: mqtt.or("receive-maximum", u64::from(base.receive_maximum), |f| f.whole(65_535))?
             as u16,
--- a/crates/gateway/src/shell/agreement.rs
+++ b/crates/gateway/src/shell/agreement.rs
@@ -397,7 +397,8 @@
         let Some(agreement) = &mut self.agreement else { return };
         let open = self.engine.open_classes();
         let Some(mut site) = agreement.advance(now, &mut self.reactor, &open, &self.clock) else { return };
-        self.front.take_routes(site.front.routes.clone());
+        self.front.take_routes(site.front.routes.clone(), site.front.documents.clone());
+        self.pool.sends_by(&site.documents);
         self.engine.settle(site.engine.clone());
         // What a gateway is told at its start alone stays; the number of routers is told by itself.
         site.listen = self.site.listen;
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -183,6 +183,7 @@
             to_bridge: Vec::new(),
             site,
         };
+        shell.pool.sends_by(&shell.site.documents);
         if shell.source.is_none() {
             let workers = shell.site.workers.clone();
             shell.take_list(Scope::Full, &workers);
--- a/crates/gateway/src/shell/pool.rs
+++ b/crates/gateway/src/shell/pool.rs
@@ -106,6 +106,8 @@
     settings: PoolSettings,
     wire: Box<dyn Wire>,
     order_timeout: Micros,
+    /// Numbers of the settings documents that attempts are sent by.
+    documents: Vec<u64>,
     peers: BTreeMap<WorkerId, Peer>,
     connections: HashMap<Id, Connection>,
     attempts: HashMap<AttemptRef, (Id, Tag)>,
@@ -131,6 +133,7 @@
             settings,
             wire,
             order_timeout,
+            documents: Vec::new(),
             peers: BTreeMap::new(),
             connections: HashMap::new(),
             attempts: HashMap::new(),
@@ -138,6 +141,11 @@
         }
     }
 
+    /// Attempts are sent by these settings documents from now on, and tell so.
+    pub fn sends_by(&mut self, documents: &[u64]) {
+        self.documents = documents.to_vec();
+    }
+
     /// Notes where a worker is reached. A worker that moved is reached at its new address from now on; then it gives true,
     /// and what waits to be sent to the old one is to be held back.
     pub fn list(&mut self, reactor: &mut Reactor, worker: WorkerId, name: &str, address: SocketAddr) -> bool {
@@ -263,7 +271,7 @@
                 (
                     worker,
                     Purpose::Attempt(attempt),
-                    Order::Infer(worker_call(classes, attempt, &body, time_left)),
+                    Order::Infer(worker_call(classes, &self.documents, attempt, &body, time_left)),
                 )
             }
             Output::Load { worker, function, name, copies } => {
@@ -687,7 +695,13 @@
 }
 
 /// A call in the workers' terms, under the client's own id where it has one.
-fn worker_call(classes: &[String], attempt: AttemptRef, body: &RunBody, time_left: Micros) -> Call {
+fn worker_call(
+    classes: &[String],
+    settings: &[u64],
+    attempt: AttemptRef,
+    body: &RunBody,
+    time_left: Micros,
+) -> Call {
     let id = body.request_id.as_deref();
     Call {
         function: body.function.to_string(),
@@ -698,5 +712,6 @@
         attempt: attempt.attempt,
         time_left_ms: (time_left.0 / 1_000).max(0) as u64,
         class: classes.get(body.class.0).cloned().unwrap_or_default(),
+        settings: settings.to_vec(),
     }
 }
--- a/crates/gateway/src/shell/pool/tests.rs
+++ b/crates/gateway/src/shell/pool/tests.rs
@@ -53,6 +53,7 @@
             attempt: 0,
             time_left_ms: 1_000,
             class: "card-charge".into(),
+            settings: Vec::new(),
         });
         let end = self.pool.submit(Micros(0), &mut self.reactor, WORKER, Purpose::Attempt(attempt), order);
         assert!(end.is_none(), "it begins");
--- a/crates/gateway/tests/agreed.rs
+++ b/crates/gateway/tests/agreed.rs
@@ -155,7 +155,12 @@
     gone.process.signal("CONT");
     assert_eq!(fleet.settings(&["drive"]).0, Some(0));
     until("the router to act by the new one", || fleet.acts_by("a") == [json!([2])]);
-    assert_eq!(client.call("charge/visa", 4, None, "q").outcome, "served", "it is a quote now");
+    let heard = client.call("charge/visa", 4, None, "q");
+    assert_eq!(
+        (heard.outcome.as_str(), heard.settings.as_deref()),
+        ("served", Some("2")),
+        "it is a quote now"
+    );
 }
 
 #[test]
@@ -252,6 +257,85 @@
     assert_eq!(fleet.publish(KEYED, "20"), Some(0), "{}", router.log());
 }
 
+/// Terms by which charges are checked, all documents up to `last` contradicting each other.
+fn terms(last: u64) -> slatevalve_rules::Terms {
+    use slatevalve_rules::*;
+    let class = |effect| ClassTerms { effect, aim_us: 1, worth: 1.0, late_worth: 1.0 };
+    let classes = [("quote", EffectTerms::Safe), ("charge", EffectTerms::Unsafe)];
+    let contradict = (1..=last).flat_map(|a| (a + 1..=last).map(move |b| (a, b))).collect();
+    Terms {
+        classes: classes.map(|(name, effect)| (name.to_string(), class(effect))).into(),
+        workers: Default::default(),
+        answer_slack_us: 0,
+        drain_grace_us: 1,
+        fall_multiple: 1e9,
+        fall_window_us: 1,
+        ration_window_us: 0,
+        ration_free: 0.0,
+        ration_share: 0.0,
+        settings: Some(SettingsTerms { contradict, bound_us: 1_000_000 }),
+    }
+}
+
+#[test]
+fn nothing_that_workers_saw_contradicts_through_changes_while_routers_stand_still_and_are_killed() {
+    let directory = tempfile::tempdir().unwrap();
+    let trace = |name: &str| directory.path().join(format!("{name}.trace"));
+    let worker = |name: &str| {
+        Process::start(
+            &["worker", "--name", name, "--load-on-call", "--load-ms", "1", "--trace", path(&trace(name))],
+            None,
+        )
+    };
+    let workers = ["w1", "w2"].map(worker);
+    let mut fleet = Fleet::start("give-up", &[]);
+    fleet.workers = workers.iter().zip(["w1", "w2"]).map(|(w, n)| (n.to_string(), w.address)).collect();
+    assert_eq!(fleet.publish(UNSAFE, "5"), Some(0));
+    let mut routers = ["a", "b", "c"].map(|name| Some(fleet.router(name)));
+    let mut clients =
+        routers.each_ref().map(|r| Client::connect(r.as_ref().unwrap().process.address, "c", false));
+    let mut asked = [0u16; 3];
+    for round in 0..6u16 {
+        for (n, client) in clients.iter_mut().enumerate().filter(|(n, _)| routers[*n].is_some()) {
+            for _ in 0..8 {
+                asked[n] += 1;
+                let name = format!("call={n}-{} work-us=1000", asked[n]);
+                client.publish("charge/visa", asked[n], Some(&format!("k{n}-{}", asked[n])), &name, false);
+            }
+        }
+        match round {
+            1 => routers[2].as_ref().unwrap().process.signal("STOP"),
+            3 => {
+                // It stood still for longer than the bound, with charges that wait for it; what it asks now has no answer.
+                std::thread::sleep(Duration::from_millis(1_200));
+                fleet.registry.signal("STOP");
+                routers[2].as_ref().unwrap().process.signal("CONT");
+                std::thread::sleep(Duration::from_millis(100));
+                fleet.registry.signal("CONT");
+            }
+            4 => routers[1] = None,
+            _ => {}
+        }
+        let forms = KEYED.replace("9000", &(9_000 + round).to_string());
+        assert_eq!(fleet.publish(&forms, "20"), Some(0), "round {round}");
+    }
+    let mut refused = 0;
+    for n in [0, 2] {
+        for _ in 0..asked[n] {
+            let heard = clients[n].answer();
+            assert!(heard.outcome == "served" || heard.outcome == "refused", "{heard:?}");
+            refused += usize::from(heard.reason.is_some_and(|r| r.starts_with("not sent")));
+        }
+    }
+    assert!(refused > 0, "what came while the router stood still was refused");
+    let text: String = ["w1", "w2"].iter().map(|n| std::fs::read_to_string(trace(n)).unwrap()).collect();
+    let lines = slatevalve_rules::trace::read(&text).unwrap();
+    let found = slatevalve_rules::check(&terms(7), &lines);
+    assert_eq!(found, [], "seen at the workers");
+    let by_last = |l: &slatevalve_rules::trace::Line| matches!(&l.seen, slatevalve_rules::trace::Seen::Received { settings, .. } if settings.contains(&6));
+    assert!(lines.iter().any(by_last), "attempts tell their documents");
+}
+
 /// A router's reading of documents, without a router.
 struct Reader(slatevalve_gateway::settings::Agreed);
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -364,6 +364,8 @@
     pub payload: String,
     pub recorded: bool,
     pub ran: Option<String>,
+    /// Numbers of the settings documents.
+    pub settings: Option<String>,
     pub call: String,
 }
 
@@ -433,6 +435,7 @@
             payload: String::from_utf8_lossy(publish.payload().as_slice()).into_owned(),
             recorded: told("recorded").is_some(),
             ran: told("ran"),
+            settings: told("settings"),
             call: call.unwrap_or_default(),
         }
     }
--- a/crates/mqtt/src/bridge.rs
+++ b/crates/mqtt/src/bridge.rs
@@ -470,7 +470,13 @@
     pub fn answer(&mut self, now: Micros, ticket: Ticket, answer: &Answer, out: &mut Vec<BridgeOutput>) {
         let Some(waiting) = self.waiting.remove(&ticket) else { return };
         if let Some(topic) = waiting.response_topic.filter(|t| crate::topics::is_topic_name(t)) {
-            self.outbox.push_back(Outbound::answer(topic, Qos::AtLeastOnce, waiting.correlation, answer));
+            self.outbox.push_back(Outbound::answer(
+                topic,
+                Qos::AtLeastOnce,
+                waiting.correlation,
+                answer,
+                None,
+            ));
         }
         self.settle(now, waiting.packet_id, ticket, out);
     }
--- a/crates/mqtt/src/front.rs
+++ b/crates/mqtt/src/front.rs
@@ -52,6 +52,8 @@
     pub number: u8,
     /// The routes.
     pub routes: Routes,
+    /// Numbers of the settings documents that the routes and classes are of; answers name them.
+    pub documents: Option<String>,
     /// Longest packet taken, in bytes.
     pub max_packet: u32,
     /// Publishes of one client that may be unacknowledged.
@@ -75,6 +77,7 @@
         FrontSettings {
             number: 1,
             routes: Routes::default(),
+            documents: None,
             max_packet: 1024 * 1024,
             receive_maximum: 256,
             topic_alias_maximum: 16,
@@ -147,9 +150,10 @@
         }
     }
 
-    /// Takes other routes; they count for publishes that come from now on.
-    pub fn take_routes(&mut self, routes: Routes) {
+    /// Takes other routes, which count for publishes that come from now on, and the numbers that answers name.
+    pub fn take_routes(&mut self, routes: Routes, documents: Option<String>) {
         self.settings.routes = routes;
+        self.settings.documents = documents;
     }
 
     /// A client connected.
@@ -200,7 +204,8 @@
         let Some(session) = self.sessions.get_mut(&client) else { return };
         let Some(waiting) = session.waiting.remove(&ticket) else { return };
         let topic = session.reply_topic(&waiting, answer.verdict.word());
-        session.outbox.push_back(Outbound::answer(topic, waiting.qos, waiting.correlation, answer));
+        let by = self.settings.documents.as_deref();
+        session.outbox.push_back(Outbound::answer(topic, waiting.qos, waiting.correlation, answer, by));
         self.pump(now, client, out);
     }
 
--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -94,7 +94,8 @@
         let answer =
             Answer { verdict: Verdict::Refused(reason), attempts: 0, recorded: false, version: None };
         let topic = session.reply_topic(&waiting, answer.verdict.word());
-        session.outbox.push_back(Outbound::answer(topic, waiting.qos, waiting.correlation, &answer));
+        let by = self.settings.documents.as_deref();
+        session.outbox.push_back(Outbound::answer(topic, waiting.qos, waiting.correlation, &answer, by));
         self.pump(now, client, out);
     }
 
--- a/crates/mqtt/src/packets.rs
+++ b/crates/mqtt/src/packets.rs
@@ -80,12 +80,19 @@
 
 impl Outbound {
     /// The message that tells an answer.
-    pub(crate) fn answer(topic: String, qos: Qos, correlation: Option<Vec<u8>>, answer: &Answer) -> Self {
+    pub(crate) fn answer(
+        topic: String,
+        qos: Qos,
+        correlation: Option<Vec<u8>>,
+        answer: &Answer,
+        settings: Option<&str>,
+    ) -> Self {
         let mut told = vec![("outcome", answer.verdict.word().to_string())];
         told.extend(answer.verdict.reason().map(|r| ("reason", r.words().to_string())));
         told.push(("attempts", answer.attempts.to_string()));
         told.extend(answer.version.iter().map(|v| ("version", v.name.to_string())));
         told.extend(answer.version.iter().map(|v| ("digest", v.digest.to_string())));
+        told.extend(settings.map(|s| ("settings", s.to_string())));
         if answer.recorded {
             told.push(("recorded", "true".into()));
         }
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod agreement;
 mod answers;
 mod cold;
 mod drains;
@@ -14,7 +15,7 @@
 mod terms;
 pub mod trace;
 
-pub use terms::{ClassTerms, EffectTerms, GroupTerms, Terms, WorkerTerms};
+pub use terms::{ClassTerms, EffectTerms, GroupTerms, SettingsTerms, Terms, WorkerTerms};
 
 use serde::Serialize;
 use trace::Line;
@@ -35,6 +36,8 @@
     Cold,
     /// 5: orders to load are rationed.
     Orders,
+    /// Beside the five: gateways do not act by settings that contradict each other for longer than stated.
+    Agreement,
 }
 
 /// A rule that was broken, and where the trace shows it.
@@ -58,6 +61,7 @@
     drains::check(terms, &sorted, &mut found);
     cold::check(terms, &sorted, &mut found);
     orders::check(terms, &sorted, &mut found);
+    agreement::check(terms, &sorted, &mut found);
     found.sort_by_key(|v| v.at_us);
     found
 }
--- a/crates/rules/src/terms.rs
+++ b/crates/rules/src/terms.rs
@@ -75,4 +75,16 @@
     pub ration_free: f64,
     /// Further orders for each call asked in the window.
     pub ration_share: f64,
+    /// Which settings documents must not be in use together, where gateways act by documents.
+    #[serde(default)]
+    pub settings: Option<SettingsTerms>,
+}
+
+/// Settings documents that contradict each other.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettingsTerms {
+    /// Pairs of their numbers, in either order.
+    pub contradict: Vec<(u64, u64)>,
+    /// An attempt by an overtaken document may come so long after the first one by what overtook it, in microseconds.
+    pub bound_us: i64,
 }
--- a/crates/rules/src/trace.rs
+++ b/crates/rules/src/trace.rs
@@ -73,6 +73,9 @@
         attempt: usize,
         /// Microseconds of work it brings on a warm lane.
         work_us: i64,
+        /// Numbers of the settings documents that it was sent by; none where the gateway has none.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        settings: Vec<u64>,
     },
     /// Worker: it said that a call never ran and never will.
     NeverRan {
--- a/crates/rules/tests/broken.rs
+++ b/crates/rules/tests/broken.rs
@@ -18,6 +18,7 @@
         ration_window_us: 1_000_000,
         ration_free: 2.0,
         ration_share: 0.5,
+        settings: None,
     }
 }
 
@@ -37,7 +38,11 @@
 
 fn received(at_us: i64, worker: &str, call: &str, class: &str, attempt: usize) -> Line {
     let (call, class, gateway) = (call.into(), class.into(), "g".into());
-    line(at_us, worker, Seen::Received { call, class, key: None, gateway, attempt, work_us: 100_000 })
+    line(
+        at_us,
+        worker,
+        Seen::Received { call, class, key: None, gateway, attempt, work_us: 100_000, settings: vec![] },
+    )
 }
 
 fn never_ran(at_us: i64, worker: &str, call: &str, attempt: usize) -> Line {
@@ -150,3 +155,42 @@
     assert_eq!(read(&format!("{good}\n{}", &good[..20])).unwrap().len(), 1);
     assert_eq!(read(&format!("{good}\n{}\n", &good[..20])).unwrap_err().line, 2);
 }
+
+/// An attempt of a charge by settings documents.
+fn by(at_us: i64, gateway: &str, class: &str, settings: &[u64]) -> Line {
+    let (call, class, gateway) = (format!("c{at_us}"), class.into(), gateway.into());
+    let (attempt, work_us, settings) = (0, 1, settings.to_vec());
+    line(at_us, "w1", Seen::Received { call, class, key: None, gateway, attempt, work_us, settings })
+}
+
+#[test]
+fn what_is_sent_by_overtaken_settings_that_contradict_is_caught_after_the_bound() {
+    let settings = SettingsTerms { contradict: vec![(2, 1), (2, 3)], bound_us: 1_000 };
+    let terms = Terms { settings: Some(settings), ..terms() };
+    let found = |lines: &[Line]| -> Vec<String> {
+        let found = check(&terms, lines).into_iter().filter(|v| v.rule == Rule::Agreement);
+        found.map(|v| v.what).collect()
+    };
+    let keeps = [
+        by(0, "a", "charge", &[1]),
+        by(100, "b", "charge", &[1, 2]),
+        by(9_000, "a", "charge", &[1]),
+        by(9_100, "a", "charge", &[2]),
+        by(10_000, "b", "charge", &[1]), // within the bound
+        by(90_000, "b", "charge", &[1, 2]),
+        by(90_001, "b", "quote", &[1]), // a safe call
+        by(90_002, "b", "charge", &[]), // a gateway without documents
+        by(91_000, "a", "charge", &[2, 3]),
+        by(92_000, "b", "charge", &[2]),
+    ];
+    assert_eq!(found(&keeps), [""; 0]);
+    let broken = [by(0, "a", "charge", &[2]), by(1_001, "b", "charge", &[1])];
+    assert_eq!(
+        found(&broken),
+        ["b sent c1001 by settings [1], 1001 us after a had sent by [2], which contradict them"]
+    );
+    let skipped = [by(0, "a", "charge", &[3]), by(5_000, "b", "booking", &[1, 2])];
+    assert_eq!(found(&skipped).len(), 1, "two that share no document, of which some contradict");
+    let third = [by(0, "a", "charge", &[3]), by(5_000, "b", "charge", &[1])];
+    assert_eq!(found(&third), [""; 0], "a change of worth contradicts nothing");
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod faults;
 mod kv;
+mod overtaken;
 mod registry;
 mod service;
 mod tap;
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::Entry;
 use crate::faults::{Fault, FaultKind, Faults};
+use crate::overtaken::Overtaken;
 use crate::service::{CallBody, Service, ServicePlan, Taken};
 use crate::tap::{unix_micros, Tap};
 use rand::{RngExt, SeedableRng};
@@ -37,6 +38,9 @@
     pub seed: u64,
     /// Where it registers itself, if it does.
     pub register: Option<RegisterPlan>,
+    /// Calls by settings documents that were overtaken for longer than this, in microseconds, are turned away.
+    #[serde(default)]
+    pub refuse_overtaken_us: Option<i64>,
 }
 
 /// How a stand-in worker registers itself. On SIGUSR1 it drains; on SIGTERM it drains, ends what it has, gives its lease
@@ -77,6 +81,7 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             service: ServicePlan::default(),
             faults: Vec::new(),
+            refuse_overtaken_us: None,
             trace: None,
             cold: false,
             seed: 1,
@@ -109,6 +114,7 @@
     tap: Tap,
     service: Service,
     faults: Faults,
+    overtaken: Overtaken,
     random: Pcg64Mcg,
     connections: HashMap<Id, MessageReader>,
     running: BTreeMap<u64, Running>,
@@ -138,6 +144,7 @@
         reactor,
         tap,
         service,
+        overtaken: Overtaken::new(plan.refuse_overtaken_us),
         faults: Faults::new(plan.faults),
         random: Pcg64Mcg::seed_from_u64(plan.seed),
         connections: HashMap::new(),
@@ -334,8 +341,12 @@
                 gateway: gateway.clone(),
                 attempt: call.attempt,
                 work_us,
+                settings: call.settings.clone(),
             },
         );
+        if self.overtaken.is_overtaken(now, &call.settings) {
+            return self.turn_away(id, gateway, &call, name, Reply::Full);
+        }
         let class_fault = |want: fn(&FaultKind) -> Option<&String>| {
             self.faults.now(now, |k| want(k).filter(|class| **class == call.class).map(|_| ())).is_some()
         };
--- a/crates/worker-wire/src/headers.rs
+++ b/crates/worker-wire/src/headers.rs
@@ -10,6 +10,8 @@
 pub const TIME_LEFT: &str = "X-Time-Left-Ms";
 /// Request: the class of the call.
 pub const CLASS: &str = "X-Class";
+/// Request: numbers of the settings documents that the call was sent by, with commas between; none where there are none.
+pub const SETTINGS: &str = "X-Settings";
 /// Request: the gateway that asks, for the worker's own logs.
 pub const GATEWAY: &str = "X-Gateway";
 /// Request and response: bytes of the JSON part before the binary tensors (binary-data extension).
--- a/crates/worker-wire/src/order.rs
+++ b/crates/worker-wire/src/order.rs
@@ -25,6 +25,8 @@
     pub time_left_ms: u64,
     /// The class's name.
     pub class: String,
+    /// The numbers of the settings documents that it is sent by; one, or two while a change is prepared, or none.
+    pub settings: Vec<u64>,
 }
 
 /// What the gateway asks of a worker.
@@ -153,6 +155,10 @@
                 put(headers::ATTEMPT, &call.attempt);
                 put(headers::TIME_LEFT, &call.time_left_ms);
                 put(headers::CLASS, &segment(&call.class));
+                if !call.settings.is_empty() {
+                    let numbers: Vec<String> = call.settings.iter().map(u64::to_string).collect();
+                    put(headers::SETTINGS, &numbers.join(","));
+                }
                 if let Some(key) = &call.key {
                     put(headers::KEY, &hex(key));
                 }
@@ -222,6 +228,9 @@
     }
 }
 
+/// Numbers of settings documents that are read of one call.
+const MOST_SETTINGS: usize = 8;
+
 fn call(function: String, version: Option<String>, message: Message) -> Result<Call, AskedError> {
     let head = message.head.clone();
     let text = |name: &'static str| head.header(name).and_then(unsegment).ok_or(AskedError::Header(name));
@@ -232,7 +241,12 @@
         None => None,
         Some(text) => Some(unhex(text).ok_or(AskedError::Header(headers::KEY))?),
     };
+    let settings: Option<Vec<u64>> = match head.header(headers::SETTINGS) {
+        None => Some(Vec::new()),
+        Some(text) => text.split(',').take(MOST_SETTINGS).map(|n| n.parse().ok()).collect(),
+    };
     Ok(Call {
+        settings: settings.ok_or(AskedError::Header(headers::SETTINGS))?,
         function,
         version,
         payload: tensor::unwrap("inputs", message).map_err(AskedError::Tensor)?,
@@ -267,10 +281,11 @@
             attempt: 2,
             time_left_ms: 900,
             class: "charge".into(),
+            settings: vec![7, 8],
         };
         let orders = [
             Order::Infer(call.clone()),
-            Order::Infer(Call { key: None, version: None, payload: Vec::new(), ..call }),
+            Order::Infer(Call { key: None, version: None, payload: Vec::new(), settings: vec![], ..call }),
             Order::Load { function: "a b".into(), copies: 3 },
             Order::Count { function: "a\"b".into() },
             Order::Unload { function: "a".into() },
@@ -296,5 +311,7 @@
         assert_eq!(read(text.as_bytes()), Err(AskedError::Tensor(TensorError::Shape)));
         let text = String::from_utf8_lossy(&good).replace("X-Attempt: 0", "X-Attempt: -1");
         assert_eq!(read(text.as_bytes()), Err(AskedError::Header(headers::ATTEMPT)));
+        let text = String::from_utf8_lossy(&good).replace("X-Attempt: 0", "X-Attempt: 0\r\nX-Settings: 1,");
+        assert_eq!(read(text.as_bytes()), Err(AskedError::Header(headers::SETTINGS)));
     }
 }
