--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -12,6 +12,7 @@
 mod document;
 mod driver;
 mod holder;
+mod patrol;
 mod terms;
 mod topics;
 
@@ -22,4 +23,5 @@
 };
 pub use driver::{Awaited, Driver, Next, Wait};
 pub use holder::{Ask, Holder, HolderSettings, May, Trouble};
+pub use patrol::Patrol;
 pub use terms::{Bound, Class, Need, Repeat, Route, Terms};
--- a/crates/gateway/src/commands/settings.rs
+++ b/crates/gateway/src/commands/settings.rs
@@ -24,8 +24,8 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-/// What waits is looked at again after this.
-const LOOK: Duration = Duration::from_millis(200);
+/// What waits is looked at again after this, at first and at most.
+const LOOK: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 /// A change is prepared and not committed.
 const WAITS: u8 = 3;
 
@@ -339,7 +339,7 @@
     /// Drives a change until it is committed, or time is up.
     fn drive(&mut self, wanted: Option<u64>, wait_s: f64) -> Outcome {
         let until = Instant::now() + Duration::from_secs_f64(wait_s.clamp(0.0, 86_400.0));
-        let (mut driver, mut shown) = (None, Vec::new());
+        let (mut driver, mut shown, mut wait) = (None, Vec::new(), LOOK.0);
         loop {
             let reading = self.read();
             let waits = match reading {
@@ -386,7 +386,8 @@
                 }
                 return Ok(ExitCode::from(WAITS));
             }
-            std::thread::sleep(LOOK);
+            std::thread::sleep(wait);
+            wait = (wait * 2).min(LOOK.1);
         }
     }
 
--- a/crates/gateway/src/settings/agreed.rs
+++ b/crates/gateway/src/settings/agreed.rs
@@ -117,6 +117,14 @@
         Ok(Some((settings, Agreed { own, named, places, current, spaces, tenants })))
     }
 
+    /// The rules of a document, and how far off its clocks may be; nothing where it cannot be read here.
+    pub fn terms(&self, document: &Document, clock: &Clock) -> Option<(Terms, i64)> {
+        let name = format!("document {}", document.number);
+        let shared =
+            SharedSettings::with_own(&name, &document.text, &self.own, clock, self.named.clone()).ok()?;
+        Some((shared.terms(), shared.clock_error_ppm))
+    }
+
     /// The settings by one document or, while a change is prepared, by two, the newer one last. Places that have open calls
     /// keep what these calls go by. Nothing is changed where it cannot be done.
     ///
--- a/crates/gateway/src/shell/agreement.rs
+++ b/crates/gateway/src/shell/agreement.rs
@@ -10,12 +10,13 @@
 use crate::settings::{Agreed, AgreedSettings, Site};
 use slatevalve::{ClassId, Micros, Scope};
 use slatevalve_agreement::{
-    Ask, Document, Edition, Entry, Holder, HolderSettings, Keys, May, Reading, State, Txn, TxnEnd,
+    Ask, Document, Driver, Edition, Entry, Holder, HolderSettings, Keys, May, Next, Patrol, Reading, Stance,
+    State, Terms, Txn, TxnEnd,
 };
 use slatevalve_reactor::{Happening, Reactor};
 use slatevalve_registry::wire::{
-    Bytes, Compare, DeleteRequest, PlainResponse, PutRequest, RangeRequest, RangeResponse, RequestOp,
-    TxnRequest, RANGE, TXN,
+    prefix_end, Bytes, Compare, DeleteRequest, PlainResponse, PutRequest, RangeRequest, RangeResponse,
+    RequestOp, TxnRequest, RANGE, TXN,
 };
 use slatevalve_registry::Heard;
 use slatevalve_registry_link::Link;
@@ -30,6 +31,8 @@
 const AGAIN: i64 = 300_000;
 /// A gateway that starts waits so long for its right, in microseconds; after that it serves what needs none.
 const FIRST_RIGHT: i64 = 2_000_000;
+/// Whoever began a change has this long, in microseconds, and two rights at least, before others look after it.
+const HEAD_START: i64 = 2_000_000;
 /// Earlier lives of a name that are remembered.
 const LIVES: usize = 8;
 
@@ -39,6 +42,9 @@
     Own,
     Document(u64),
     Write,
+    /// All rights, to see whether a change waits for a driver; and the commit of one.
+    Rights,
+    Commit,
     Leave,
 }
 
@@ -53,12 +59,18 @@
     questions: BTreeMap<u64, For>,
     /// A state that is known and not yet acted by.
     news: Option<Entry<State>>,
+    /// The state that is acted by.
+    state: Option<Entry<State>>,
     /// The state is to be read, from then on; and the holder waits for it and its own entry.
     read_at: Option<i64>,
     holder_reads: bool,
     /// The step that could not be carried out, so that it is said once.
     refused: Option<u64>,
     may: May,
+    /// Drives changes whose driver has died.
+    patrol: Patrol,
+    driver: Option<(u64, Driver)>,
+    rules: BTreeMap<Edition, Option<(Terms, i64)>>,
     left: bool,
     /// Held locked while this life lasts.
     _lives: Option<File>,
@@ -93,10 +105,14 @@
             documents: BTreeMap::new(),
             questions: BTreeMap::new(),
             news: None,
+            state: None,
             read_at: Some(i64::MIN),
             holder_reads: false,
             refused: None,
             may: May::Nothing,
+            patrol: Patrol::new(u64::from_be_bytes(bytes)),
+            driver: None,
+            rules: BTreeMap::new(),
             left: false,
             _lives: lives,
         })
@@ -139,7 +155,8 @@
     /// When [`Agreement::advance`] is due.
     pub(crate) fn next_wake(&self, now: Micros) -> Micros {
         let read_at = self.read_at.filter(|_| !self.asks(|f| matches!(f, For::State)));
-        let due = [Some(self.link.next_wake(now.0)), self.holder.due_us(), read_at];
+        let patrol = self.patrol.due_us().filter(|_| !self.asks(|f| matches!(f, For::Rights | For::Commit)));
+        let due = [Some(self.link.next_wake(now.0)), self.holder.due_us(), read_at, patrol];
         Micros(due.into_iter().flatten().min().unwrap_or(i64::MAX).max(now.0))
     }
 
@@ -161,7 +178,7 @@
             match heard {
                 // Which state stands there is read, with its revision.
                 Heard::Changes(_) => self.read_at = Some(now.0),
-                Heard::Answered(ticket, answer) => self.answered(now, ticket, answer),
+                Heard::Answered(ticket, answer) => self.answered(now, ticket, answer, clock),
                 _ => {}
             }
         }
@@ -174,6 +191,15 @@
             self.link.advance(now.0, reactor);
             return site;
         }
+        if self.patrol.due_us().is_some_and(|at| at <= now.0)
+            && !self.asks(|f| matches!(f, For::Rights | For::Commit))
+        {
+            let key = self.keys.rights();
+            let range_end = Bytes(prefix_end(key.as_bytes()));
+            let ask = RangeRequest { key: Bytes::of(&key), range_end, ..RangeRequest::default() };
+            let ticket = self.link.client_mut().ask(RANGE, &ask);
+            self.questions.insert(ticket, For::Rights);
+        }
         match self.holder.ask(now.0) {
             Some(Ask::Read) => {
                 self.holder_reads = true;
@@ -201,7 +227,7 @@
         self.questions.insert(ticket, what);
     }
 
-    fn answered(&mut self, now: Micros, ticket: u64, answer: Result<Vec<u8>, String>) {
+    fn answered(&mut self, now: Micros, ticket: u64, answer: Result<Vec<u8>, String>, clock: &Clock) {
         let Some(what) = self.questions.remove(&ticket) else { return };
         let range = |body: &Vec<u8>| serde_json::from_slice::<RangeResponse>(body).ok();
         let body = answer.ok();
@@ -243,10 +269,65 @@
                     None => TxnEnd::Unknown,
                 });
             }
+            For::Rights => {
+                let found = body.as_ref().and_then(range);
+                self.patrol.looked(now.0, found.as_ref().map_or(1, |f| f.kvs.len()));
+                if let Some(found) = found {
+                    let reading = self.reading(&found);
+                    self.drive(now, reading, clock);
+                }
+            }
+            // Whether it was done shows in the state, as with any other's.
+            For::Commit => self.read_at = Some(now.0),
             For::Leave => self.left = true,
         }
     }
 
+    /// Commits the change that is prepared, where nobody is waited for any more. The state that the rights are held against is
+    /// the newest one heard: a commit on an older one is refused by the registry.
+    fn drive(&mut self, now: Micros, mut reading: Reading, clock: &Clock) {
+        let Some(state) = self.state.clone() else { return };
+        for edition in state.value.stance.editions() {
+            let document = self.documents.get(&edition.number).filter(|d| d.digest == edition.digest);
+            let agreed = &self.agreed;
+            self.rules.entry(edition.clone()).or_insert_with(|| agreed.terms(document?, clock));
+        }
+        let named: BTreeSet<&Edition> = reading
+            .rights
+            .values()
+            .flat_map(|r| r.value.stance.editions())
+            .chain(state.value.stance.editions())
+            .collect();
+        self.rules.retain(|edition, _| named.contains(edition));
+        let (rules, step) = (&self.rules, state.value.step);
+        let errors = state.value.stance.editions().map(|e| match rules.get(e) {
+            Some(Some((_, error))) => *error,
+            _ => 500_000,
+        });
+        let error = errors.max().unwrap_or(500_000);
+        if self.driver.as_ref().is_none_or(|d| d.0 != step) {
+            self.driver = Some((step, Driver::new(self.keys.clone(), error)));
+        }
+        reading.state = Some(state);
+        let terms = |stance: &Stance| {
+            let each = |e: &Edition| rules.get(e)?.as_ref().map(|r| r.0.clone());
+            let each = stance.editions().map(each).collect::<Option<Vec<Terms>>>()?;
+            each.into_iter().reduce(|a, b| a.meet(&b))
+        };
+        let next = self.driver.as_mut().map(|(_, driver)| driver.look(now.0, &reading, terms));
+        match next {
+            Some(Next::Commit(txn)) => {
+                info!(step, "driving the change that is prepared to its commit");
+                self.ask_write(&txn, For::Commit);
+            }
+            Some(Next::Wait(awaited)) => {
+                let names: Vec<&str> = awaited.iter().take(5).map(|a| a.name.as_str()).collect();
+                info!(step, awaited = awaited.len(), first = ?names, "a change of the settings waits");
+            }
+            _ => {}
+        }
+    }
+
     fn reading(&self, found: &RangeResponse) -> Reading {
         let key = |e: &Bytes| String::from_utf8_lossy(&e.0).into_owned();
         let entries: Vec<_> = found.kvs.iter().map(|e| (key(&e.key), &e.value.0, e.mod_revision)).collect();
@@ -282,7 +363,7 @@
                 return None;
             }
             Ok(_) if before.as_ref() == Some(&state.value.stance) => {
-                self.holder = holder;
+                (self.holder, self.state) = (holder, Some(state));
                 return None;
             }
             Ok(_) => {}
@@ -299,7 +380,10 @@
         };
         let numbers: Vec<u64> = documents.iter().map(|d| d.number).collect();
         info!(documents = ?numbers, step = state.value.step, "settings");
-        (self.holder, self.refused) = (holder, None);
+        let right_us = terms.iter().map(|t| t.1).max().unwrap_or(0);
+        let prepared = state.value.stance.prepared.as_ref().map(|_| state.value.step);
+        self.patrol.heard(now.0, prepared, HEAD_START.max(2 * right_us));
+        (self.holder, self.refused, self.state) = (holder, None, Some(state));
         self.documents.retain(|number, _| numbers.contains(number));
         Some(site)
     }
--- a/crates/gateway/tests/agreed.rs
+++ b/crates/gateway/tests/agreed.rs
@@ -187,6 +187,24 @@
     assert_eq!(fleet.acts_by("a"), [json!([2])]);
 }
 
+#[test]
+fn routers_end_a_change_whose_driver_died() {
+    let worker = honest();
+    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    fleet.publish(UNSAFE, "5");
+    let routers = ["a", "b", "c"].map(|name| fleet.router(name));
+    routers[2].process.signal("STOP");
+    assert_eq!(fleet.publish(KEYED, "0"), Some(3), "it gives up at once, as one that was killed");
+    until("two to say yes", || {
+        fleet.acts_by("a") == [json!([1, 2])] && fleet.acts_by("b") == [json!([1, 2])]
+    });
+    routers[2].process.signal("CONT");
+    until("one of them to commit it", || fleet.settings(&["status"]).1["committed"]["number"] == 2);
+    until("all to act by it", || ["a", "b", "c"].iter().all(|name| fleet.acts_by(name) == [json!([2])]));
+    let logs: String = routers.iter().map(Router::log).collect();
+    assert!(logs.contains("driving the change"), "{logs}");
+}
+
 #[test]
 fn a_registry_that_is_away_costs_no_call_where_routers_go_on() {
     let worker = honest();
