A renewal that a change of settings overtook holds up no word on the change; measured at size

Seen: at 100 and 200 gateways one change in 20 took 662 and 693 ms, the others about 120. Guess: the holder's pause after a write in vain. Checked by a test of the holder alone: it failed. Lines to blame: holder.rs `written` noted the revision of the state that had been heard meanwhile, not that of the state it had asked by, so the new one counted as tried in vain and waited for a third of the right; the command's looks had then grown to 320 ms. Ruled out: the registry (requests a change the same in both runs).

Change: the revisions are noted with the question.

--- a/crates/agreement/src/holder.rs
+++ b/crates/agreement/src/holder.rs
@@ -80,8 +80,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Open {
     Nothing,
-    /// Asked then, for the step, with these terms.
-    Write(i64, u64, Terms),
+    /// Asked then, for the step, with these terms, by these revisions of state and own entry.
+    Write(i64, u64, Terms, (i64, i64)),
     Read(i64),
 }
 
@@ -207,13 +207,13 @@
             held.doubt = held.doubt.max(terms.doubt);
             held.right_us = held.right_us.min(terms.right_us);
         }
-        self.open = Open::Write(now_us, state.value.step, terms);
+        self.open = Open::Write(now_us, state.value.step, terms, (state.revision, self.revision));
         Some(Ask::Write(txn))
     }
 
     /// The end of what it wanted written.
     pub fn written(&mut self, end: TxnEnd) {
-        let Open::Write(asked_us, step, terms) = std::mem::replace(&mut self.open, Open::Nothing) else {
+        let Open::Write(asked_us, step, terms, by) = std::mem::replace(&mut self.open, Open::Nothing) else {
             return;
         };
         match end {
@@ -223,8 +223,7 @@
             }
             TxnEnd::Overtaken | TxnEnd::Unknown => {
                 self.stale = true;
-                let state = self.state.as_ref().map_or(0, |s| s.revision);
-                self.in_vain = Some((state, self.revision, asked_us));
+                self.in_vain = Some((by.0, by.1, asked_us));
             }
         }
     }
--- a/crates/agreement/tests/records.rs
+++ b/crates/agreement/tests/records.rs
@@ -142,6 +142,19 @@
     assert_eq!(router.ask(2_900_000), None);
 }
 
+#[test]
+fn a_renewal_that_a_change_overtook_holds_up_no_word_on_the_change() {
+    let (mut store, mut router) = begun();
+    assert!(matches!(router.ask(3_000_000), Some(Ask::Write(_))), "a renewal is under way");
+    let txn = reading(&store).publish(&keys(), &draft("two"), 0).unwrap().1;
+    apply(&mut store, 3, txn);
+    heard(&mut router, &store).unwrap();
+    router.written(TxnEnd::Overtaken);
+    assert_eq!(router.ask(3_000_000), Some(Ask::Read));
+    router.read(Some(2)).unwrap();
+    assert!(matches!(router.ask(3_000_000), Some(Ask::Write(_))), "it says yes at once");
+}
+
 #[test]
 fn a_right_that_was_taken_out_is_gone_and_is_asked_for_anew() {
     let (store, mut router) = begun();
