Rehearsals of changes with drawn faults: routers, registry and drivers stopped and killed

Change: a seeded play of three routers, two workers with taps, a registry and commands: documents published at once, routers and registry stopped and continued, routers killed and started again, commands killed; charges throughout. At the end the change must end, all must act by it, all that is owed must be answered, and the taps must show no broken rule of agreement or of effects. Three seeds in the tests; AGREED_PLAYS plays more.

--- a/crates/gateway/tests/agreed.rs
+++ b/crates/gateway/tests/agreed.rs
@@ -6,6 +6,7 @@
 use slatevalve_worker_wire::Reply;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 use support::*;
 
@@ -50,13 +51,17 @@
         (output.status.code(), serde_json::from_slice(&output.stdout).unwrap_or(Value::Null))
     }
 
-    /// Publishes a document of these forms, and gives the exit code.
-    fn publish(&self, forms: &str, wait_s: &str) -> Option<i32> {
+    /// A document's text.
+    fn text(&self, forms: &str) -> String {
         let workers = self.workers.iter().map(|(n, a)| format!("(worker \"{n}\" (address \"{a}\"))"));
         let agreement = format!("(agreement (right-ms 600) (in-doubt {}))", self.doubt);
-        let text = format!("{forms}{COMMON}{}{agreement}", workers.collect::<String>());
+        format!("{forms}{COMMON}{}{agreement}", workers.collect::<String>())
+    }
+
+    /// Publishes a document of these forms, and gives the exit code.
+    fn publish(&self, forms: &str, wait_s: &str) -> Option<i32> {
         let path = self.directory.path().join("document.scm");
-        std::fs::write(&path, text).unwrap();
+        std::fs::write(&path, self.text(forms)).unwrap();
         self.settings(&["publish", path.to_str().unwrap(), "--why", "test", "--wait-s", wait_s]).0
     }
 
@@ -354,6 +359,204 @@
     assert!(lines.iter().any(by_last), "attempts tell their documents");
 }
 
+/// A small fleet under drawn faults, its clients, and what was asked so far.
+struct Play {
+    fleet: Fleet,
+    routers: Vec<Router>,
+    clients: Vec<Client>,
+    /// Calls whose answers are owed on each client's connection.
+    owed: Vec<usize>,
+    still: Vec<bool>,
+    registry_still: bool,
+    publishers: Vec<Child>,
+    documents: u64,
+    calls: u16,
+    random: u64,
+}
+
+impl Play {
+    fn draw(&mut self, most: usize) -> usize {
+        self.random =
+            self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.random >> 33) as usize % most
+    }
+
+    fn ask(&mut self, router: usize) {
+        self.calls += 1;
+        let (name, key) = (format!("call=c{} work-us=2000", self.calls), format!("k{}", self.calls));
+        self.clients[router].publish("charge/visa", self.calls, Some(&key), &name, false);
+        self.owed[router] += 1;
+    }
+
+    /// A command that publishes, and is not waited for.
+    fn begin_change(&mut self) {
+        self.documents += 1;
+        let path = self.fleet.directory.path().join(format!("{}.scm", self.documents));
+        let forms = match self.draw(3) {
+            0 => UNSAFE.to_string(),
+            _ => KEYED.replace("9000", &(9_000 + self.documents).to_string()),
+        };
+        std::fs::write(&path, self.fleet.text(&forms)).unwrap();
+        let registry = self.fleet.registry.address.to_string();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_slatevalve"));
+        command.args([
+            "settings",
+            "--registry",
+            &registry,
+            "publish",
+            path.to_str().unwrap(),
+            "--why",
+            "drawn",
+        ]);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        self.publishers.push(command.spawn().unwrap());
+    }
+
+    fn registry_stands(&mut self, still: bool) {
+        self.registry_still = still;
+        self.fleet.registry.signal(if still { "STOP" } else { "CONT" });
+    }
+
+    fn stands(&mut self, router: usize, still: bool) {
+        self.still[router] = still;
+        self.routers[router].process.signal(if still { "STOP" } else { "CONT" });
+    }
+
+    fn step(&mut self) {
+        for router in 0..self.routers.len() {
+            let calls = 1 + self.draw(3);
+            (0..calls).for_each(|_| self.ask(router));
+        }
+        let router = self.draw(self.routers.len());
+        match self.draw(10) {
+            0..=3 => self.begin_change(),
+            4 => {
+                let still = !self.still[router];
+                self.stands(router, still);
+            }
+            5 => {
+                let still = !self.registry_still;
+                self.registry_stands(still);
+            }
+            6 => {
+                // Killed and started again at once; what was asked of it is lost with its connection.
+                let _ = self.routers[router].process.child.kill();
+                let _ = self.routers[router].process.child.wait();
+                if self.registry_still {
+                    self.registry_stands(false);
+                }
+                self.routers[router] = self.fleet.router(&format!("r{router}"));
+                self.clients[router] = Client::connect(self.routers[router].process.address, "c", false);
+                (self.still[router], self.owed[router]) = (false, 0);
+            }
+            7 => {
+                if let Some(mut child) = self.publishers.pop() {
+                    let _ = child.kill();
+                    let _ = child.wait();
+                }
+            }
+            _ => {}
+        }
+        std::thread::sleep(Duration::from_millis(20 + self.draw(250) as u64));
+    }
+
+    /// Faults end: what is under way must end, and all answers come.
+    fn end(&mut self) {
+        self.registry_stands(false);
+        (0..self.routers.len()).for_each(|router| self.stands(router, false));
+        for mut child in std::mem::take(&mut self.publishers) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let status = |fleet: &Fleet| fleet.settings(&["status"]).1;
+        until("the change to end", || status(&self.fleet)["prepared"].is_null());
+        let committed = status(&self.fleet)["committed"]["number"].clone();
+        for router in 0..self.routers.len() {
+            let name = format!("r{router}");
+            until("all to act by it", || self.fleet.acts_by(&name) == [json!([committed])]);
+            for _ in 0..self.owed[router] {
+                let heard = self.clients[router].answer_or(|| self.routers[router].log());
+                assert_ne!(heard.outcome, "failed", "{heard:?} {}", self.routers[router].log());
+            }
+        }
+    }
+}
+
+/// Gives how many attempts the workers saw, and what of them broke a rule.
+fn play(seed: u64) -> (usize, Vec<slatevalve_rules::Violation>) {
+    let directory = tempfile::tempdir().unwrap();
+    let trace = |name: &str| directory.path().join(format!("{name}.trace"));
+    let names = ["w1", "w2"];
+    let workers = names.map(|name| {
+        Process::start(
+            &["worker", "--name", name, "--load-on-call", "--load-ms", "1", "--trace", path(&trace(name))],
+            None,
+        )
+    });
+    let mut fleet = Fleet::start(if seed.is_multiple_of(2) { "give-up" } else { "go-on" }, &[]);
+    fleet.workers = workers.iter().zip(names).map(|(w, n)| (n.to_string(), w.address)).collect();
+    assert_eq!(fleet.publish(UNSAFE, "5"), Some(0));
+    let routers: Vec<Router> = (0..3).map(|n| fleet.router(&format!("r{n}"))).collect();
+    let clients = routers.iter().map(|r| Client::connect(r.process.address, "c", false)).collect();
+    let (still, owed, publishers) = (vec![false; 3], vec![0; 3], Vec::new());
+    let mut play = Play {
+        fleet,
+        routers,
+        clients,
+        owed,
+        still,
+        registry_still: false,
+        publishers,
+        documents: 1,
+        calls: 0,
+        random: seed,
+    };
+    (0..14).for_each(|_| play.step());
+    play.end();
+    let text: String = names.iter().map(|n| std::fs::read_to_string(trace(n)).unwrap()).collect();
+    let lines = slatevalve_rules::trace::read(&text).unwrap();
+    let history = play.fleet.settings(&["history"]).1;
+    let history: Vec<(u64, String)> = history
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|d| (d["number"].as_u64().unwrap(), d["digest"].to_string()))
+        .collect();
+    let differ = |a: &(u64, String), b: &(u64, String)| a.0 < b.0 && a.1 != b.1;
+    let pairs =
+        history.iter().flat_map(|a| history.iter().filter(move |b| differ(a, b)).map(move |b| (a.0, b.0)));
+    let mut terms = terms(0);
+    terms.settings =
+        Some(slatevalve_rules::SettingsTerms { contradict: pairs.collect(), bound_us: 1_000_000 });
+    let found = slatevalve_rules::check(&terms, &lines);
+    let wanted = |v: &slatevalve_rules::Violation| {
+        matches!(v.rule, slatevalve_rules::Rule::Agreement | slatevalve_rules::Rule::Effects)
+    };
+    (lines.len(), found.into_iter().filter(wanted).collect())
+}
+
+/// `AGREED_PLAYS=300` plays more seeds, four at a time.
+#[test]
+fn drawn_faults_leave_no_contradiction_and_every_change_ends() {
+    let plays: u64 = std::env::var("AGREED_PLAYS").ok().and_then(|n| n.parse().ok()).unwrap_or(3);
+    let next = std::sync::atomic::AtomicU64::new(1);
+    let lanes = if plays > 3 { 4 } else { 1 };
+    std::thread::scope(|scope| {
+        for _ in 0..lanes {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                if seed > plays {
+                    return;
+                }
+                let (lines, found) = play(seed);
+                println!("seed {seed}: {lines} lines, {} broken", found.len());
+                assert_eq!(found, [], "seed {seed}");
+                assert!(lines > 20, "seed {seed}: the workers saw next to nothing");
+            });
+        }
+    });
+}
+
 /// A router's reading of documents, without a router.
 struct Reader(slatevalve_gateway::settings::Agreed);
 
