A router gives its right up where a registry that was put back holds another one than it wrote

Found by going through the issue's hard cases: in a registry restored from a backup a router's entry may name an older stance than the router acts by; a commit that contradicts only the newer one would not have waited for it. Lines to blame: Holder::read took any entry under its key for its own.

Change: an entry counts only if it is what this life wrote last, or asked to be written; else the right is given up, also under go-on, until there is a new one. The two tests play it on the holder and on a gateway with a stand-in registry.

--- a/crates/agreement/src/holder.rs
+++ b/crates/agreement/src/holder.rs
@@ -56,7 +56,7 @@
         /// The step that stands there now.
         to: u64,
     },
-    /// Its right was taken out by somebody: it asks for a new one.
+    /// Its right was taken out by somebody, or is another one: it asks for a new one.
     TakenOut,
 }
 
@@ -66,7 +66,9 @@
             Trouble::WentBack { from, to } => {
                 write!(f, "the registry went back from step {from} to {to}; the rules stay as they were")
             }
-            Trouble::TakenOut => write!(f, "the right to act was taken out of the registry"),
+            Trouble::TakenOut => {
+                write!(f, "the right to act that the registry holds is not the one that was written")
+            }
         }
     }
 }
@@ -80,8 +82,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Open {
     Nothing,
-    /// Asked then, for the step, with these terms, by these revisions of state and own entry.
-    Write(i64, u64, Terms, (i64, i64)),
+    /// Asked then, with these terms, by these revisions of state and own entry.
+    Write(i64, Terms, (i64, i64)),
     Read(i64),
 }
 
@@ -94,8 +96,9 @@
     terms: Option<Terms>,
     /// When the right that is held was asked for, with its terms.
     held: Option<(i64, Terms)>,
-    /// The step that the right says yes to.
-    said: u64,
+    /// What the entry in the registry says as far as is known, and what was last asked to be written there.
+    said: Option<Right>,
+    tried: Option<Right>,
     /// The revision of the entry in the registry; 0 where there is none.
     revision: i64,
     /// It must be read before anything can be written.
@@ -110,7 +113,18 @@
     /// A router that starts now and knows nothing.
     pub fn new(settings: HolderSettings) -> Self {
         let (state, terms, held, open) = (None, None, None, Open::Nothing);
-        Holder { settings, state, terms, held, said: 0, revision: 0, stale: false, open, in_vain: None }
+        Holder {
+            settings,
+            state,
+            terms,
+            held,
+            said: None,
+            tried: None,
+            revision: 0,
+            stale: false,
+            open,
+            in_vain: None,
+        }
     }
 
     /// What it acts by.
@@ -176,7 +190,7 @@
     }
 
     fn has_more_to_say(&self) -> bool {
-        self.held.is_none() || self.state.as_ref().is_some_and(|s| s.value.step != self.said)
+        self.held.is_none() || self.state.as_ref().map(|s| s.value.step) != self.said.as_ref().map(|r| r.step)
     }
 
     /// What it wants of the registry now; nothing before it has heard a state.
@@ -202,24 +216,25 @@
             puts: vec![(own, bytes(&right))],
             deletes: before.iter().map(|b| keys.right(name, b)).collect(),
         };
+        self.tried = Some(right);
         // Should its end stay unknown, the entry may bind by the new terms while the old right is held: both are kept to.
         if let Some((_, held)) = &mut self.held {
             held.doubt = held.doubt.max(terms.doubt);
             held.right_us = held.right_us.min(terms.right_us);
         }
-        self.open = Open::Write(now_us, state.value.step, terms, (state.revision, self.revision));
+        self.open = Open::Write(now_us, terms, (state.revision, self.revision));
         Some(Ask::Write(txn))
     }
 
     /// The end of what it wanted written.
     pub fn written(&mut self, end: TxnEnd) {
-        let Open::Write(asked_us, step, terms, by) = std::mem::replace(&mut self.open, Open::Nothing) else {
+        let Open::Write(asked_us, terms, by) = std::mem::replace(&mut self.open, Open::Nothing) else {
             return;
         };
         match end {
             TxnEnd::Done(revision) => {
                 self.held = Some((asked_us, terms));
-                (self.said, self.revision) = (step, revision);
+                (self.said, self.revision) = (self.tried.take(), revision);
             }
             TxnEnd::Overtaken | TxnEnd::Unknown => {
                 self.stale = true;
@@ -228,17 +243,21 @@
         }
     }
 
-    /// What it wanted read: the revision of its own entry, where one stands. The state goes to [`Holder::heard`] before.
+    /// What it wanted read: its own entry, where one stands. The state goes to [`Holder::heard`] before.
     ///
     /// # Errors
-    /// Where its right is not there any more.
-    pub fn read(&mut self, own: Option<i64>) -> Result<(), Trouble> {
+    /// Where its right is not there any more, or the entry says what this life did not write last: a registry that was put
+    /// back to an older content does not know by what it acts, and a commit would not wait for it.
+    pub fn read(&mut self, own: Option<&Entry<Right>>) -> Result<(), Trouble> {
         if !matches!(self.open, Open::Read(_)) {
             return Ok(());
         }
         (self.open, self.stale) = (Open::Nothing, false);
-        self.revision = own.unwrap_or(0);
-        if own.is_none() && self.held.take().is_some() {
+        self.revision = own.map_or(0, |e| e.revision);
+        let stands = own.map(|e| &e.value);
+        let ours = [&self.said, &self.tried].into_iter().any(|r| r.as_ref() == stands);
+        self.said = stands.filter(|_| ours).cloned();
+        if self.said.is_none() && self.held.take().is_some() {
             return Err(Trouble::TakenOut);
         }
         Ok(())
--- a/crates/agreement/tests/model.rs
+++ b/crates/agreement/tests/model.rs
@@ -58,7 +58,7 @@
     Write(Txn),
     Written(TxnEnd),
     Read,
-    Answer(Option<Entry<State>>, Option<i64>),
+    Answer(Option<Entry<State>>, Option<Entry<Right>>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -254,7 +254,7 @@
                     Some(Flight::Read) => {
                         let now = reading(&world.store);
                         let id = (format!("r{at}"), format!("{}", world.routers[at].life));
-                        Flight::Answer(now.state, now.rights.get(&id).map(|e| e.revision))
+                        Flight::Answer(now.state, now.rights.get(&id).cloned())
                     }
                     _ => return false,
                 };
@@ -272,7 +272,7 @@
                     }
                     Some(Flight::Answer(state, own)) => {
                         state.iter().for_each(|s| self.hear(router, s));
-                        let _ = router.holder.read(own);
+                        let _ = router.holder.read(own.as_ref());
                     }
                     _ => return false,
                 }
--- a/crates/agreement/tests/records.rs
+++ b/crates/agreement/tests/records.rs
@@ -138,8 +138,33 @@
     assert!(txn.puts[0].0.ends_with("rights/r/1"));
     router.written(TxnEnd::Overtaken);
     assert_eq!(router.ask(2_000_000), Some(Ask::Read));
-    router.read(Some(2)).unwrap();
-    assert_eq!(router.ask(2_900_000), None);
+    router.read(reading(&store).rights.values().next()).unwrap();
+    assert_eq!((router.ask(2_900_000), router.may(2_900_000)), (None, May::All));
+}
+
+#[test]
+fn a_registry_that_was_put_back_to_an_older_right_does_not_know_by_what_its_router_acts() {
+    let (mut store, mut router) = begun();
+    let older = store.clone();
+    for revision in [3, 5] {
+        let now = reading(&store);
+        let txn = if revision == 3 {
+            now.publish(&keys(), &draft("two"), 0).unwrap().1
+        } else {
+            now.withdraw(&keys()).unwrap()
+        };
+        apply(&mut store, revision, txn);
+        heard(&mut router, &store).unwrap();
+        let Some(Ask::Write(txn)) = router.ask(1_500_000) else { panic!("it says yes") };
+        apply(&mut store, revision + 1, txn);
+        router.written(TxnEnd::Done(revision + 1));
+    }
+    assert_eq!(heard(&mut router, &older), Err(Trouble::WentBack { from: 3, to: 1 }));
+    assert!(matches!(router.ask(3_000_000), Some(Ask::Write(_))));
+    router.written(TxnEnd::Overtaken);
+    router.ask(3_000_000);
+    assert_eq!(router.read(reading(&older).rights.values().next()), Err(Trouble::TakenOut));
+    assert_eq!(router.may(3_000_000), May::Safe);
 }
 
 #[test]
@@ -151,7 +176,7 @@
     heard(&mut router, &store).unwrap();
     router.written(TxnEnd::Overtaken);
     assert_eq!(router.ask(3_000_000), Some(Ask::Read));
-    router.read(Some(2)).unwrap();
+    router.read(reading(&store).rights.values().next()).unwrap();
     assert!(matches!(router.ask(3_000_000), Some(Ask::Write(_))), "it says yes at once");
 }
 
--- a/crates/gateway/src/shell/agreement.rs
+++ b/crates/gateway/src/shell/agreement.rs
@@ -257,7 +257,12 @@
             For::Own => {
                 // Without an answer the holder asks again by itself.
                 let Some(found) = body.as_ref().and_then(range) else { return };
-                if let Err(trouble) = self.holder.read(found.kvs.first().map(|e| e.mod_revision)) {
+                let reading = self.reading(&found);
+                let (own, unread) = (reading.rights.values().next(), !reading.unread_rights.is_empty());
+                if unread {
+                    error!(key = self.own_key, "the own right in the registry cannot be read");
+                }
+                if let Err(trouble) = self.holder.read(own) {
                     warn!(%trouble, "settings");
                 }
             }
--- a/crates/gateway/tests/agreed.rs
+++ b/crates/gateway/tests/agreed.rs
@@ -65,6 +65,27 @@
         self.settings(&["publish", path.to_str().unwrap(), "--why", "test", "--wait-s", wait_s]).0
     }
 
+    /// All entries of the agreement, as the registry's protocol has them.
+    fn entries(&self) -> Vec<Value> {
+        let bytes = |text: &str| serde_json::to_value(slatevalve_registry::wire::Bytes::of(text)).unwrap();
+        let ask =
+            json!({"key": bytes("/slatevalve/agreement/"), "range_end": bytes("/slatevalve/agreement0")});
+        let body = ask_registry(&self.registry.address.to_string(), "/v3/kv/range", &ask);
+        let answer: Value = serde_json::from_slice(&body).unwrap();
+        answer["kvs"].as_array().unwrap().clone()
+    }
+
+    /// Puts the registry back to these entries.
+    fn put_back(&self, older: &[Value]) {
+        let address = self.registry.address.to_string();
+        for entry in self.entries().iter().filter(|e| !older.iter().any(|o| o["key"] == e["key"])) {
+            ask_registry(&address, "/v3/kv/deleterange", &json!({"key": entry["key"]}));
+        }
+        for entry in older {
+            ask_registry(&address, "/v3/kv/put", &json!({"key": entry["key"], "value": entry["value"]}));
+        }
+    }
+
     /// The documents that a router has said it acts by.
     fn acts_by(&self, name: &str) -> Vec<Value> {
         let rows = self.settings(&["status"]).1["routers"].clone();
@@ -210,6 +231,39 @@
     assert!(logs.contains("driving the change"), "{logs}");
 }
 
+#[test]
+fn a_registry_that_was_put_back_to_an_older_state_is_named_and_the_rules_stay() {
+    let worker = honest();
+    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    fleet.publish(UNSAFE, "5");
+    let older = fleet.entries();
+    let mut router = fleet.router("a");
+    assert_eq!(fleet.publish(KEYED, "20"), Some(0));
+    until("it to act by the second", || fleet.acts_by("a") == [json!([2])]);
+    let mut client = Client::connect(router.process.address, "c", false);
+    // The state as it was in the backup, from before this router had a right.
+    fleet.put_back(&older);
+    until("the router to name it", || router.log().contains("the registry went back from step 3 to 1"));
+    let mut calls = 10;
+    until("its right to be gone", || {
+        calls += 1;
+        let heard = client.call("charge/visa", calls, Some(&format!("k{calls}")), "c");
+        heard.reason.is_some_and(|r| r.starts_with("not sent"))
+    });
+    assert_eq!(client.call("quote/fare", 2, None, "q").outcome, "served", "safe calls go on");
+    // A new document above all that was given, and a new life: as the operators' page says.
+    let forms = KEYED.replace("9000", "9001");
+    let path = fleet.directory.path().join("above.scm");
+    std::fs::write(&path, fleet.text(&forms)).unwrap();
+    let publish = ["publish", path.to_str().unwrap(), "--why", "above", "--above", "2"];
+    assert_eq!(fleet.settings(&publish).1, json!({"committed": true, "number": 3}));
+    drop(router);
+    router = fleet.router("a");
+    assert_eq!(fleet.acts_by("a"), [json!([3])]);
+    let mut client = Client::connect(router.process.address, "c", false);
+    assert_eq!(client.call("charge/visa", 3, Some("k3"), "c").outcome, "served");
+}
+
 #[test]
 fn a_registry_that_is_away_costs_no_call_where_routers_go_on() {
     let worker = honest();
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -129,7 +129,7 @@
             match self.holder.ask(self.now()) {
                 None => return,
                 Some(Ask::Read) => {
-                    let _ = self.holder.read(reading.rights.get(&self.id).map(|e| e.revision));
+                    let _ = self.holder.read(reading.rights.get(&self.id));
                 }
                 Some(Ask::Write(txn)) => {
                     let end = self.write(txn);
