A process that is stopped among its writes keeps back what its right no longer covers

Checked: requests that wait for a connection are written with the next turn only, after the look; what comes in after a standstill is handed on after a look; the taps' times are of the worker's reading, which stood not still. Left is the loop in Reactor::flush: SIGSTOP among the writes of eight charges, and the rest goes out on waking.

Change: turn_until looks at the time before each connection's write and leaves the rest, which the next look takes back. Plays with drawn faults repeat one in four calls by its key. The model's planted fault of the right's start needs one question less.

--- a/crates/agreement/src/holder.rs
+++ b/crates/agreement/src/holder.rs
@@ -173,6 +173,12 @@
         }
     }
 
+    /// When what may be sent becomes less, if nothing is heard until then.
+    pub fn until_us(&self) -> Option<i64> {
+        let (asked_us, terms) = self.held.as_ref()?;
+        (terms.doubt == Doubt::GiveUp).then(|| asked_us.saturating_add(terms.right_us))
+    }
+
     /// When [`Holder::ask`] is due next.
     pub fn due_us(&self) -> Option<i64> {
         let terms = self.terms.as_ref()?;
--- a/crates/agreement/tests/model.rs
+++ b/crates/agreement/tests/model.rs
@@ -542,7 +542,7 @@
 
 #[test]
 fn planted_faults_are_found() {
-    caught(Planted::RightFromTheAnswer, SMALL);
+    caught(Planted::RightFromTheAnswer, Fleet { asks: 1, ..SMALL });
     caught(Planted::CommitSkipsOne, SHORT);
     caught(Planted::NoLook, SHORT);
     caught(Planted::NoDrift, Fleet { asks: 2, ..SHORT });
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -2,7 +2,7 @@
 //! tell. The shell alone reads it; everything else is handed the time.
 
 use slatevalve::Micros;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// What the clock shows when it starts: later than 0, so that times before the start have their place.
 const ORIGIN: i64 = 86_400_000_000;
@@ -26,6 +26,11 @@
         Micros(ORIGIN.saturating_add(i64::try_from(self.start.elapsed().as_micros()).unwrap_or(i64::MAX)))
     }
 
+    /// A time of this clock as the system's.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(at.0.saturating_sub(ORIGIN).max(0) as u64)
+    }
+
     /// The Unix clock at the start, in milliseconds.
     pub fn unix_ms(&self) -> i64 {
         self.unix_start_us / 1_000
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -229,7 +229,8 @@
     /// When the poller fails.
     pub fn turn(&mut self, most: Duration) -> Result<bool, PlatformError> {
         let wait = self.wait_from(self.clock.now()).min(most);
-        let turn = self.turns.wait(&self.clock, &mut self.reactor, wait).map_err(PlatformError::Loop)?;
+        let turn =
+            self.turns.wait(&self.clock, &mut self.reactor, wait, None).map_err(PlatformError::Loop)?;
         let Turn { now, age, happened } = turn;
         self.age = age;
         let quiet = !happened.iter().any(|h| self.is_of_client(h));
--- a/crates/gateway/src/shell/agreement.rs
+++ b/crates/gateway/src/shell/agreement.rs
@@ -152,6 +152,11 @@
         self.holder.may(now.0)
     }
 
+    /// Until when all may be written that is buffered, where that ends; nothing is left to be kept back once it has ended.
+    pub(crate) fn writes_until(&self) -> Option<Micros> {
+        self.holder.until_us().filter(|_| self.may == May::All).map(Micros)
+    }
+
     /// When [`Agreement::advance`] is due.
     pub(crate) fn next_wake(&self, now: Micros) -> Micros {
         let read_at = self.read_at.filter(|_| !self.asks(|f| matches!(f, For::State)));
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -206,7 +206,8 @@
         loop {
             self.look_at_right();
             let wait = self.wait_from(self.clock.now());
-            let turn = turns.wait(&self.clock, &mut self.reactor, wait).map_err(ShellError::Loop)?;
+            let until = self.agreement.as_ref().and_then(Agreement::writes_until);
+            let turn = turns.wait(&self.clock, &mut self.reactor, wait, until).map_err(ShellError::Loop)?;
             let Turn { now, age, happened } = turn;
             self.age = age;
             // The wait may have been long.
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -48,7 +48,7 @@
         self.old_after = if drain_grace.0 > 0 { Micros(drain_grace.0 / OLD_NEWS.0) } else { OLD_NEWS.1 };
     }
 
-    /// Writes what the turn before decided, unless that is old news, and waits at most for `wait`.
+    /// Writes what the turn before decided, unless that is old news or the time `until` has come, and waits at most for `wait`.
     ///
     /// # Errors
     /// When the poller fails.
@@ -57,6 +57,7 @@
         clock: &Clock,
         reactor: &mut Reactor,
         mut wait: Duration,
+        until: Option<Micros>,
     ) -> io::Result<Turn> {
         let before = clock.now();
         let worked = before.0 - self.decided.0;
@@ -67,7 +68,7 @@
         }
         self.looked = !happened.is_empty();
         if !self.looked {
-            reactor.turn(Some(wait), &mut happened)?;
+            reactor.turn_until(Some(wait), until.map(|at| clock.instant(at)), &mut happened)?;
         }
         let overslept = (clock.now().0 - before.0 - wait.as_micros() as i64).max(0);
         if overslept > self.old_after.0 {
@@ -130,14 +131,14 @@
         at_client.write_all(b"a request").unwrap();
         at_client.shutdown(std::net::Shutdown::Both).unwrap();
         std::thread::sleep(Duration::from_millis(30));
-        let turn = turns.wait(&clock, &mut reactor, Duration::from_secs(5)).unwrap();
+        let turn = turns.wait(&clock, &mut reactor, Duration::from_secs(5), None).unwrap();
         assert_eq!(words(&turn), ["received", "closed"]);
         assert!(turn.age.0 >= 30_000, "what was read may have waited for all of it");
         assert!(matches!(turn.happened[0], Happening::Received(id, _) if id == client));
         assert_eq!(reactor.written(worker), 0, "nothing left by old news");
         // The next one writes, also where it took long again.
         std::thread::sleep(Duration::from_millis(30));
-        turns.wait(&clock, &mut reactor, Duration::ZERO).unwrap();
+        turns.wait(&clock, &mut reactor, Duration::ZERO, None).unwrap();
         let mut seen = [0; 7];
         at_worker.read_exact(&mut seen).unwrap();
         assert_eq!(&seen, b"decided");
@@ -153,7 +154,7 @@
         reactor.write(worker, b"decided");
         at_client.write_all(b"a request").unwrap();
         at_client.shutdown(std::net::Shutdown::Both).unwrap();
-        let turn = turns.wait(&clock, &mut reactor, Duration::from_secs(5)).unwrap();
+        let turn = turns.wait(&clock, &mut reactor, Duration::from_secs(5), None).unwrap();
         assert_eq!((words(&turn), reactor.written(worker)), (vec!["received"], 7));
     }
 }
--- a/crates/gateway/tests/agreed.rs
+++ b/crates/gateway/tests/agreed.rs
@@ -4,6 +4,7 @@
 
 use serde_json::{json, Value};
 use slatevalve_worker_wire::Reply;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -418,8 +419,9 @@
     fleet: Fleet,
     routers: Vec<Router>,
     clients: Vec<Client>,
-    /// Calls whose answers are owed on each client's connection.
-    owed: Vec<usize>,
+    /// Calls whose answers are owed on each client's connection, by name; and the last one's key.
+    owed: Vec<BTreeSet<String>>,
+    last: Vec<Option<(String, String)>>,
     still: Vec<bool>,
     registry_still: bool,
     publishers: Vec<Child>,
@@ -437,9 +439,13 @@
 
     fn ask(&mut self, router: usize) {
         self.calls += 1;
-        let (name, key) = (format!("call=c{} work-us=2000", self.calls), format!("k{}", self.calls));
+        let new = (format!("call=c{} work-us=2000", self.calls), format!("k{}", self.calls));
+        // One in four repeats the last one, by its key.
+        let again = self.last[router].clone().filter(|_| self.draw(4) == 0);
+        let (name, key) = again.unwrap_or(new);
         self.clients[router].publish("charge/visa", self.calls, Some(&key), &name, false);
-        self.owed[router] += 1;
+        self.owed[router].insert(name.clone());
+        self.last[router] = Some((name, key));
     }
 
     /// A command that publishes, and is not waited for.
@@ -501,7 +507,8 @@
                 }
                 self.routers[router] = self.fleet.router(&format!("r{router}"));
                 self.clients[router] = Client::connect(self.routers[router].process.address, "c", false);
-                (self.still[router], self.owed[router]) = (false, 0);
+                (self.still[router], self.last[router]) = (false, None);
+                self.owed[router].clear();
             }
             7 => {
                 if let Some(mut child) = self.publishers.pop() {
@@ -528,9 +535,10 @@
         for router in 0..self.routers.len() {
             let name = format!("r{router}");
             until("all to act by it", || self.fleet.acts_by(&name) == [json!([committed])]);
-            for _ in 0..self.owed[router] {
+            while !self.owed[router].is_empty() {
                 let heard = self.clients[router].answer_or(|| self.routers[router].log());
                 assert_ne!(heard.outcome, "failed", "{heard:?} {}", self.routers[router].log());
+                self.owed[router].remove(&heard.call);
             }
         }
     }
@@ -552,12 +560,14 @@
     assert_eq!(fleet.publish(UNSAFE, "5"), Some(0));
     let routers: Vec<Router> = (0..3).map(|n| fleet.router(&format!("r{n}"))).collect();
     let clients = routers.iter().map(|r| Client::connect(r.process.address, "c", false)).collect();
-    let (still, owed, publishers) = (vec![false; 3], vec![0; 3], Vec::new());
+    let (still, owed, last, publishers) =
+        (vec![false; 3], vec![BTreeSet::new(); 3], vec![None; 3], Vec::new());
     let mut play = Play {
         fleet,
         routers,
         clients,
         owed,
+        last,
         still,
         registry_still: false,
         publishers,
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -309,13 +309,20 @@
     }
 
     /// Hands the kernel what was written in the turn before.
-    fn flush(&mut self, out: &mut Vec<Happening>) {
-        for id in std::mem::take(&mut self.unflushed) {
+    /// Gives whether all was offered to the kernel.
+    fn flush(&mut self, until: Option<Instant>, out: &mut Vec<Happening>) -> bool {
+        let all = std::mem::take(&mut self.unflushed);
+        for (at, id) in all.iter().copied().enumerate() {
+            if until.is_some_and(|until| Instant::now() >= until) {
+                self.unflushed.extend_from_slice(&all[at..]);
+                return false;
+            }
             if let Some(Source::Connection(c)) = self.sources.get_mut(&id.0) {
                 c.unflushed = false;
                 self.write_pending(id, out);
             }
         }
+        true
     }
 
     /// Bytes that wait to be written to a connection.
@@ -421,8 +428,24 @@
     /// # Errors
     /// When the poller fails.
     pub fn turn(&mut self, timeout: Option<Duration>, out: &mut Vec<Happening>) -> io::Result<()> {
+        self.turn_until(timeout, None, out)
+    }
+
+    /// The same, but writes only as long as a time has not come, and then looks without waiting: what is left can be taken back.
+    /// The time is looked at before each connection, as the process may stand still between two.
+    ///
+    /// # Errors
+    /// When the poller fails.
+    pub fn turn_until(
+        &mut self,
+        timeout: Option<Duration>,
+        until: Option<Instant>,
+        out: &mut Vec<Happening>,
+    ) -> io::Result<()> {
         let before = out.len();
-        self.flush(out);
+        if !self.flush(until, out) {
+            return self.look(Some(Duration::ZERO), out);
+        }
         let timeout = if out.len() == before { timeout } else { Some(Duration::ZERO) };
         self.look(timeout, out)
     }
--- a/crates/reactor/tests/crossings.rs
+++ b/crates/reactor/tests/crossings.rs
@@ -115,6 +115,25 @@
     assert!(l.reactor.take_back(id, 0, 7));
 }
 
+#[test]
+fn what_may_be_written_only_until_a_time_is_kept_back_after_it() {
+    let mut l = Loop::new();
+    let ((first, _one), (second, _other)) = (l.standing(), l.standing());
+    l.turn();
+    l.reactor.write(first, b"decided");
+    l.reactor.write(second, b"decided");
+    // The process stood still before its first write; there is nothing to wait for in a turn that wrote nothing.
+    let start = Instant::now();
+    l.reactor.turn_until(Some(Duration::from_secs(60)), Some(start), &mut l.happened).unwrap();
+    assert_eq!((l.reactor.written(first), l.reactor.written(second)), (0, 0));
+    assert!(start.elapsed() < Duration::from_secs(30));
+    assert!(l.reactor.take_back(first, 0, 7), "it can be taken back");
+    // What is left goes out in the next turn that may write.
+    let later = Some(start + Duration::from_secs(3_600));
+    l.reactor.turn_until(Some(Duration::ZERO), later, &mut l.happened).unwrap();
+    assert_eq!((l.reactor.written(first), l.reactor.written(second)), (0, 7));
+}
+
 #[test]
 fn a_connection_closed_in_order_over_unread_bytes_is_read_by_its_peer_to_the_end() {
     let mut l = Loop::new();
