A gateway that starts while the registry is away serves safe calls by the documents it remembers

Need: during an outage of the registry a gateway that was started again waited for its settings and served nothing.

The state that is acted by and its documents are kept by the writer that keeps lists, and read by the same checks as the registry's entries; keyed and unsafe calls wait for a right.

--- a/crates/agreement/src/document.rs
+++ b/crates/agreement/src/document.rs
@@ -242,6 +242,33 @@
         reading
     }
 
+    /// What a router keeps for a start without a registry: a state and its documents, to be read by [`Reading::kept`].
+    pub fn keep<'a>(
+        keys: &Keys,
+        state: &Entry<State>,
+        documents: impl IntoIterator<Item = &'a Document>,
+    ) -> Vec<u8> {
+        let documents = documents.into_iter().map(|d| (keys.document(d.number), bytes(d), 0));
+        let all: Vec<(String, Vec<u8>, i64)> =
+            documents.chain([(keys.state(), bytes(&state.value), state.revision)]).collect();
+        let text = |(key, value, revision): &(String, Vec<u8>, i64)| {
+            (key.clone(), String::from_utf8_lossy(value).into_owned(), *revision)
+        };
+        bytes(&all.iter().map(text).collect::<Vec<_>>())
+    }
+
+    /// Reads what was kept, by the same checks as a registry's entries.
+    ///
+    /// # Errors
+    /// Where it is none.
+    pub fn kept(keys: &Keys, kept: &[u8]) -> Result<Self, RecordError> {
+        let all: Vec<(String, String, i64)> = json("what was kept", kept)?;
+        Ok(Reading::of(
+            keys,
+            all.iter().map(|(key, value, revision)| (key.as_str(), value.as_bytes(), *revision)),
+        ))
+    }
+
     fn take_document(&mut self, keys: &Keys, key: &str, document: Document) -> Result<(), RecordError> {
         let words = match () {
             () if keys.document(document.number) != key => "it bears another number than its key",
--- a/crates/gateway/src/members/mod.rs
+++ b/crates/gateway/src/members/mod.rs
@@ -5,6 +5,7 @@
 mod replay;
 mod starts;
 
+pub(crate) use registry::keeper;
 pub use registry::{MemberSettings, RegistrySource};
 pub use replay::{Recorder, ReplaySource};
 pub use starts::Starts;
--- a/crates/gateway/src/members/registry.rs
+++ b/crates/gateway/src/members/registry.rs
@@ -69,7 +69,7 @@
         };
         if let Some(path) = settings.remember {
             source.remember(&path, settings.census);
-            source.keeper = Some(keeper(path));
+            source.keeper = Some(keeper(path, "list"));
         }
         source
     }
@@ -205,18 +205,18 @@
     }
 }
 
-/// A thread that writes the last list to a file: beside it, synced, renamed. Of several that wait the last counts.
-fn keeper(path: PathBuf) -> Sender<Vec<u8>> {
+/// A thread that writes the last of something to a file: beside it, synced, renamed. Of several that wait the last counts.
+pub(crate) fn keeper(path: PathBuf, what: &'static str) -> Sender<Vec<u8>> {
     let (send, receive) = mpsc::channel::<Vec<u8>>();
     let write = move || {
         while let Ok(first) = receive.recv() {
             let content = receive.try_iter().last().unwrap_or(first);
             if let Err(error) = write_beside(&path, &content) {
-                warn!(path = %path.display(), %error, "the list of workers is not kept for the next start");
+                warn!(path = %path.display(), %error, what, "not kept for the next start");
             }
         }
     };
-    let _ = thread::Builder::new().name("list".into()).spawn(write);
+    let _ = thread::Builder::new().name(what.into()).spawn(write);
     send
 }
 
--- a/crates/gateway/src/settings/agreed.rs
+++ b/crates/gateway/src/settings/agreed.rs
@@ -29,6 +29,8 @@
     pub prefix: String,
     /// The file that holds the lives of this name, and is locked while one lasts.
     pub lives: Option<PathBuf>,
+    /// The file that holds the last state and its documents, for a start without a registry.
+    pub remember: Option<PathBuf>,
     /// The gateway's name.
     pub name: String,
 }
@@ -106,12 +108,13 @@
         let name = gateway.or("name", "gateway".to_string(), super::header_text)?;
         let mut fields = form.fields()?;
         let lives = fields.take("lives")?.map(|f| f.text()).transpose()?.map(PathBuf::from);
+        let remember = fields.take("remember")?.map(|f| f.text()).transpose()?.map(PathBuf::from);
         let (mut client, addresses) = members::client(&mut fields, &form, 1, &name, 1)?;
         fields.finish()?;
         let prefix = client.prefix.clone();
         client.prefix = format!("{prefix}agreement/state");
         client.follow = Follow::All;
-        let settings = AgreedSettings { client, addresses, prefix, lives, name };
+        let settings = AgreedSettings { client, addresses, prefix, lives, remember, name };
         let named = Named::default();
         let (places, current, spaces, tenants) = (Vec::new(), BTreeMap::new(), BTreeMap::new(), Vec::new());
         Ok(Some((settings, Agreed { own, named, places, current, spaces, tenants })))
--- a/crates/gateway/src/shell/agreement.rs
+++ b/crates/gateway/src/shell/agreement.rs
@@ -7,6 +7,7 @@
 
 use super::{Shell, ShellError};
 use crate::clock::Clock;
+use crate::members::keeper;
 use crate::settings::{Agreed, AgreedSettings, Site};
 use slatevalve::{ClassId, Micros, Scope};
 use slatevalve_agreement::{
@@ -24,6 +25,7 @@
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Seek, Write};
 use std::path::Path;
+use std::sync::mpsc::Sender;
 use std::time::Duration;
 use tracing::{error, info, warn};
 
@@ -57,6 +59,8 @@
     agreed: Agreed,
     documents: BTreeMap<u64, Document>,
     questions: BTreeMap<u64, For>,
+    /// Writes what is acted by to a file, where it is to be remembered.
+    keeper: Option<Sender<Vec<u8>>>,
     /// A state that is known and not yet acted by.
     news: Option<Entry<State>>,
     /// The state that is acted by.
@@ -82,7 +86,7 @@
     /// # Errors
     /// Where the file of lives cannot be had, or another process that lives holds it.
     pub(crate) fn new(settings: AgreedSettings, agreed: Agreed) -> io::Result<Self> {
-        let AgreedSettings { client, addresses, prefix, lives, name } = settings;
+        let AgreedSettings { client, addresses, prefix, lives, remember, name } = settings;
         let mut bytes = [0; 8];
         getrandom::fill(&mut bytes).map_err(|e| io::Error::other(e.to_string()))?;
         let life: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
@@ -95,6 +99,7 @@
         };
         let keys = Keys::new(&prefix);
         let own_key = keys.right(&name, &life);
+        let known = remember.as_deref().and_then(|path| remembered(path, &keys)).unwrap_or_default();
         let holder = Holder::new(HolderSettings { keys: keys.clone(), name, life, before });
         Ok(Agreement {
             link: Link::new(client, addresses),
@@ -102,9 +107,10 @@
             own_key,
             holder,
             agreed,
-            documents: BTreeMap::new(),
+            documents: known.documents,
+            keeper: remember.map(|path| keeper(path, "settings")),
             questions: BTreeMap::new(),
-            news: None,
+            news: known.state,
             state: None,
             read_at: Some(i64::MIN),
             holder_reads: false,
@@ -395,6 +401,10 @@
         self.patrol.heard(now.0, prepared, HEAD_START.max(2 * right_us));
         (self.holder, self.refused, self.state) = (holder, None, Some(state));
         self.documents.retain(|number, _| numbers.contains(number));
+        if let (Some(keeper), Some(state)) = (&self.keeper, &self.state) {
+            // Where its thread has ended it has said so.
+            let _ = keeper.send(Reading::keep(&self.keys, state, self.documents.values()));
+        }
         Some(site)
     }
 
@@ -431,6 +441,35 @@
     TxnRequest { compare: txn.compares.iter().map(compare).collect(), success }
 }
 
+/// What was acted by when this name ran last. Where there is nothing that can be read the registry is waited for.
+fn remembered(path: &Path, keys: &Keys) -> Option<Reading> {
+    let bytes = match std::fs::read(path) {
+        Ok(bytes) => bytes,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
+        Err(error) => {
+            warn!(path = %path.display(), %error, "the settings are not remembered");
+            return None;
+        }
+    };
+    match Reading::kept(keys, &bytes) {
+        Ok(reading) if reading.unread.is_empty() => {
+            info!(path = %path.display(), "the settings are remembered until the registry answers");
+            Some(reading)
+        }
+        Ok(reading) => {
+            reading
+                .unread
+                .iter()
+                .for_each(|error| warn!(path = %path.display(), %error, "remembered settings"));
+            None
+        }
+        Err(error) => {
+            warn!(path = %path.display(), %error, "remembered settings");
+            None
+        }
+    }
+}
+
 /// Locks the file of lives for as long as this process lasts, which proves that all lives in it have ended, and writes this one
 /// behind them.
 fn begin_life(path: &Path, life: &str) -> io::Result<(File, Vec<String>)> {
--- a/crates/gateway/tests/agreed.rs
+++ b/crates/gateway/tests/agreed.rs
@@ -101,8 +101,9 @@
             self.directory.path().join(format!("{name}.lives")),
         );
         let own = format!(
-            "(gateway (name \"{name}\")) (mqtt (listen \"127.0.0.1:0\"))\n(agreed (registry \"{}\") (lives \"{}\") (timeout-ms 500) (look-ms 200))",
+            "(gateway (name \"{name}\")) (mqtt (listen \"127.0.0.1:0\"))\n(agreed (registry \"{}\") (lives \"{}\") (remember \"{}.kept\") (timeout-ms 500) (look-ms 200))",
             self.registry.address,
+            lives.display(),
             lives.display()
         );
         std::fs::write(&file, own).unwrap();
@@ -259,6 +260,7 @@
     let publish = ["publish", path.to_str().unwrap(), "--why", "above", "--above", "2"];
     assert_eq!(fleet.settings(&publish).1, json!({"committed": true, "number": 3}));
     drop(router);
+    std::fs::remove_file(fleet.directory.path().join("a.lives.kept")).unwrap();
     router = fleet.router("a");
     assert_eq!(fleet.acts_by("a"), [json!([3])]);
     let mut client = Client::connect(router.process.address, "c", false);
@@ -282,6 +284,37 @@
     assert_eq!(fleet.publish(KEYED, "20"), Some(0));
 }
 
+#[test]
+fn a_router_that_starts_while_the_registry_is_away_serves_safe_calls_by_what_it_remembers() {
+    let worker = honest();
+    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    fleet.publish(UNSAFE, "5");
+    let kept = fleet.directory.path().join("a.lives.kept");
+    drop(fleet.router("a"));
+    assert!(kept.exists());
+    fleet.registry.signal("STOP");
+    let router = fleet.router("a");
+    let mut client = Client::connect(router.process.address, "c", false);
+    assert_eq!(client.call("quote/fare", 1, None, "q").outcome, "served");
+    let heard = client.call("charge/visa", 2, Some("k1"), "c");
+    assert!(heard.reason.is_some_and(|r| r.starts_with("not sent")));
+    fleet.registry.signal("CONT");
+    let mut calls = 10;
+    until("its right", || {
+        calls += 1;
+        client.call("charge/visa", calls, Some(&format!("k{calls}")), "c").outcome == "served"
+    });
+    drop(router);
+    // What cannot be read is named, and the registry is asked as if there were nothing.
+    std::fs::write(&kept, "[[\"/slatevalve/agreement/state\", \"{}\", 1]]").unwrap();
+    let router = fleet.router("a");
+    assert!(
+        router.log().contains("a.lives.kept") && router.log().contains("missing field"),
+        "{}",
+        router.log()
+    );
+}
+
 #[test]
 fn a_router_that_was_killed_and_is_back_takes_its_old_right_out_and_one_that_leaves_too() {
     let worker = honest();
