Open calls are looked through for a change of settings only where there is one

Seen by reading: a gateway that acts by documents went through all its open calls in every turn of its loop, as the classes of open calls were handed in before it was known whether a document had changed (shell/agreement.rs `agree`).

Change: they are asked for where a new state is acted by.

--- a/crates/gateway/src/shell/agreement.rs
+++ b/crates/gateway/src/shell/agreement.rs
@@ -134,7 +134,7 @@
         let (mut site, mut until): (Option<Site>, Option<Micros>) = (None, None);
         loop {
             let now = clock.now();
-            if let Some(newer) = self.advance(now, reactor, &BTreeSet::new(), clock) {
+            if let Some(newer) = self.advance(now, reactor, BTreeSet::new, clock) {
                 until.get_or_insert(Micros(now.0 + FIRST_RIGHT));
                 site = Some(newer);
             }
@@ -182,7 +182,7 @@
         &mut self,
         now: Micros,
         reactor: &mut Reactor,
-        open: &BTreeSet<ClassId>,
+        open: impl FnOnce() -> BTreeSet<ClassId>,
         clock: &Clock,
     ) -> Option<Site> {
         for heard in self.link.take_heard() {
@@ -351,7 +351,12 @@
     }
 
     /// Acts by the newest state that is known, once its documents are.
-    fn take_news(&mut self, now: Micros, open: &BTreeSet<ClassId>, clock: &Clock) -> Option<Site> {
+    fn take_news(
+        &mut self,
+        now: Micros,
+        open: impl FnOnce() -> BTreeSet<ClassId>,
+        clock: &Clock,
+    ) -> Option<Site> {
         let state = self.news.take()?;
         if self.refused == Some(state.value.step) {
             return None;
@@ -384,7 +389,7 @@
             }
             Ok(_) => {}
         }
-        let site = match self.agreed.site(&documents.iter().collect::<Vec<_>>(), open, clock) {
+        let site = match self.agreed.site(&documents.iter().collect::<Vec<_>>(), &open(), clock) {
             Ok(site) => site,
             Err(error) => {
                 error!(%error, step = state.value.step, "settings that cannot be acted by here; the rules stay as they are");
@@ -528,8 +533,8 @@
     /// The agreement's part of a turn.
     pub(super) fn agree(&mut self, now: Micros) {
         let Some(agreement) = &mut self.agreement else { return };
-        let open = self.engine.open_classes();
-        let Some(mut site) = agreement.advance(now, &mut self.reactor, &open, &self.clock) else { return };
+        let open = || self.engine.open_classes();
+        let Some(mut site) = agreement.advance(now, &mut self.reactor, open, &self.clock) else { return };
         self.front.take_routes(site.front.routes.clone(), site.front.documents.clone());
         self.pool.sends_by(&site.documents);
         self.engine.settle(site.engine.clone());
