--- a/crates/agreement/src/document.rs
+++ b/crates/agreement/src/document.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// Largest text of a document, in bytes; a registry takes 1.5 MiB a transaction.
@@ -109,6 +109,13 @@
     pub doubt: Doubt,
 }
 
+impl Right {
+    /// Whether it was written for this very state; after a registry was put back, steps are given twice.
+    pub fn says_yes(&self, state: &State) -> bool {
+        self.step == state.step && self.stance == state.stance
+    }
+}
+
 /// An entry of the registry: its value, and the revision that changed it last.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Entry<T> {
@@ -287,6 +294,13 @@
         self.documents.get(&edition.number).filter(|d| d.digest == edition.digest)
     }
 
+    /// All documents that the state or a right names.
+    pub fn named(&self) -> BTreeSet<&Edition> {
+        let state = self.state.iter().map(|s| &s.value.stance);
+        let rights = self.rights.values().map(|r| &r.value.stance);
+        state.chain(rights).flat_map(Stance::editions).collect()
+    }
+
     /// The transaction that publishes a text; the first document counts at once, each other one is prepared. The number is above
     /// all that were given here and above `above`, which counts where the registry was put back to an older content.
     ///
@@ -302,8 +316,8 @@
             return Err(PublishError::TooLong(draft.text.len()));
         }
         let digest = Document::digest_of(&draft.text);
-        let said = self.rights.values().flat_map(|r| r.value.stance.editions()).map(|e| e.number);
-        let given = said.chain(self.documents.keys().copied()).chain([above]).max().unwrap_or(0);
+        let named = self.named().into_iter().map(|e| e.number);
+        let given = named.chain(self.documents.keys().copied()).chain([above]).max().unwrap_or(0);
         let (stance, step, revision, parent) = match &self.state {
             None => (None, 1, 0, 0),
             Some(Entry { value: State { stance, step, .. }, revision }) => {
--- a/crates/agreement/src/driver.rs
+++ b/crates/agreement/src/driver.rs
@@ -6,7 +6,7 @@
 //! commands, and by routers where no command is at work.
 
 use crate::compare::contradictions;
-use crate::document::{bytes, Doubt, Entry, Keys, Reading, Right, Stance, State, Txn};
+use crate::document::{bytes, Doubt, Edition, Entry, Keys, Reading, Right, Stance, State, Txn};
 use crate::terms::Terms;
 use std::collections::BTreeMap;
 
@@ -68,7 +68,12 @@
     }
 
     /// Looks at a reading whose answer came at `now_us`, with the terms of documents where they can be read.
-    pub fn look(&mut self, now_us: i64, reading: &Reading, terms: impl Fn(&Stance) -> Option<Terms>) -> Next {
+    pub fn look(
+        &mut self,
+        now_us: i64,
+        reading: &Reading,
+        terms: impl Fn(&Edition) -> Option<Terms>,
+    ) -> Next {
         self.seen.retain(|id, _| reading.rights.contains_key(id));
         for (id, entry) in &reading.rights {
             let seen = self.seen.entry(id.clone()).or_insert((entry.revision, now_us));
@@ -78,19 +83,22 @@
         }
         let Some(Entry { value: state, revision }) = &reading.state else { return Next::Nothing };
         let Some(prepared) = &state.stance.prepared else { return Next::Nothing };
-        let stance = Stance { committed: prepared.clone(), prepared: None };
-        let new_terms = terms(&stance);
+        let new = terms(prepared);
+        // Many routers act by the same documents: each stance is compared once.
+        let mut borne: BTreeMap<&Stance, bool> = BTreeMap::new();
+        let mut bears = |stance| {
+            *borne.entry(stance).or_insert_with(|| {
+                let old = Terms::of(stance, &terms).zip(new.as_ref());
+                old.is_some_and(|(old, new)| contradictions(&old, new).is_empty())
+            })
+        };
         let unread = reading.unread_rights.iter();
         let mut awaited: Vec<Awaited> =
             unread.map(|(n, l)| Awaited { name: n.clone(), life: l.clone(), wait: Wait::Unread }).collect();
         let mut txn = Txn { compares: vec![(self.keys.state(), *revision)], ..Txn::default() };
-        for (id, entry) in reading.rights.iter().filter(|(_, e)| !says_yes(&e.value, state)) {
-            let bears = || {
-                let (old, new) = (terms(&entry.value.stance), new_terms.as_ref());
-                old.zip(new).is_some_and(|(old, new)| contradictions(&old, new).is_empty())
-            };
+        for (id, entry) in reading.rights.iter().filter(|(_, e)| !e.value.says_yes(state)) {
             if let Some(wait) = self.wait(now_us, id, &entry.value) {
-                if !bears() {
+                if !bears(&entry.value.stance) {
                     awaited.push(Awaited { name: id.0.clone(), life: id.1.clone(), wait });
                 }
                 continue;
@@ -102,6 +110,7 @@
         if !awaited.is_empty() {
             return Next::Wait(awaited);
         }
+        let stance = Stance { committed: prepared.clone(), prepared: None };
         let state = State { step: state.step + 1, stance, last: state.last };
         txn.puts.push((self.keys.state(), bytes(&state)));
         Next::Commit(txn)
@@ -117,8 +126,3 @@
         (now_us < until).then_some(Wait::UntilItsRightEnds(until))
     }
 }
-
-/// Whether a right was written for this very state; after a registry was put back, steps are given twice.
-fn says_yes(right: &Right, state: &State) -> bool {
-    right.step == state.step && right.stance == state.stance
-}
--- a/crates/agreement/src/holder.rs
+++ b/crates/agreement/src/holder.rs
@@ -127,7 +127,12 @@
         }
     }
 
-    /// What it acts by.
+    /// The state that it acts by.
+    pub fn state(&self) -> Option<&Entry<State>> {
+        self.state.as_ref()
+    }
+
+    /// The documents that it acts by.
     pub fn stance(&self) -> Option<&Stance> {
         self.state.as_ref().map(|s| &s.value.stance)
     }
--- a/crates/agreement/src/terms.rs
+++ b/crates/agreement/src/terms.rs
@@ -4,6 +4,7 @@
 //! what it *bears* of others. In one document they are the same; in a meet, what is done is what both documents allow, and what
 //! is borne is what either does. Called by [`crate::contradictions`] and by whoever makes a router's rules of a stance.
 
+use crate::document::{Edition, Stance};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What must hold where a call is repeated that may have run.
@@ -163,6 +164,16 @@
 }
 
 impl Terms {
+    /// The rules by a stance, from those of its documents; nothing where one of them is not known.
+    pub fn of(stance: &Stance, terms: impl Fn(&Edition) -> Option<Terms>) -> Option<Terms> {
+        let prepared = stance.prepared.as_ref().map(&terms);
+        let committed = terms(&stance.committed)?;
+        match prepared {
+            None => Some(committed),
+            Some(prepared) => Some(committed.meet(&prepared?)),
+        }
+    }
+
     /// The strictest rules that contradict neither side.
     pub fn meet(&self, other: &Terms) -> Terms {
         Terms {
--- a/crates/agreement/tests/model.rs
+++ b/crates/agreement/tests/model.rs
@@ -22,8 +22,8 @@
     Terms { classes: [("charge".to_string(), Class::of(repeat, 1, 1))].into(), ..Terms::default() }
 }
 
-fn terms(stance: &Stance) -> Option<Terms> {
-    stance.editions().map(|e| rules(e.number)).reduce(|a, b| a.meet(&b))
+fn terms(edition: &Edition) -> Option<Terms> {
+    Some(rules(edition.number))
 }
 
 type Store = BTreeMap<String, (Vec<u8>, i64)>;
@@ -192,7 +192,7 @@
         stances.iter().enumerate().all(|(at, one)| {
             stances[at + 1..].iter().filter(|other| *other != one).all(|other| {
                 let shared = one.editions().any(|e| other.editions().any(|o| o == e));
-                let (one, other) = (terms(one).unwrap(), terms(other).unwrap());
+                let (one, other) = (Terms::of(one, terms).unwrap(), Terms::of(other, terms).unwrap());
                 shared && contradictions(&one, &other).is_empty()
             })
         })
--- a/crates/agreement/tests/records.rs
+++ b/crates/agreement/tests/records.rs
@@ -88,18 +88,15 @@
     let txn = reading(&store).publish(&keys(), &draft("two"), 0).unwrap().1;
     apply(&mut store, 3, txn);
     let mut driver = Driver::new(keys(), 20_000);
-    let rules = |stance: &Stance| {
-        let one = |e: &Edition| {
-            let class = Class::of(Repeat::keyed(None, e.number as i64), 1, 1);
-            Terms { classes: [("charge".to_string(), class)].into(), ..Terms::default() }
-        };
-        stance.editions().map(one).reduce(|a, b| a.meet(&b))
+    let rules = |e: &Edition| {
+        let class = Class::of(Repeat::keyed(None, e.number as i64), 1, 1);
+        Some(Terms { classes: [("charge".to_string(), class)].into(), ..Terms::default() })
     };
     let awaited = |wait| Next::Wait(vec![Awaited { name: "r".into(), life: "1".into(), wait }]);
     assert_eq!(driver.look(0, &reading(&store), rules), awaited(Wait::ForItsWord));
     assert_eq!(driver.look(i64::MAX / 2, &reading(&store), rules), awaited(Wait::ForItsWord));
     // Where the new document contradicts nothing that it acts by, nobody waits for it.
-    let same = |_: &Stance| Some(Terms::default());
+    let same = |_: &Edition| Some(Terms::default());
     assert!(matches!(driver.look(0, &reading(&store), same), Next::Commit(_)));
     // Terms that cannot be read are taken to contradict; and a right that cannot be read is a no.
     assert_eq!(driver.look(0, &reading(&store), |_| None), awaited(Wait::ForItsWord));
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -205,17 +205,13 @@
     function: FunctionId,
     key: Option<KeyDigest>,
     /// Whether its answer goes on record: its class may not repeat freely.
-    recorded: bool,
+    pub(crate) recorded: bool,
     until: Micros,
     attempts: Vec<Attempt>,
     answered: bool,
 }
 
 impl Open {
-    pub(crate) fn is_recorded(&self) -> bool {
-        self.recorded
-    }
-
     fn may_have_run(&self) -> bool {
         self.attempts.iter().any(|a| !a.outcome.is_some_and(Outcome::proves_never_ran))
     }
@@ -715,33 +711,28 @@
     }
 
     fn send(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Output>) -> Option<Event> {
-        let now = self.now;
-        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else {
-            let (outcome, latency, crowd) = (Outcome::NotSent, Micros(0), None);
-            let (attempt, load_failed, report) = (0, false, None);
-            let answer = AttemptAnswer {
+        let not_sent = |attempt, closed| {
+            Some(Event::Answer(AttemptAnswer {
                 id,
                 attempt,
                 worker,
-                outcome,
-                closed: true,
-                latency,
-                crowd,
-                load_failed,
-                report,
-            };
-            return Some(Event::Answer(answer));
+                outcome: Outcome::NotSent,
+                closed,
+                latency: Micros(0),
+                crowd: None,
+                load_failed: false,
+                report: None,
+            }))
         };
+        let now = self.now;
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return not_sent(0, true) };
         let attempt = AttemptRef { request: id, attempt: open.attempts.len() };
-        if self.withheld && open.recorded {
-            open.attempts.push(Attempt { worker, sent: now, outcome: Some(Outcome::NotSent) });
-            let (attempt, latency, crowd) = (attempt.attempt, Micros(0), None);
-            let (closed, load_failed, report, outcome) = (false, false, None, Outcome::NotSent);
-            let answer =
-                AttemptAnswer { id, attempt, worker, outcome, closed, latency, crowd, load_failed, report };
-            return Some(Event::Answer(answer));
+        let withheld = self.withheld && open.recorded;
+        let outcome = withheld.then_some(Outcome::NotSent);
+        open.attempts.push(Attempt { worker, sent: now, outcome });
+        if withheld {
+            return not_sent(attempt.attempt, false);
         }
-        open.attempts.push(Attempt { worker, sent: now, outcome: None });
         self.statistics.attempts += 1;
         let time_left = Micros(open.until.0.saturating_sub(now.0));
         out.push(Output::Send { attempt, worker, body: open.body.clone(), time_left });
--- a/crates/engine/src/settle.rs
+++ b/crates/engine/src/settle.rs
@@ -21,15 +21,9 @@
             self.looser = Some((RequestId(self.next), wanted));
         }
         self.brain.settle(module.clone());
-        self.settings = EngineSettings {
-            module,
-            classes,
-            key_spaces,
-            functions,
-            other_functions,
-            margin,
-            ..self.settings.clone()
-        };
+        let own = &mut self.settings;
+        (own.module, own.classes, own.key_spaces) = (module, classes, key_spaces);
+        (own.functions, own.other_functions, own.margin) = (functions, other_functions, margin);
     }
 
     /// Allows more attempts once no call is open that was taken under fewer.
@@ -50,7 +44,7 @@
 
     /// Whether an attempt of an open call is one that is withheld, see [`Engine::withhold`].
     pub fn is_withheld(&self, request: RequestId) -> bool {
-        self.withheld && self.open.get(&request).is_some_and(|o| o.is_recorded())
+        self.withheld && self.open.get(&request).is_some_and(|o| o.recorded)
     }
 
     /// The classes of open calls.
--- a/crates/gateway/src/commands/members.rs
+++ b/crates/gateway/src/commands/members.rs
@@ -167,10 +167,9 @@
                 return Err(format!("{worker} cannot be a worker's name").into());
             };
             record.state = state;
-            let (target, result) = ("MOD".to_string(), "EQUAL".to_string());
             let put = PutRequest { key: key.clone(), value: Bytes(serde_json::to_vec(&record)?), lease };
             let ask = TxnRequest {
-                compare: vec![Compare { target, result, key: key.clone(), mod_revision }],
+                compare: vec![Compare::unchanged(key.clone(), mod_revision)],
                 success: vec![RequestOp { request_put: Some(put), request_delete_range: None }],
             };
             let done: PlainResponse = self.ask(TXN, &ask)?;
--- a/crates/gateway/src/commands/settings.rs
+++ b/crates/gateway/src/commands/settings.rs
@@ -6,19 +6,18 @@
 use super::session::{RegistryArguments, Res, Session};
 use super::Outcome;
 use crate::clock::Clock;
-use crate::settings::SharedSettings;
-use crate::shell::agreement::request;
+use crate::documents::{reading, request, Conductor};
+use crate::settings::{self, SharedSettings};
 use clap::{Args, Subcommand};
 use serde_json::{json, Value};
 use slatevalve_agreement::{
-    contradictions, Awaited, Document, Driver, Edition, Keys, Next, Reading, Stance, State, Terms, Txn, Wait,
+    contradictions, Awaited, Document, Edition, Entry, Keys, Next, Reading, Right, State, Terms, Txn, Wait,
 };
 use slatevalve_registry::wire::{
     prefix_end, Bytes, KeyValue, PlainResponse, RangeRequest, RangeResponse, RANGE, TXN,
 };
 use slatevalve_registry::Follow;
 use std::collections::BTreeMap;
-use std::fs;
 use std::io::{self, IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -179,8 +178,7 @@
 }
 
 fn read_file(path: &Path) -> Res<(String, SharedSettings)> {
-    let name = path.display().to_string();
-    let text = fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    let (name, text) = settings::read_text(path)?;
     let shared = read_text(&name, &text)?;
     Ok((text, shared))
 }
@@ -229,14 +227,13 @@
     keys: Keys,
     json: bool,
     documents: BTreeMap<u64, Document>,
-    terms: BTreeMap<Edition, Option<Terms>>,
 }
 
 impl Desk {
     fn new(registry: RegistryArguments, json: bool) -> Res<Self> {
         let keys = Keys::new(&registry.prefix);
         let session = Session::new(registry, Follow::Nothing)?;
-        Ok(Desk { session, keys, json, documents: BTreeMap::new(), terms: BTreeMap::new() })
+        Ok(Desk { session, keys, json, documents: BTreeMap::new() })
     }
 
     fn range(&mut self, key: &str, prefix: bool, revision: i64) -> Res<(Vec<KeyValue>, i64)> {
@@ -250,31 +247,22 @@
     fn read(&mut self) -> Res<Reading> {
         let (mut entries, revision) = self.range(&self.keys.rights(), true, 0)?;
         entries.extend(self.range(&self.keys.state(), false, revision)?.0);
-        let mut reading = self.reading(&entries);
-        let state = reading.state.iter().flat_map(|s| s.value.stance.editions());
-        let rights = reading.rights.values().flat_map(|r| r.value.stance.editions());
-        let named: Vec<Edition> = state.chain(rights).cloned().collect();
-        for edition in named {
-            if let Ok(document) = self.document(edition.number) {
+        let mut reading = reading(&self.keys, &entries);
+        let named: Vec<u64> = reading.named().into_iter().map(|e| e.number).collect();
+        for number in named {
+            if let Ok(document) = self.document(number) {
                 reading.documents.insert(document.number, document);
             }
         }
         Ok(reading)
     }
 
-    fn reading(&self, entries: &[KeyValue]) -> Reading {
-        let text = |kv: &KeyValue| String::from_utf8_lossy(&kv.key.0).into_owned();
-        let keys: Vec<String> = entries.iter().map(text).collect();
-        let each = keys.iter().zip(entries).map(|(k, e)| (k.as_str(), e.value.0.as_slice(), e.mod_revision));
-        Reading::of(&self.keys, each)
-    }
-
     fn document(&mut self, number: u64) -> Res<Document> {
         if let Some(document) = self.documents.get(&number) {
             return Ok(document.clone());
         }
         let (found, _) = self.range(&self.keys.document(number), false, 0)?;
-        let mut reading = self.reading(&found);
+        let mut reading = reading(&self.keys, &found);
         let document = reading.documents.remove(&number).ok_or_else(|| match reading.unread.first() {
             Some(error) => error.to_string(),
             None => format!("there is no document {number}"),
@@ -292,8 +280,7 @@
 
     /// Whether a transaction was done.
     fn write(&mut self, txn: &Txn) -> Res<bool> {
-        let ask = request(txn);
-        let answer: PlainResponse = self.session.ask(TXN, &ask)?;
+        let answer: PlainResponse = self.session.ask(TXN, &request(txn))?;
         Ok(answer.succeeded)
     }
 
@@ -322,46 +309,19 @@
         Ok(document.number)
     }
 
-    fn terms_of(&mut self, reading: &Reading) -> BTreeMap<Edition, Terms> {
-        let state = reading.state.iter().flat_map(|s| s.value.stance.editions());
-        let rights = reading.rights.values().flat_map(|r| r.value.stance.editions());
-        let mut found = BTreeMap::new();
-        for edition in state.chain(rights) {
-            let document = reading.document(edition);
-            let read = || read_text("document", &document?.text).ok().map(|s| s.terms());
-            if let Some(terms) = self.terms.entry(edition.clone()).or_insert_with(read) {
-                found.insert(edition.clone(), terms.clone());
-            }
-        }
-        found
-    }
-
     /// Drives a change until it is committed, or time is up.
     fn drive(&mut self, wanted: Option<u64>, wait_s: f64) -> Outcome {
         let until = Instant::now() + Duration::from_secs_f64(wait_s.clamp(0.0, 86_400.0));
-        let (mut driver, mut shown, mut wait) = (None, Vec::new(), LOOK.0);
+        let mut conductor = Conductor::new(self.keys.clone());
+        let (mut shown, mut wait) = (Vec::new(), LOOK.0);
         loop {
-            let reading = self.read();
-            let waits = match reading {
+            let waits = match self.read() {
                 Ok(reading) => {
-                    let Some(state) = reading.state.as_ref().map(|s| s.value.clone()) else {
-                        return Err("nothing was published yet".into());
-                    };
-                    let Some(prepared) = state.stance.prepared.clone() else {
-                        return self.ended(wanted, &state);
-                    };
-                    let clock_error =
-                        self.document(prepared.number).and_then(|d| read_text("document", &d.text));
-                    let ppm = clock_error.map_or(500_000, |s| s.clock_error_ppm);
-                    let driver = driver.get_or_insert_with(|| Driver::new(self.keys.clone(), ppm));
-                    let terms = self.terms_of(&reading);
-                    let of = |stance: &Stance| {
-                        let each =
-                            stance.editions().map(|e| terms.get(e).cloned()).collect::<Option<Vec<_>>>()?;
-                        each.into_iter().reduce(|a, b| a.meet(&b))
-                    };
-                    let now_us = self.session.clock.now().0;
-                    match driver.look(now_us, &reading, of) {
+                    let state = reading.state.as_ref().ok_or("nothing was published yet")?;
+                    if state.value.stance.prepared.is_none() {
+                        return self.ended(wanted, &state.value);
+                    }
+                    match conductor.look(&self.session.clock, &reading) {
                         Next::Commit(txn) => {
                             // Whether it was done shows at the next look, whoever did it.
                             self.write(&txn)?;
@@ -431,9 +391,9 @@
             json!({"number": e.number, "digest": e.digest, "who": words(|d| d.who.clone()),
                 "why": words(|d| d.why.clone()), "in-doubt": document.map(|d| d.doubt)})
         };
-        let right = |((name, life), entry): (&(String, String), &slatevalve_agreement::Entry<_>)| {
-            let right: &slatevalve_agreement::Right = &entry.value;
-            let yes = right.step == state.value.step && right.stance == *stance;
+        let right = |((name, life), entry): (&(String, String), &Entry<Right>)| {
+            let right = &entry.value;
+            let yes = right.says_yes(&state.value);
             let numbers: Vec<u64> = right.stance.editions().map(|e| e.number).collect();
             json!({"router": name, "life": life, "acts-by": numbers, "said-yes": yes, "in-doubt": right.doubt})
         };
--- /dev/null
+++ b/crates/gateway/src/documents.rs
@@ -0,0 +1,130 @@
+//! What the agreement on settings needs of a gateway, whoever takes part in it: its entries and transactions in the registry's
+//! protocol, and a driver that reads documents as a gateway does. Used by the shell of a gateway that acts by documents and by
+//! the `settings` commands; both own their connections.
+
+use crate::clock::Clock;
+use crate::settings::SharedSettings;
+use slatevalve_agreement::{Document, Driver, Edition, Keys, Next, Reading, Terms, Txn};
+use slatevalve_registry::wire::{Bytes, Compare, DeleteRequest, KeyValue, PutRequest, RequestOp, TxnRequest};
+use std::collections::BTreeMap;
+
+/// A clock's error where a document does not say it, as it cannot be read here: the largest that there may be.
+const UNKNOWN_ERROR_PPM: i64 = 500_000;
+
+/// A transaction as the registry's protocol has it.
+pub fn request(txn: &Txn) -> TxnRequest {
+    let put = |(key, value): &(String, Vec<u8>)| RequestOp {
+        request_put: Some(PutRequest { key: Bytes::of(key), value: Bytes(value.clone()), lease: 0 }),
+        request_delete_range: None,
+    };
+    let delete = |key: &String| RequestOp {
+        request_put: None,
+        request_delete_range: Some(DeleteRequest { key: Bytes::of(key), range_end: Bytes::default() }),
+    };
+    TxnRequest {
+        compare: txn.compares.iter().map(|(key, at)| Compare::unchanged(Bytes::of(key), *at)).collect(),
+        success: txn.puts.iter().map(put).chain(txn.deletes.iter().map(delete)).collect(),
+    }
+}
+
+/// What the registry's entries say.
+pub fn reading(keys: &Keys, entries: &[KeyValue]) -> Reading {
+    let text = |kv: &KeyValue| String::from_utf8_lossy(&kv.key.0).into_owned();
+    let names: Vec<String> = entries.iter().map(text).collect();
+    let each = names.iter().zip(entries).map(|(k, e)| (k.as_str(), e.value.0.as_slice(), e.mod_revision));
+    Reading::of(keys, each)
+}
+
+/// A driver of one change after the other, with the rules of the documents that it met.
+pub(crate) struct Conductor {
+    keys: Keys,
+    /// The step that is driven, and its driver.
+    driver: Option<(u64, Driver)>,
+    /// Rules and clock's error of documents; nothing for one that cannot be read here.
+    rules: BTreeMap<Edition, Option<(Terms, i64)>>,
+}
+
+impl Conductor {
+    pub(crate) fn new(keys: Keys) -> Self {
+        Conductor { keys, driver: None, rules: BTreeMap::new() }
+    }
+
+    /// Looks at a reading, with the documents that are known of those it names, as [`Driver::look`] does.
+    pub(crate) fn look(&mut self, clock: &Clock, reading: &Reading) -> Next {
+        let Some(state) = &reading.state else { return Next::Nothing };
+        let named = reading.named();
+        self.rules.retain(|edition, _| named.contains(edition));
+        for edition in named {
+            if let Some(document) = reading.document(edition) {
+                self.rules.entry(edition.clone()).or_insert_with(|| rules(document, clock));
+            }
+        }
+        let known = |e: &Edition| self.rules.get(e).and_then(Option::as_ref);
+        let step = state.value.step;
+        if self.driver.as_ref().is_none_or(|d| d.0 != step) {
+            let errors = state.value.stance.editions().map(|e| known(e).map_or(UNKNOWN_ERROR_PPM, |r| r.1));
+            let error = errors.max().unwrap_or(UNKNOWN_ERROR_PPM);
+            self.driver = Some((step, Driver::new(self.keys.clone(), error)));
+        }
+        let terms = |e: &Edition| known(e).map(|r| r.0.clone());
+        let driver = self.driver.as_mut();
+        driver.map_or(Next::Nothing, |(_, driver)| driver.look(clock.now().0, reading, terms))
+    }
+}
+
+fn rules(document: &Document, clock: &Clock) -> Option<(Terms, i64)> {
+    let shared =
+        SharedSettings::parse(&format!("document {}", document.number), &document.text, clock).ok()?;
+    Some((shared.terms(), shared.clock_error_ppm))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use slatevalve_agreement::{Ask, Doubt, Holder, HolderSettings, Wait};
+
+    const RIGHT_US: i64 = 3_600_000_000;
+
+    /// Publishes a document into entries; a router that stands still has said yes to the one before.
+    fn publish(keys: &Keys, entries: &mut Vec<KeyValue>, clock_error_ppm: i64) {
+        let text = format!(
+            "(class \"charge\" (effect keyed (group all) (window-ms {clock_error_ppm})) (aim-ms 1) (deadline-ms 1))
+             (route \"charge/+\" (class \"charge\") (function \"{{2}}\"))
+             (agreement (in-doubt give-up) (clock-error-ppm {clock_error_ppm}))"
+        );
+        let (digest, who, why, doubt) = (String::new(), "op".into(), "why".into(), Doubt::GiveUp);
+        let draft = Document { number: 0, parent: 0, digest, text, who, why, doubt, right_us: RIGHT_US };
+        let (_, txn) = reading(keys, entries).publish(keys, &draft, 0).unwrap();
+        put(entries, &txn);
+    }
+
+    fn put(entries: &mut Vec<KeyValue>, txn: &Txn) {
+        for put in request(txn).success.into_iter().filter_map(|op| op.request_put) {
+            entries.retain(|e| e.key != put.key);
+            entries.push(KeyValue { key: put.key, value: put.value, mod_revision: 1, ..KeyValue::default() });
+        }
+    }
+
+    #[test]
+    fn a_right_is_waited_for_by_the_larger_clock_error_of_both_documents() {
+        for (old, new) in [(400_000, 1), (1, 400_000)] {
+            let (keys, clock, mut entries) = (Keys::new("/t/"), Clock::start(), Vec::new());
+            publish(&keys, &mut entries, old);
+            let settings =
+                HolderSettings { keys: keys.clone(), name: "r".into(), life: "1".into(), before: vec![] };
+            let mut still = Holder::new(settings);
+            still.heard(&reading(&keys, &entries).state.unwrap(), &[(Doubt::GiveUp, RIGHT_US)]).unwrap();
+            let Some(Ask::Write(txn)) = still.ask(0) else { panic!("it asks for its right") };
+            put(&mut entries, &txn);
+            publish(&keys, &mut entries, new);
+            let from = clock.now().0;
+            let Next::Wait(awaited) = Conductor::new(keys.clone()).look(&clock, &reading(&keys, &entries))
+            else {
+                panic!("its right stands")
+            };
+            let Wait::UntilItsRightEnds(until) = awaited[0].wait else { panic!("{awaited:?}") };
+            // 1.4 / 0.6 of the right.
+            assert!(until - from >= RIGHT_US / 6 * 14, "{old} then {new}: {}", until - from);
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod badday;
 pub mod clock;
 pub mod commands;
+pub mod documents;
 mod fleet;
 pub mod members;
 pub mod platform;
--- a/crates/gateway/src/settings/agreed.rs
+++ b/crates/gateway/src/settings/agreed.rs
@@ -88,14 +88,7 @@
     /// # Errors
     /// With the first thing that is wrong, and where.
     pub fn read(path: &Path) -> Res<Option<(AgreedSettings, Agreed)>> {
-        let name = path.display().to_string();
-        let words = |e: std::io::Error| FormError {
-            file: name.clone(),
-            line: 0,
-            form: String::new(),
-            words: e.to_string(),
-        };
-        let own = std::fs::read_to_string(path).map_err(words)?;
+        let (name, own) = super::read_text(path)?;
         let file = File::parse(&name, &own)?;
         let mut top = file.forms()?;
         let Some(form) = top.take("agreed")? else { return Ok(None) };
@@ -120,14 +113,6 @@
         Ok(Some((settings, Agreed { own, named, places, current, spaces, tenants })))
     }
 
-    /// The rules of a document, and how far off its clocks may be; nothing where it cannot be read here.
-    pub fn terms(&self, document: &Document, clock: &Clock) -> Option<(Terms, i64)> {
-        let name = format!("document {}", document.number);
-        let shared =
-            SharedSettings::with_own(&name, &document.text, &self.own, clock, self.named.clone()).ok()?;
-        Some((shared.terms(), shared.clock_error_ppm))
-    }
-
     /// The settings by one document or, while a change is prepared, by two, the newer one last. Places that have open calls
     /// keep what these calls go by. Nothing is changed where it cannot be done.
     ///
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -117,13 +117,7 @@
     /// # Errors
     /// With file, line and form of the first thing that is wrong.
     pub fn load(path: &Path, clock: &Clock, named: Named) -> Res<Self> {
-        let name = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|e| FormError {
-            file: name.clone(),
-            line: 0,
-            form: String::new(),
-            words: e.to_string(),
-        })?;
+        let (name, text) = read_text(path)?;
         Site::parse(&name, &text, clock, named)
     }
 
@@ -231,6 +225,15 @@
     }
 }
 
+/// A file's name, as errors have it, and its text.
+pub(crate) fn read_text(path: &Path) -> Res<(String, String)> {
+    let file = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => Ok((file, text)),
+        Err(e) => Err(FormError { file, line: 0, form: String::new(), words: e.to_string() }),
+    }
+}
+
 /// A text that can stand in a header of HTTP.
 fn header_text(form: &Form<'_>) -> Res<String> {
     let text = form.text()?;
--- a/crates/gateway/src/shell/agreement.rs
+++ b/crates/gateway/src/shell/agreement.rs
@@ -7,18 +7,16 @@
 
 use super::{Shell, ShellError};
 use crate::clock::Clock;
+use crate::documents::{self, Conductor};
 use crate::members::keeper;
 use crate::settings::{Agreed, AgreedSettings, Site};
 use slatevalve::{ClassId, Micros, Scope};
 use slatevalve_agreement::{
-    Ask, Document, Driver, Edition, Entry, Holder, HolderSettings, Keys, May, Next, Patrol, Reading, Stance,
-    State, Terms, Txn, TxnEnd,
+    Ask, Document, Edition, Entry, Holder, HolderSettings, Keys, May, Next, Patrol, Reading, State, Txn,
+    TxnEnd,
 };
 use slatevalve_reactor::{Happening, Reactor};
-use slatevalve_registry::wire::{
-    prefix_end, Bytes, Compare, DeleteRequest, PlainResponse, PutRequest, RangeRequest, RangeResponse,
-    RequestOp, TxnRequest, RANGE, TXN,
-};
+use slatevalve_registry::wire::{prefix_end, Bytes, PlainResponse, RangeRequest, RangeResponse, RANGE, TXN};
 use slatevalve_registry::Heard;
 use slatevalve_registry_link::Link;
 use std::collections::{BTreeMap, BTreeSet};
@@ -63,8 +61,6 @@
     keeper: Option<Sender<Vec<u8>>>,
     /// A state that is known and not yet acted by.
     news: Option<Entry<State>>,
-    /// The state that is acted by.
-    state: Option<Entry<State>>,
     /// The state is to be read, from then on; and the holder waits for it and its own entry.
     read_at: Option<i64>,
     holder_reads: bool,
@@ -73,8 +69,7 @@
     may: May,
     /// Drives changes whose driver has died.
     patrol: Patrol,
-    driver: Option<(u64, Driver)>,
-    rules: BTreeMap<Edition, Option<(Terms, i64)>>,
+    conductor: Conductor,
     left: bool,
     /// Held locked while this life lasts.
     _lives: Option<File>,
@@ -100,6 +95,7 @@
         let keys = Keys::new(&prefix);
         let own_key = keys.right(&name, &life);
         let known = remember.as_deref().and_then(|path| remembered(path, &keys)).unwrap_or_default();
+        let conductor = Conductor::new(keys.clone());
         let holder = Holder::new(HolderSettings { keys: keys.clone(), name, life, before });
         Ok(Agreement {
             link: Link::new(client, addresses),
@@ -111,14 +107,12 @@
             keeper: remember.map(|path| keeper(path, "settings")),
             questions: BTreeMap::new(),
             news: known.state,
-            state: None,
             read_at: Some(i64::MIN),
             holder_reads: false,
             refused: None,
             may: May::Nothing,
             patrol: Patrol::new(u64::from_be_bytes(bytes)),
-            driver: None,
-            rules: BTreeMap::new(),
+            conductor,
             left: false,
             _lives: lives,
         })
@@ -165,9 +159,8 @@
 
     /// When [`Agreement::advance`] is due.
     pub(crate) fn next_wake(&self, now: Micros) -> Micros {
-        let read_at = self.read_at.filter(|_| !self.asks(|f| matches!(f, For::State)));
-        let patrol = self.patrol.due_us().filter(|_| !self.asks(|f| matches!(f, For::Rights | For::Commit)));
-        let due = [Some(self.link.next_wake(now.0)), self.holder.due_us(), read_at, patrol];
+        let due =
+            [Some(self.link.next_wake(now.0)), self.holder.due_us(), self.state_due(), self.patrol_due()];
         Micros(due.into_iter().flatten().min().unwrap_or(i64::MAX).max(now.0))
     }
 
@@ -193,23 +186,18 @@
                 _ => {}
             }
         }
-        if self.read_at.is_some_and(|at| at <= now.0) && !self.asks(|f| matches!(f, For::State)) {
+        if self.state_due().is_some_and(|at| at <= now.0) {
             self.read_at = None;
-            self.ask_range(&self.keys.state(), For::State);
+            self.ask_key(&self.keys.state(), For::State);
         }
         let site = self.take_news(now, open, clock);
         if self.left {
             self.link.advance(now.0, reactor);
             return site;
         }
-        if self.patrol.due_us().is_some_and(|at| at <= now.0)
-            && !self.asks(|f| matches!(f, For::Rights | For::Commit))
-        {
-            let key = self.keys.rights();
-            let range_end = Bytes(prefix_end(key.as_bytes()));
-            let ask = RangeRequest { key: Bytes::of(&key), range_end, ..RangeRequest::default() };
-            let ticket = self.link.client_mut().ask(RANGE, &ask);
-            self.questions.insert(ticket, For::Rights);
+        if self.patrol_due().is_some_and(|at| at <= now.0) {
+            let rights = self.keys.rights();
+            self.ask_range(&rights, Bytes(prefix_end(rights.as_bytes())), For::Rights);
         }
         match self.holder.ask(now.0) {
             Some(Ask::Read) => {
@@ -223,18 +211,32 @@
         site
     }
 
+    /// When the state is to be read next; not while it is being read.
+    fn state_due(&self) -> Option<i64> {
+        self.read_at.filter(|_| !self.asks(|f| matches!(f, For::State)))
+    }
+
+    /// When to look for a change that waits for a driver; not while one look is under way.
+    fn patrol_due(&self) -> Option<i64> {
+        self.patrol.due_us().filter(|_| !self.asks(|f| matches!(f, For::Rights | For::Commit)))
+    }
+
     fn asks(&self, what: impl Fn(&For) -> bool) -> bool {
         self.questions.values().any(what)
     }
 
-    fn ask_range(&mut self, key: &str, what: For) {
-        let ask = RangeRequest { key: Bytes::of(key), ..RangeRequest::default() };
+    fn ask_key(&mut self, key: &str, what: For) {
+        self.ask_range(key, Bytes::default(), what);
+    }
+
+    fn ask_range(&mut self, key: &str, range_end: Bytes, what: For) {
+        let ask = RangeRequest { key: Bytes::of(key), range_end, ..RangeRequest::default() };
         let ticket = self.link.client_mut().ask(RANGE, &ask);
         self.questions.insert(ticket, what);
     }
 
     fn ask_write(&mut self, txn: &Txn, what: For) {
-        let ticket = self.link.client_mut().ask(TXN, &request(txn));
+        let ticket = self.link.client_mut().ask(TXN, &documents::request(txn));
         self.questions.insert(ticket, what);
     }
 
@@ -249,7 +251,7 @@
                     reading.unread.iter().for_each(|error| error!(%error, "the state of the settings"));
                     self.news = reading.state.or(self.news.take());
                     if std::mem::take(&mut self.holder_reads) {
-                        self.ask_range(&self.own_key.clone(), For::Own);
+                        self.ask_key(&self.own_key.clone(), For::Own);
                     }
                 }
                 None => self.read_at = Some(now.0 + AGAIN),
@@ -290,7 +292,7 @@
                 self.patrol.looked(now.0, found.as_ref().map_or(1, |f| f.kvs.len()));
                 if let Some(found) = found {
                     let reading = self.reading(&found);
-                    self.drive(now, reading, clock);
+                    self.drive(reading, clock);
                 }
             }
             // Whether it was done shows in the state, as with any other's.
@@ -301,53 +303,26 @@
 
     /// Commits the change that is prepared, where nobody is waited for any more. The state that the rights are held against is
     /// the newest one heard: a commit on an older one is refused by the registry.
-    fn drive(&mut self, now: Micros, mut reading: Reading, clock: &Clock) {
-        let Some(state) = self.state.clone() else { return };
-        for edition in state.value.stance.editions() {
-            let document = self.documents.get(&edition.number).filter(|d| d.digest == edition.digest);
-            let agreed = &self.agreed;
-            self.rules.entry(edition.clone()).or_insert_with(|| agreed.terms(document?, clock));
-        }
-        let named: BTreeSet<&Edition> = reading
-            .rights
-            .values()
-            .flat_map(|r| r.value.stance.editions())
-            .chain(state.value.stance.editions())
-            .collect();
-        self.rules.retain(|edition, _| named.contains(edition));
-        let (rules, step) = (&self.rules, state.value.step);
-        let errors = state.value.stance.editions().map(|e| match rules.get(e) {
-            Some(Some((_, error))) => *error,
-            _ => 500_000,
-        });
-        let error = errors.max().unwrap_or(500_000);
-        if self.driver.as_ref().is_none_or(|d| d.0 != step) {
-            self.driver = Some((step, Driver::new(self.keys.clone(), error)));
-        }
+    fn drive(&mut self, mut reading: Reading, clock: &Clock) {
+        let Some(state) = self.holder.state().cloned() else { return };
+        let step = state.value.step;
         reading.state = Some(state);
-        let terms = |stance: &Stance| {
-            let each = |e: &Edition| rules.get(e)?.as_ref().map(|r| r.0.clone());
-            let each = stance.editions().map(each).collect::<Option<Vec<Terms>>>()?;
-            each.into_iter().reduce(|a, b| a.meet(&b))
-        };
-        let next = self.driver.as_mut().map(|(_, driver)| driver.look(now.0, &reading, terms));
-        match next {
-            Some(Next::Commit(txn)) => {
+        reading.documents.clone_from(&self.documents);
+        match self.conductor.look(clock, &reading) {
+            Next::Commit(txn) => {
                 info!(step, "driving the change that is prepared to its commit");
                 self.ask_write(&txn, For::Commit);
             }
-            Some(Next::Wait(awaited)) => {
+            Next::Wait(awaited) => {
                 let names: Vec<&str> = awaited.iter().take(5).map(|a| a.name.as_str()).collect();
                 info!(step, awaited = awaited.len(), first = ?names, "a change of the settings waits");
             }
-            _ => {}
+            Next::Nothing => {}
         }
     }
 
     fn reading(&self, found: &RangeResponse) -> Reading {
-        let key = |e: &Bytes| String::from_utf8_lossy(&e.0).into_owned();
-        let entries: Vec<_> = found.kvs.iter().map(|e| (key(&e.key), &e.value.0, e.mod_revision)).collect();
-        Reading::of(&self.keys, entries.iter().map(|(k, v, r)| (k.as_str(), v.as_slice(), *r)))
+        documents::reading(&self.keys, &found.kvs)
     }
 
     /// Acts by the newest state that is known, once its documents are.
@@ -367,7 +342,7 @@
         if !missing.is_empty() {
             for number in missing {
                 if !self.asks(|f| matches!(f, For::Document(n) if *n == number)) {
-                    self.ask_range(&self.keys.document(number), For::Document(number));
+                    self.ask_key(&self.keys.document(number), For::Document(number));
                 }
             }
             self.news = Some(state);
@@ -384,7 +359,7 @@
                 return None;
             }
             Ok(_) if before.as_ref() == Some(&state.value.stance) => {
-                (self.holder, self.state) = (holder, Some(state));
+                self.holder = holder;
                 return None;
             }
             Ok(_) => {}
@@ -404,11 +379,11 @@
         let right_us = terms.iter().map(|t| t.1).max().unwrap_or(0);
         let prepared = state.value.stance.prepared.as_ref().map(|_| state.value.step);
         self.patrol.heard(now.0, prepared, HEAD_START.max(2 * right_us));
-        (self.holder, self.refused, self.state) = (holder, None, Some(state));
+        (self.holder, self.refused) = (holder, None);
         self.documents.retain(|number, _| numbers.contains(number));
-        if let (Some(keeper), Some(state)) = (&self.keeper, &self.state) {
+        if let Some(keeper) = &self.keeper {
             // Where its thread has ended it has said so.
-            let _ = keeper.send(Reading::keep(&self.keys, state, self.documents.values()));
+            let _ = keeper.send(Reading::keep(&self.keys, &state, self.documents.values()));
         }
         Some(site)
     }
@@ -426,26 +401,6 @@
     }
 }
 
-/// A transaction as the registry's protocol has it.
-pub(crate) fn request(txn: &Txn) -> TxnRequest {
-    let compare = |(key, mod_revision): &(String, i64)| Compare {
-        target: "MOD".into(),
-        result: "EQUAL".into(),
-        key: Bytes::of(key),
-        mod_revision: *mod_revision,
-    };
-    let put = |(key, value): &(String, Vec<u8>)| RequestOp {
-        request_put: Some(PutRequest { key: Bytes::of(key), value: Bytes(value.clone()), lease: 0 }),
-        request_delete_range: None,
-    };
-    let delete = |key: &String| RequestOp {
-        request_put: None,
-        request_delete_range: Some(DeleteRequest { key: Bytes::of(key), range_end: Bytes::default() }),
-    };
-    let success = txn.puts.iter().map(put).chain(txn.deletes.iter().map(delete)).collect();
-    TxnRequest { compare: txn.compares.iter().map(compare).collect(), success }
-}
-
 /// What was acted by when this name ran last. Where there is nothing that can be read the registry is waited for.
 fn remembered(path: &Path, keys: &Keys) -> Option<Reading> {
     let bytes = match std::fs::read(path) {
--- a/crates/gateway/src/shell/mod.rs
+++ b/crates/gateway/src/shell/mod.rs
@@ -4,7 +4,7 @@
 //! a gateway that stood still finds the answers that were there in time before it finds that time is up.
 
 mod admin;
-pub(crate) mod agreement;
+mod agreement;
 mod members;
 mod plugins;
 pub(crate) mod pool;
--- a/crates/gateway/tests/agreed.rs
+++ b/crates/gateway/tests/agreed.rs
@@ -5,28 +5,15 @@
 use serde_json::{json, Value};
 use slatevalve_worker_wire::Reply;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::time::Duration;
+use support::documents::{Documents as Fleet, COMMON, UNSAFE};
 use support::*;
 
-const COMMON: &str = r#"
-(class "quote" (effect safe) (aim-ms 1000) (deadline-ms 5000))
-(route "quote/+" (class "quote") (function "{2}"))
-(route "charge/+" (class "charge") (function "{2}"))
-"#;
-const UNSAFE: &str = r#"(class "charge" (effect unsafe) (aim-ms 1000) (deadline-ms 5000))"#;
 const KEYED: &str =
     r#"(class "charge" (effect keyed (group all) (window-ms 9000)) (aim-ms 1000) (deadline-ms 5000))"#;
 
-struct Fleet {
-    registry: Process,
-    directory: tempfile::TempDir,
-    workers: Vec<(String, SocketAddr)>,
-    doubt: &'static str,
-}
-
 /// A gateway that acts by the fleet's documents.
 struct Router {
     process: Process,
@@ -40,45 +27,25 @@
 }
 
 impl Fleet {
-    fn start(doubt: &'static str, workers: &[(&str, &Worker)]) -> Self {
+    /// With these workers in each document.
+    fn before(doubt: &'static str, workers: &[(&str, &Worker)]) -> Self {
         let workers = workers.iter().map(|(name, w)| (name.to_string(), w.address)).collect();
-        let registry = Process::start(&["kv"], None);
-        Fleet { registry, directory: tempfile::tempdir().unwrap(), workers, doubt }
-    }
-
-    fn settings(&self, more: &[&str]) -> (Option<i32>, Value) {
-        let address = self.registry.address.to_string();
-        let output = command(&[&["settings", "--json", "--registry", &address], more].concat());
-        (output.status.code(), serde_json::from_slice(&output.stdout).unwrap_or(Value::Null))
-    }
-
-    /// A document's text.
-    fn text(&self, forms: &str) -> String {
-        let workers = self.workers.iter().map(|(n, a)| format!("(worker \"{n}\" (address \"{a}\"))"));
-        let agreement = format!("(agreement (right-ms 600) (in-doubt {}))", self.doubt);
-        format!("{forms}{COMMON}{}{agreement}", workers.collect::<String>())
-    }
-
-    /// Publishes a document of these forms, and gives the exit code.
-    fn publish(&self, forms: &str, wait_s: &str) -> Option<i32> {
-        let path = self.directory.path().join("document.scm");
-        std::fs::write(&path, self.text(forms)).unwrap();
-        self.settings(&["publish", path.to_str().unwrap(), "--why", "test", "--wait-s", wait_s]).0
+        Fleet { workers, ..Fleet::start(doubt) }
     }
 
     /// All entries of the agreement, as the registry's protocol has them.
     fn entries(&self) -> Vec<Value> {
-        let bytes = |text: &str| serde_json::to_value(slatevalve_registry::wire::Bytes::of(text)).unwrap();
+        let bytes = registry_bytes;
         let ask =
             json!({"key": bytes("/slatevalve/agreement/"), "range_end": bytes("/slatevalve/agreement0")});
-        let body = ask_registry(&self.registry.address.to_string(), "/v3/kv/range", &ask);
+        let body = ask_registry(&self.registry_address(), "/v3/kv/range", &ask);
         let answer: Value = serde_json::from_slice(&body).unwrap();
         answer["kvs"].as_array().unwrap().clone()
     }
 
     /// Puts the registry back to these entries.
     fn put_back(&self, older: &[Value]) {
-        let address = self.registry.address.to_string();
+        let address = self.registry_address();
         for entry in self.entries().iter().filter(|e| !older.iter().any(|o| o["key"] == e["key"])) {
             ask_registry(&address, "/v3/kv/deleterange", &json!({"key": entry["key"]}));
         }
@@ -89,7 +56,7 @@
 
     /// The documents that a router has said it acts by.
     fn acts_by(&self, name: &str) -> Vec<Value> {
-        let rows = self.settings(&["status"]).1["routers"].clone();
+        let rows = self.status()["routers"].clone();
         let rows = rows.as_array().cloned().unwrap_or_default();
         rows.into_iter().filter(|r| r["router"] == name).map(|r| r["acts-by"].clone()).collect()
     }
@@ -122,8 +89,8 @@
 #[test]
 fn a_document_replaces_another_under_calls_without_a_restart() {
     let worker = honest();
-    let fleet = Fleet::start("go-on", &[("w", &worker)]);
-    assert_eq!(fleet.publish(UNSAFE, "5"), Some(0));
+    let fleet = Fleet::before("go-on", &[("w", &worker)]);
+    assert_eq!(fleet.publish(UNSAFE, "5").0, Some(0));
     let routers = ["a", "b"].map(|name| fleet.router(name));
     let mut clients = routers.each_ref().map(|r| Client::connect(r.process.address, "c", false));
     for (n, client) in clients.iter_mut().enumerate() {
@@ -140,7 +107,7 @@
                 client.publish("charge/visa", 10 + round * 10 + call, Some(&key), &key, false);
             }
         }
-        assert_eq!(fleet.publish(&forms, "20"), Some(0), "{}", routers[0].log());
+        assert_eq!(fleet.publish(&forms, "20").0, Some(0), "{}", routers[0].log());
         for client in &mut clients {
             for _ in 0..5 {
                 assert_eq!(client.answer().outcome, "served");
@@ -160,14 +127,14 @@
 #[test]
 fn a_topic_on_which_documents_differ_is_refused_until_the_change_is_committed() {
     let worker = honest();
-    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    let fleet = Fleet::before("go-on", &[("w", &worker)]);
     fleet.publish(UNSAFE, "5");
     let (gone, router) = (fleet.router("gone"), fleet.router("a"));
     let mut client = Client::connect(router.process.address, "c", false);
     // One router stands still: the change is prepared and waits for it.
     gone.process.signal("STOP");
     let moved = format!("{UNSAFE}(route \"charge/visa\" (class \"quote\") (function \"visa\"))");
-    assert_eq!(fleet.publish(&moved, "0"), Some(3));
+    assert_eq!(fleet.publish(&moved, "0").0, Some(3));
     until("the router to act by both", || fleet.acts_by("a") == [json!([1, 2])]);
     let heard = client.call("charge/visa", 1, Some("k1"), "c");
     assert_eq!(
@@ -194,14 +161,14 @@
 #[test]
 fn a_router_that_stood_still_sends_nothing_by_a_right_that_ended() {
     let worker = honest();
-    let fleet = Fleet::start("give-up", &[("w", &worker)]);
+    let fleet = Fleet::before("give-up", &[("w", &worker)]);
     fleet.publish(UNSAFE, "5");
     let router = fleet.router("a");
     let mut client = Client::connect(router.process.address, "c", false);
     assert_eq!(client.call("charge/visa", 1, Some("k1"), "first").outcome, "served");
     router.process.signal("STOP");
     client.publish("charge/visa", 2, Some("k2"), "late", false);
-    assert_eq!(fleet.publish(KEYED, "20"), Some(0), "the change goes on without it");
+    assert_eq!(fleet.publish(KEYED, "20").0, Some(0), "the change goes on without it");
     // The registry is away when it wakes, so that it cannot have a new right.
     fleet.registry.signal("STOP");
     router.process.signal("CONT");
@@ -218,16 +185,16 @@
 #[test]
 fn routers_end_a_change_whose_driver_died() {
     let worker = honest();
-    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    let fleet = Fleet::before("go-on", &[("w", &worker)]);
     fleet.publish(UNSAFE, "5");
     let routers = ["a", "b", "c"].map(|name| fleet.router(name));
     routers[2].process.signal("STOP");
-    assert_eq!(fleet.publish(KEYED, "0"), Some(3), "it gives up at once, as one that was killed");
+    assert_eq!(fleet.publish(KEYED, "0").0, Some(3), "it gives up at once, as one that was killed");
     until("two to say yes", || {
         fleet.acts_by("a") == [json!([1, 2])] && fleet.acts_by("b") == [json!([1, 2])]
     });
     routers[2].process.signal("CONT");
-    until("one of them to commit it", || fleet.settings(&["status"]).1["committed"]["number"] == 2);
+    until("one of them to commit it", || fleet.status()["committed"]["number"] == 2);
     until("all to act by it", || ["a", "b", "c"].iter().all(|name| fleet.acts_by(name) == [json!([2])]));
     let logs: String = routers.iter().map(Router::log).collect();
     assert!(logs.contains("driving the change"), "{logs}");
@@ -236,11 +203,11 @@
 #[test]
 fn a_registry_that_was_put_back_to_an_older_state_is_named_and_the_rules_stay() {
     let worker = honest();
-    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    let fleet = Fleet::before("go-on", &[("w", &worker)]);
     fleet.publish(UNSAFE, "5");
     let older = fleet.entries();
     let mut router = fleet.router("a");
-    assert_eq!(fleet.publish(KEYED, "20"), Some(0));
+    assert_eq!(fleet.publish(KEYED, "20").0, Some(0));
     until("it to act by the second", || fleet.acts_by("a") == [json!([2])]);
     let mut client = Client::connect(router.process.address, "c", false);
     // The state as it was in the backup, from before this router had a right.
@@ -255,9 +222,8 @@
     assert_eq!(client.call("quote/fare", 2, None, "q").outcome, "served", "safe calls go on");
     // A new document above all that was given, and a new life: as the operators' page says.
     let forms = KEYED.replace("9000", "9001");
-    let path = fleet.directory.path().join("above.scm");
-    std::fs::write(&path, fleet.text(&forms)).unwrap();
-    let publish = ["publish", path.to_str().unwrap(), "--why", "above", "--above", "2"];
+    let file = fleet.file("above.scm", &forms);
+    let publish = ["publish", path(&file), "--why", "above", "--above", "2"];
     assert_eq!(fleet.settings(&publish).1, json!({"committed": true, "number": 3}));
     drop(router);
     std::fs::remove_file(fleet.directory.path().join("a.lives.kept")).unwrap();
@@ -270,7 +236,7 @@
 #[test]
 fn a_registry_that_is_away_costs_no_call_where_routers_go_on() {
     let worker = honest();
-    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    let fleet = Fleet::before("go-on", &[("w", &worker)]);
     fleet.publish(UNSAFE, "5");
     let router = fleet.router("a");
     let mut client = Client::connect(router.process.address, "c", false);
@@ -281,13 +247,13 @@
         assert_eq!(client.call("charge/visa", n + 1, Some(&format!("k{n}")), "c").outcome, "served");
     }
     fleet.registry.signal("CONT");
-    assert_eq!(fleet.publish(KEYED, "20"), Some(0));
+    assert_eq!(fleet.publish(KEYED, "20").0, Some(0));
 }
 
 #[test]
 fn a_router_that_starts_while_the_registry_is_away_serves_safe_calls_by_what_it_remembers() {
     let worker = honest();
-    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    let fleet = Fleet::before("go-on", &[("w", &worker)]);
     fleet.publish(UNSAFE, "5");
     let kept = fleet.directory.path().join("a.lives.kept");
     drop(fleet.router("a"));
@@ -318,12 +284,12 @@
 #[test]
 fn a_router_that_was_killed_and_is_back_takes_its_old_right_out_and_one_that_leaves_too() {
     let worker = honest();
-    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    let fleet = Fleet::before("go-on", &[("w", &worker)]);
     fleet.publish(UNSAFE, "5");
     let killed = fleet.router("a");
     drop(killed);
     assert_eq!(fleet.acts_by("a"), [json!([1])], "a dead router's right stays");
-    assert_eq!(fleet.publish(KEYED, "0"), Some(3));
+    assert_eq!(fleet.publish(KEYED, "0").0, Some(3));
     // It starts in the middle of the change.
     let mut router = fleet.router("a");
     assert_eq!(fleet.settings(&["drive"]).0, Some(0), "{}", router.log());
@@ -340,12 +306,12 @@
 #[test]
 fn a_document_that_a_router_cannot_carry_out_is_not_said_yes_to_and_it_is_named() {
     let worker = honest();
-    let fleet = Fleet::start("go-on", &[("w", &worker)]);
+    let fleet = Fleet::before("go-on", &[("w", &worker)]);
     fleet.publish(UNSAFE, "5");
     let router = fleet.router("a");
     // Its own file has a list of workers from elsewhere only in another life; here it is put in by hand, as an older program
     // would read what it does not know.
-    let reading = fleet.settings(&["status"]).1;
+    let reading = fleet.status();
     assert_eq!(reading["committed"]["number"], 1);
     let text = format!("{KEYED}{COMMON}(of-a-later-program 1)");
     let digest = slatevalve_agreement::Document::digest_of(&text);
@@ -355,9 +321,9 @@
     let state = json!({"step": 2, "last": 2, "stance": {"committed": edition(1, &reading["committed"]["digest"]),
         "prepared": edition(2, &json!(digest))}});
     for (key, value) in [("documents/0000000002", document), ("state", state)] {
-        let bytes = |text: &str| serde_json::to_value(slatevalve_registry::wire::Bytes::of(text)).unwrap();
+        let bytes = registry_bytes;
         let (key, value) = (bytes(&format!("/slatevalve/agreement/{key}")), bytes(&value.to_string()));
-        ask_registry(&fleet.registry.address.to_string(), "/v3/kv/put", &json!({"key": key, "value": value}));
+        ask_registry(&fleet.registry_address(), "/v3/kv/put", &json!({"key": key, "value": value}));
     }
     until("it to say why", || router.log().contains("(of-a-later-program ...) is not known here"));
     let (code, told) = fleet.settings(&["drive", "--wait-s", "1"]);
@@ -365,7 +331,7 @@
     let mut client = Client::connect(router.process.address, "c", false);
     assert_eq!(client.call("charge/visa", 1, Some("k"), "c").outcome, "served", "it goes on by what it has");
     assert_eq!(fleet.settings(&["rollback"]).1, json!({"withdrawn": true}));
-    assert_eq!(fleet.publish(KEYED, "20"), Some(0), "{}", router.log());
+    assert_eq!(fleet.publish(KEYED, "20").0, Some(0), "{}", router.log());
 }
 
 /// Terms by which charges are checked, all documents up to `last` contradicting each other.
@@ -399,9 +365,9 @@
         )
     };
     let workers = ["w1", "w2"].map(worker);
-    let mut fleet = Fleet::start("give-up", &[]);
+    let mut fleet = Fleet::before("give-up", &[]);
     fleet.workers = workers.iter().zip(["w1", "w2"]).map(|(w, n)| (n.to_string(), w.address)).collect();
-    assert_eq!(fleet.publish(UNSAFE, "5"), Some(0));
+    assert_eq!(fleet.publish(UNSAFE, "5").0, Some(0));
     let mut routers = ["a", "b", "c"].map(|name| Some(fleet.router(name)));
     let mut clients =
         routers.each_ref().map(|r| Client::connect(r.as_ref().unwrap().process.address, "c", false));
@@ -428,7 +394,7 @@
             _ => {}
         }
         let forms = KEYED.replace("9000", &(9_000 + round).to_string());
-        assert_eq!(fleet.publish(&forms, "20"), Some(0), "round {round}");
+        assert_eq!(fleet.publish(&forms, "20").0, Some(0), "round {round}");
     }
     let mut refused = 0;
     for n in [0, 2] {
@@ -484,25 +450,12 @@
     /// A command that publishes, and is not waited for.
     fn begin_change(&mut self) {
         self.documents += 1;
-        let path = self.fleet.directory.path().join(format!("{}.scm", self.documents));
         let forms = match self.draw(3) {
             0 => UNSAFE.to_string(),
             _ => KEYED.replace("9000", &(9_000 + self.documents).to_string()),
         };
-        std::fs::write(&path, self.fleet.text(&forms)).unwrap();
-        let registry = self.fleet.registry.address.to_string();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_slatevalve"));
-        command.args([
-            "settings",
-            "--registry",
-            &registry,
-            "publish",
-            path.to_str().unwrap(),
-            "--why",
-            "drawn",
-        ]);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
-        self.publishers.push(command.spawn().unwrap());
+        let file = self.fleet.file(&format!("{}.scm", self.documents), &forms);
+        self.publishers.push(self.fleet.spawn(&["publish", path(&file), "--why", "drawn"]));
     }
 
     fn registry_stands(&mut self, still: bool) {
@@ -562,9 +515,8 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        let status = |fleet: &Fleet| fleet.settings(&["status"]).1;
-        until("the change to end", || status(&self.fleet)["prepared"].is_null());
-        let committed = status(&self.fleet)["committed"]["number"].clone();
+        until("the change to end", || self.fleet.status()["prepared"].is_null());
+        let committed = self.fleet.status()["committed"]["number"].clone();
         for router in 0..self.routers.len() {
             let name = format!("r{router}");
             until("all to act by it", || self.fleet.acts_by(&name) == [json!([committed])]);
@@ -588,9 +540,9 @@
             None,
         )
     });
-    let mut fleet = Fleet::start(if seed.is_multiple_of(2) { "give-up" } else { "go-on" }, &[]);
+    let mut fleet = Fleet::before(if seed.is_multiple_of(2) { "give-up" } else { "go-on" }, &[]);
     fleet.workers = workers.iter().zip(names).map(|(w, n)| (n.to_string(), w.address)).collect();
-    assert_eq!(fleet.publish(UNSAFE, "5"), Some(0));
+    assert_eq!(fleet.publish(UNSAFE, "5").0, Some(0));
     let routers: Vec<Router> = (0..3).map(|n| fleet.router(&format!("r{n}"))).collect();
     let clients = routers.iter().map(|r| Client::connect(r.process.address, "c", false)).collect();
     let (still, owed, last, publishers) =
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -75,7 +75,7 @@
     }
 
     fn put(&self, key: &str, value: &str) {
-        self.post("/v3/kv/put", &json!({"key": base64(key), "value": base64(value)}));
+        self.post("/v3/kv/put", &json!({"key": registry_bytes(key), "value": registry_bytes(value)}));
     }
 
     fn post(&self, path: &str, body: &Value) {
@@ -83,10 +83,6 @@
     }
 }
 
-fn base64(text: &str) -> String {
-    serde_json::to_value(slatevalve_registry::wire::Bytes::of(text)).unwrap().as_str().unwrap().to_string()
-}
-
 fn honest() -> Worker {
     Worker::start(|call, _| Act::Answer(Reply::Served { payload: call.payload.clone(), ran: None }))
 }
@@ -298,7 +294,7 @@
             let key = format!("/slatevalve/workers/x{}", n % 85);
             match n % 3 {
                 0 | 1 => registry.put(&key, "{\"address\":\"127.0.0.1:9\",\"state\":\"draining\"}"),
-                _ => registry.post("/v3/kv/deleterange", &json!({"key": base64(&key)})),
+                _ => registry.post("/v3/kv/deleterange", &json!({"key": registry_bytes(&key)})),
             }
         }
     });
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -4,75 +4,16 @@
 
 use serde_json::{json, Value};
 use slatevalve_agreement::{Ask, Doubt, Holder, HolderSettings, Keys, May, Reading, Txn, TxnEnd};
-use slatevalve_registry::wire::{
-    Bytes, Compare, PlainResponse, PutRequest, RangeRequest, RangeResponse, RequestOp, TxnRequest, RANGE, TXN,
-};
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use slatevalve_gateway::documents::{reading, request};
+use slatevalve_registry::wire::{Bytes, PlainResponse, RangeRequest, RangeResponse, RANGE, TXN};
 use std::time::Instant;
+use support::documents::{Documents as Fleet, UNSAFE};
 use support::*;
 
-const CLASSES: &str = r#"
-(class "quote" (effect safe) (aim-ms 1000) (deadline-ms 5000))
-(route "quote/+" (class "quote") (function "{2}"))
-(route "charge/+" (class "charge") (function "{2}"))
-(agreement (right-ms 600) (in-doubt DOUBT))
-"#;
-const UNSAFE: &str = r#"(class "charge" (effect unsafe) (aim-ms 1000) (deadline-ms 5000))"#;
 const KEYED: &str =
     r#"(class "charge" (effect keyed (group cell) (window-ms 9000)) (aim-ms 1000) (deadline-ms 5000))"#;
 
-struct Fleet {
-    registry: Process,
-    directory: tempfile::TempDir,
-    doubt: &'static str,
-    began: Instant,
-}
-
 impl Fleet {
-    fn start(doubt: &'static str) -> Self {
-        let registry = Process::start(&["kv"], None);
-        Fleet { registry, directory: tempfile::tempdir().unwrap(), doubt, began: Instant::now() }
-    }
-
-    fn file(&self, name: &str, class: &str) -> PathBuf {
-        let path = self.directory.path().join(name);
-        std::fs::write(&path, format!("{class}{}", CLASSES.replace("DOUBT", self.doubt))).unwrap();
-        path
-    }
-
-    fn arguments(&self, more: &[&str]) -> Vec<String> {
-        let address = self.registry.address.to_string();
-        let first = ["settings", "--json", "--registry", &address];
-        first.iter().chain(more).map(ToString::to_string).collect()
-    }
-
-    fn output(&self, more: &[&str]) -> Output {
-        let all = self.arguments(more);
-        command(&all.iter().map(String::as_str).collect::<Vec<_>>())
-    }
-
-    /// Exit code, and what was printed.
-    fn settings(&self, more: &[&str]) -> (Option<i32>, Value) {
-        let output = self.output(more);
-        (output.status.code(), serde_json::from_slice(&output.stdout).unwrap_or(Value::Null))
-    }
-
-    fn publish(&self, name: &str, class: &str, wait_s: &str) -> (Option<i32>, Value) {
-        let file = self.file(name, class);
-        self.settings(&["publish", file.to_str().unwrap(), "--why", name, "--wait-s", wait_s])
-    }
-
-    fn spawn(&self, more: &[&str]) -> Child {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_slatevalve"));
-        command.args(self.arguments(more)).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
-        command.spawn().unwrap()
-    }
-
-    fn status(&self) -> Value {
-        self.settings(&["status"]).1
-    }
-
     fn committed(&self) -> u64 {
         self.status()["committed"]["number"].as_u64().unwrap()
     }
@@ -81,13 +22,14 @@
         let (keys, life) = (Keys::new("/slatevalve/"), format!("life-of-{}", name.replace('/', "-")));
         let id = (name.to_string(), life.clone());
         let settings = HolderSettings { keys, name: name.into(), life, before: vec![] };
-        Router { fleet: self, holder: Holder::new(settings), id }
+        Router { fleet: self, began: Instant::now(), holder: Holder::new(settings), id }
     }
 }
 
 /// A router's right to act, without a router around it.
 struct Router<'a> {
     fleet: &'a Fleet,
+    began: Instant,
     holder: Holder,
     /// Name and life.
     id: (String, String),
@@ -95,7 +37,7 @@
 
 impl Router<'_> {
     fn now(&self) -> i64 {
-        self.fleet.began.elapsed().as_micros() as i64
+        self.began.elapsed().as_micros() as i64
     }
 
     fn may(&self) -> May {
@@ -108,13 +50,11 @@
     }
 
     fn read(&self) -> Reading {
-        let address = self.fleet.registry.address.to_string();
         let (key, range_end) = (Bytes::of("/slatevalve/agreement/"), Bytes::of("/slatevalve/agreement0"));
-        let body = ask_registry(&address, RANGE, &RangeRequest { key, range_end, ..RangeRequest::default() });
+        let ask = RangeRequest { key, range_end, ..RangeRequest::default() };
+        let body = ask_registry(&self.fleet.registry_address(), RANGE, &ask);
         let answer: RangeResponse = serde_json::from_slice(&body).unwrap();
-        let text = |b: &Bytes| String::from_utf8(b.0.clone()).unwrap();
-        let all: Vec<_> = answer.kvs.iter().map(|e| (text(&e.key), &e.value.0, e.mod_revision)).collect();
-        Reading::of(&Keys::new("/slatevalve/"), all.iter().map(|(k, v, r)| (k.as_str(), v.as_slice(), *r)))
+        reading(&Keys::new("/slatevalve/"), &answer.kvs)
     }
 
     /// Hears what stands there, and asks for what it wants until it wants nothing.
@@ -140,19 +80,7 @@
     }
 
     fn write(&self, txn: Txn) -> TxnEnd {
-        let (target, result) = ("MOD".to_string(), "EQUAL".to_string());
-        let compare = txn.compares.into_iter().map(|(key, mod_revision)| Compare {
-            target: target.clone(),
-            result: result.clone(),
-            key: Bytes::of(&key),
-            mod_revision,
-        });
-        let success = txn.puts.into_iter().map(|(key, value)| RequestOp {
-            request_put: Some(PutRequest { key: Bytes::of(&key), value: Bytes(value), lease: 0 }),
-            request_delete_range: None,
-        });
-        let ask = TxnRequest { compare: compare.collect(), success: success.collect() };
-        let body = ask_registry(&self.fleet.registry.address.to_string(), TXN, &ask);
+        let body = ask_registry(&self.fleet.registry_address(), TXN, &request(&txn));
         let answer: PlainResponse = serde_json::from_slice(&body).unwrap();
         if answer.succeeded {
             TxnEnd::Done(answer.header.revision)
@@ -174,7 +102,7 @@
     // Another worth contradicts nothing.
     let worth = fleet.file("worth.scm", &UNSAFE.replace("(aim-ms", "(worth 5) (aim-ms"));
     assert_eq!(fleet.settings(&["diff", one, worth.to_str().unwrap()]).0, Some(0));
-    let whole = format!("{UNSAFE}{}", CLASSES.replace("DOUBT", "go-on"));
+    let whole = fleet.text(UNSAFE);
     let own = "(mqtt (listen \"127.0.0.1:1\"))";
     for (wrong, words) in [
         (format!("{own}{whole}"), "wrong.scm:1: (mqtt ...): is a router's own and stands in no document"),
@@ -199,11 +127,11 @@
 #[test]
 fn routers_act_by_both_documents_until_all_have_said_yes() {
     let fleet = Fleet::start("go-on");
-    assert_eq!(fleet.publish("one", UNSAFE, "5").1, json!({"committed": true, "number": 1}));
+    assert_eq!(fleet.publish(UNSAFE, "5").1, json!({"committed": true, "number": 1}));
     let mut routers = ["a", "b/1", "c"].map(|name| fleet.router(name));
     routers.iter_mut().for_each(Router::turn);
     assert!(routers.iter().all(|r| r.may() == May::All));
-    let (code, told) = fleet.publish("two", KEYED, "0");
+    let (code, told) = fleet.publish(KEYED, "0");
     assert_eq!((code, told["awaited"].clone()), (Some(3), json!(["a", "b/1", "c"])));
     routers[0].turn();
     assert_eq!((routers[0].acts_by(), routers[1].acts_by()), (vec![1, 2], vec![1]));
@@ -238,7 +166,7 @@
 #[test]
 fn a_driver_that_is_killed_leaves_a_change_that_any_other_ends() {
     let fleet = Fleet::start("go-on");
-    fleet.publish("one", UNSAFE, "5");
+    fleet.publish(UNSAFE, "5");
     let mut router = fleet.router("a");
     router.turn();
     let file = fleet.file("two", KEYED);
@@ -259,7 +187,7 @@
 #[test]
 fn of_two_documents_published_at_once_one_wins() {
     let fleet = Fleet::start("go-on");
-    fleet.publish("one", UNSAFE, "5");
+    fleet.publish(UNSAFE, "5");
     let mut router = fleet.router("a");
     router.turn();
     let files =
@@ -278,11 +206,11 @@
 #[test]
 fn who_never_says_yes_is_waited_for_until_declared_gone() {
     let fleet = Fleet::start("go-on");
-    fleet.publish("one", UNSAFE, "5");
+    fleet.publish(UNSAFE, "5");
     let (mut gone, mut stays) = (fleet.router("gone"), fleet.router("stays"));
     gone.turn();
     stays.turn();
-    let (code, told) = fleet.publish("two", KEYED, "0");
+    let (code, told) = fleet.publish(KEYED, "0");
     stays.turn();
     assert_eq!((code, told["committed"].clone()), (Some(3), json!(false)));
     let (code, told) = fleet.settings(&["drive", "--wait-s", "1"]);
@@ -299,12 +227,12 @@
 #[test]
 fn a_right_that_was_given_up_holds_nothing_up_and_binds_until_it_ends() {
     let fleet = Fleet::start("give-up");
-    fleet.publish("one", UNSAFE, "5");
+    fleet.publish(UNSAFE, "5");
     let mut cut = fleet.router("cut");
     cut.turn();
     let (asked, may) = (cut.now(), cut.may());
     assert_eq!(may, May::All);
-    let (code, _) = fleet.publish("two", KEYED, "20");
+    let (code, _) = fleet.publish(KEYED, "20");
     let committed = cut.now();
     assert_eq!((code, fleet.committed()), (Some(0), 2));
     assert!(
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A gateway as a child process, workers that do what a test says, and a plain MQTT client.
 #![allow(dead_code)] // each test file uses its part
 
+pub mod documents;
+
 use mqtt_protocol_core::mqtt::common::Cursor;
 use mqtt_protocol_core::mqtt::connection::{Connection, Event};
 use mqtt_protocol_core::mqtt::packet::*;
@@ -69,6 +71,11 @@
     }
 }
 
+/// A key or value as the registry's JSON mapping has it.
+pub fn registry_bytes(text: &str) -> serde_json::Value {
+    serde_json::to_value(slatevalve_registry::wire::Bytes::of(text)).unwrap()
+}
+
 /// Asks a registry something by its JSON mapping and gives the body of its answer, which must be a good one.
 pub fn ask_registry(address: &str, path: &str, body: &impl serde::Serialize) -> Vec<u8> {
     let mut stream = TcpStream::connect(address).unwrap();
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -232,6 +232,13 @@
     pub mod_revision: i64,
 }
 
+impl Compare {
+    /// That a key was changed last by this revision; 0 for one that is not there.
+    pub fn unchanged(key: Bytes, mod_revision: i64) -> Self {
+        Compare { target: "MOD".into(), result: "EQUAL".into(), key, mod_revision }
+    }
+}
+
 /// One thing that a transaction does.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
