Platform log: outages of the change log, slow iterations, clients' request ids

Change: the change log's client reports its contact (confirmed, lost with the cause, restored); the router logs both ends of an outage, iterations over 50 ms with what they did, and sums of both when it stops; debug lines of calls carry request_id.

--- a/crates/gateway/src/platform/change_log.rs
+++ b/crates/gateway/src/platform/change_log.rs
@@ -2,9 +2,9 @@
 
 use super::{Router, MAX_UNUSABLE_LOGGED};
 use slatevalve::{Micros, WorkerId, WorkerState};
-use slatevalve_platform::changes::{Change, ChangeLogOutput};
+use slatevalve_platform::changes::{Change, ChangeLogOutput, ContactEvent};
 use slatevalve_reactor::ReactorEvent;
-use tracing::{debug, warn};
+use tracing::{debug, info, warn};
 
 /// Workers that a change affects beyond their new state.
 #[derive(Default)]
@@ -69,12 +69,29 @@
                     warn!(%error, "invalid response, or line of one, from the change log");
                 }
             }
+            ChangeLogOutput::Contact(event) => self.handle_contact(now, event),
+        }
+    }
+
+    fn handle_contact(&mut self, now: Micros, event: ContactEvent) {
+        let seq = self.watch_state.seq();
+        match event {
+            ContactEvent::Confirmed => {}
+            ContactEvent::Lost { failure, silent_for } => {
+                self.list_outages += 1;
+                let silent_us = silent_for.map(|time| time.0);
+                warn!(now = now.0, seq, ?failure, silent_us, "the change log cannot be reached");
+            }
+            ContactEvent::Restored { failures, outage } => {
+                info!(now = now.0, seq, failures, outage_us = outage.0, "the change log answers again");
+            }
         }
     }
 
     /// Applies an event of the change log to pool and engine.
     pub(super) fn apply_change(&mut self, now: Micros, change: Change) {
         let AffectedWorkers { removed, not_accepting } = self.update_workers(&change);
+        self.list_members += change.lines.len();
         debug!(now = now.0, seq = self.watch_state.seq(), ?change, "change");
         // The engine first: it decides about cancelled requests anew, with the drain known.
         self.engine.workers_listed(now, change.listing(), &mut self.to_engine);
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -5,12 +5,13 @@
 //! and measures time; it decides nothing about a call. Called by the sub-command `platform`. What holds when events of one
 //! iteration cross is in `docs/design-platform.md`.
 //!
-//! One concern a module: `startup` reads the configuration, `events` dispatches what the reactor reports, `outputs` executes
+//! One concern a module: `startup` reads the configuration, `events` dispatches what the reactor reports, `iteration_log` logs slow iterations, `outputs` executes
 //! what the protocols ask for, `change_log` applies changes of the worker list, `reload` and `shutdown` handle the signals.
 
 mod change_log;
 mod error;
 mod events;
+mod iteration_log;
 mod outputs;
 mod reload;
 mod shutdown;
@@ -18,10 +19,11 @@
 
 pub use error::PlatformError;
 
-use crate::clock::Clock;
+use crate::clock::{elapsed, Clock};
 use crate::event_loop::{self, ClientConnections, Listener, WorkerSide, LONGEST_WAIT};
 use crate::loop_timer::{LoopIteration, LoopTimer};
 use crate::server::pool::Pool;
+use iteration_log::{IterationLog, IterationWork};
 use reload::ReloadRetry;
 use shutdown::{ClientInput, Shutdown};
 use slatevalve::{Micros, WorkerId, WorkerState};
@@ -57,6 +59,11 @@
     /// Longest time that bytes read in this iteration may have waited to be read.
     read_delay: Micros,
     loop_timer: LoopTimer,
+    iteration_log: IterationLog,
+    /// Members of the worker list applied in this iteration.
+    list_members: usize,
+    /// Outages of the change log so far.
+    list_outages: u64,
     shutdown: Shutdown,
     reload_retry: Option<ReloadRetry>,
     /// Invalid messages of clients and of the change log.
@@ -101,6 +108,8 @@
             .wait(&self.clock, &mut self.reactor, timeout, None)
             .map_err(PlatformError::Loop)?;
         self.read_delay = read_delay;
+        self.list_members = 0;
+        let event_count = events.len();
         let client_input = match events.iter().any(|event| self.is_client_input(event)) {
             true => ClientInput::Some,
             false => ClientInput::None,
@@ -110,7 +119,15 @@
         self.advance_calls(now);
         self.listener.resume_if_due(now, &mut self.reactor);
         self.retry_reload_if_due(now);
-        Ok(self.advance_shutdown(now, client_input))
+        let is_complete = self.advance_shutdown(now, client_input);
+        self.iteration_log.record(IterationWork {
+            began_at: now,
+            duration: elapsed(now, self.clock.now()),
+            events: event_count,
+            list_members: self.list_members,
+            open_calls: self.front.unanswered(),
+        });
+        Ok(is_complete)
     }
 
     /// Fires the timers of front end, pool and engine, and executes what follows.
--- a/crates/gateway/src/platform/outputs.rs
+++ b/crates/gateway/src/platform/outputs.rs
@@ -42,6 +42,7 @@
         debug!(
             now = now.0,
             ticket = call.ticket.0,
+            request_id = call.request_id.as_deref(),
             class = call.class.0,
             function = &*call.function,
             budget_us = call.budget.0,
--- a/crates/gateway/src/platform/shutdown.rs
+++ b/crates/gateway/src/platform/shutdown.rs
@@ -127,6 +127,9 @@
             attempts = counts.attempts,
             overdue = counts.overdue,
             unusable = self.unusable,
+            list_outages = self.list_outages,
+            slow_iterations = self.iteration_log.slow_count(),
+            longest_iteration_us = self.iteration_log.longest().0,
             "stopped"
         );
         self.reactor.set_max_lingering(usize::MAX);
--- a/crates/gateway/src/platform/startup.rs
+++ b/crates/gateway/src/platform/startup.rs
@@ -1,5 +1,6 @@
 //! Start of a router: the configuration, and the settings of its parts that follow from it.
 
+use super::iteration_log::IterationLog;
 use super::shutdown::Shutdown;
 use super::{PlatformError, Router};
 use crate::clock::Clock;
@@ -94,6 +95,9 @@
             workers: HashMap::new(),
             read_delay: Micros(0),
             loop_timer,
+            iteration_log: IterationLog::default(),
+            list_members: 0,
+            list_outages: 0,
             shutdown: Shutdown::new(longest_deadline),
             reload_retry: None,
             unusable: 0,
--- a/crates/platform/src/changes.rs
+++ b/crates/platform/src/changes.rs
@@ -7,11 +7,14 @@
 //!
 //! The client does no I/O: the gateway's event loop owns the connection and executes the outputs ([`ChangeLogOutput`]).
 
+mod contact;
 mod event;
 
+pub use contact::{ContactEvent, ContactFailure};
 pub use event::{Change, MemberLine};
 
 use crate::after;
+use contact::Contact;
 use event::{Event, EventReader};
 use serde_json::Value;
 use slatevalve::Micros;
@@ -69,6 +72,8 @@
     Change(Change),
     /// An answer or one of its members is malformed; the log is polled again.
     Malformed(FieldError),
+    /// The contact with the log changed, or was confirmed.
+    Contact(ContactEvent),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,6 +84,8 @@
     /// Connecting or waiting for an answer.
     Pending {
         deadline: Micros,
+        /// What the exchange fails with at the deadline.
+        timeout: ContactFailure,
     },
 }
 
@@ -86,8 +93,8 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum AnswerStatus {
     Complete,
-    /// It was malformed, reported an error, or must be requested again.
-    Failed,
+    /// It must be requested again.
+    Failed(ContactFailure),
 }
 
 /// The client of one change log.
@@ -99,6 +106,7 @@
     state: State,
     response: MessageReader,
     schedule: PollSchedule,
+    contact: Contact,
     /// Consecutive answers that left a gap.
     incomplete_answers: u32,
 }
@@ -128,6 +136,7 @@
             response: response_reader(),
             // The number of routers is unknown here, so the backoff is that of a single client.
             schedule: PollSchedule::new(RETRY_LIMITS, 1, seed),
+            contact: Contact::default(),
             // The first number may be any: a gap before it is accepted at once.
             incomplete_answers: MAX_INCOMPLETE_ANSWERS,
         };
@@ -153,11 +162,14 @@
     pub fn advance(&mut self, now: Micros, out: &mut Vec<ChangeLogOutput>) {
         match self.state {
             State::Disconnected { connect_at } if connect_at <= now => {
-                self.state = State::Pending { deadline: after(now, CONNECT_TIMEOUT) };
+                let deadline = after(now, CONNECT_TIMEOUT);
+                self.state = State::Pending { deadline, timeout: ContactFailure::ConnectTimeout };
                 self.response = response_reader();
                 out.push(ChangeLogOutput::Connect(self.address));
             }
-            State::Pending { deadline } if deadline <= now => self.schedule_retry(now, out),
+            State::Pending { deadline, timeout } if deadline <= now => {
+                self.schedule_retry(now, timeout, out);
+            }
             _ => {}
         }
     }
@@ -166,7 +178,7 @@
     #[must_use]
     pub fn next_wake(&self) -> Micros {
         match self.state {
-            State::Disconnected { connect_at: at } | State::Pending { deadline: at } => at,
+            State::Disconnected { connect_at: at } | State::Pending { deadline: at, .. } => at,
         }
     }
 
@@ -179,9 +191,9 @@
     pub fn closed(&mut self, now: Micros, out: &mut Vec<ChangeLogOutput>) {
         // An answer without a length ends with its connection.
         if let Ok(Some(message)) = self.response.end() {
-            self.handle_answer(&message, out);
+            self.handle_answer(now, &message, out);
         }
-        self.schedule_retry(now, out);
+        self.schedule_retry(now, ContactFailure::Closed, out);
     }
 
     /// Handles bytes that were read from the connection.
@@ -189,10 +201,10 @@
         let message = match self.response.feed(bytes) {
             Ok(None) => return,
             Ok(Some(message)) => message,
-            Err(_) => return self.schedule_retry(now, out),
+            Err(_) => return self.schedule_retry(now, ContactFailure::InvalidAnswer, out),
         };
-        match self.handle_answer(&message, out) {
-            AnswerStatus::Failed => self.schedule_retry(now, out),
+        match self.handle_answer(now, &message, out) {
+            AnswerStatus::Failed(failure) => self.schedule_retry(now, failure, out),
             AnswerStatus::Complete if message.head.last => self.disconnect(now, out),
             AnswerStatus::Complete => self.poll(now, out),
         }
@@ -201,13 +213,19 @@
     fn poll(&mut self, now: Micros, out: &mut Vec<ChangeLogOutput>) {
         let target = format!("/changes?since={}&timeout={}", self.seq, LONG_POLL_TIMEOUT_MS);
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
-        self.state = State::Pending { deadline: after(after(now, LONG_POLL_TIMEOUT), RESPONSE_GRACE) };
+        let deadline = after(after(now, LONG_POLL_TIMEOUT), RESPONSE_GRACE);
+        self.state = State::Pending { deadline, timeout: ContactFailure::ResponseTimeout };
         out.push(ChangeLogOutput::Write(request.into_bytes()));
     }
 
-    fn handle_answer(&mut self, message: &Message, out: &mut Vec<ChangeLogOutput>) -> AnswerStatus {
+    fn handle_answer(
+        &mut self,
+        now: Micros,
+        message: &Message,
+        out: &mut Vec<ChangeLogOutput>,
+    ) -> AnswerStatus {
         if message.head.status != 200 {
-            return AnswerStatus::Failed;
+            return AnswerStatus::Failed(ContactFailure::InvalidAnswer);
         }
         match self.read_answer(&message.body) {
             Ok(batch) => {
@@ -216,13 +234,15 @@
             }
             Err(e) => {
                 out.push(ChangeLogOutput::Malformed(e));
-                return AnswerStatus::Failed;
+                return AnswerStatus::Failed(ContactFailure::InvalidAnswer);
             }
         }
         if self.incomplete_answers > 0 {
-            return AnswerStatus::Failed;
+            return AnswerStatus::Failed(ContactFailure::IncompleteAnswer);
         }
         self.schedule.succeeded();
+        out.extend(self.contact.confirmed(now).map(ChangeLogOutput::Contact));
+        out.push(ChangeLogOutput::Contact(ContactEvent::Confirmed));
         AnswerStatus::Complete
     }
 
@@ -233,7 +253,8 @@
     }
 
     /// Disconnects and connects again after the backoff delay, which is zero for the first failure.
-    fn schedule_retry(&mut self, now: Micros, out: &mut Vec<ChangeLogOutput>) {
+    fn schedule_retry(&mut self, now: Micros, failure: ContactFailure, out: &mut Vec<ChangeLogOutput>) {
+        out.extend(self.contact.failed(now, failure).map(ChangeLogOutput::Contact));
         let delay = Micros(self.schedule.failed(None));
         self.disconnect(after(now, delay), out);
     }
--- a/crates/platform/tests/changes.rs
+++ b/crates/platform/tests/changes.rs
@@ -3,7 +3,7 @@
 use serde_json::{json, Value};
 use slatevalve::{Micros, Scope, WorkerState};
 use slatevalve_engine::worker_id;
-use slatevalve_platform::changes::{Change, ChangeLogClient, ChangeLogOutput};
+use slatevalve_platform::changes::{Change, ChangeLogClient, ChangeLogOutput, ContactEvent, ContactFailure};
 use slatevalve_site_config::Names;
 use std::net::SocketAddr;
 
@@ -21,6 +21,7 @@
     closes: usize,
     changes: Vec<Change>,
     malformed: usize,
+    contact: Vec<ContactEvent>,
 }
 
 fn fleet(seq: u64, complete: bool, members: &[(&str, &str)]) -> Value {
@@ -76,6 +77,7 @@
                 ChangeLogOutput::Close => seen.closes += 1,
                 ChangeLogOutput::Change(change) => seen.changes.push(change),
                 ChangeLogOutput::Malformed(_) => seen.malformed += 1,
+                ChangeLogOutput::Contact(event) => seen.contact.push(event),
             }
         }
         seen
@@ -303,3 +305,28 @@
     let seen = log.bytes(&answer(9, &[fleet(9, true, &[("a", "active")])]));
     assert_eq!((seen.changes.len(), seen.asked.len(), log.follower.seq()), (1, 1, 9));
 }
+
+#[test]
+fn an_outage_of_the_log_is_reported_once_with_its_cause_and_once_when_it_ends() {
+    let mut log = Log::asked();
+    let whole = answer(4, &[fleet(4, false, &[("a", "leaving")])]);
+    assert_eq!(log.bytes(&whole).contact, [ContactEvent::Confirmed]);
+    let mut contact = Vec::new();
+    for _ in 0..40 {
+        let seen = log.tick(50);
+        contact.extend(seen.contact);
+        if !seen.connects.is_empty() {
+            contact.extend(log.with(|f, now, out| f.closed(now, out)).contact);
+        }
+    }
+    let [ContactEvent::Lost { failure: ContactFailure::Closed, silent_for: Some(silent_for) }] = contact[..]
+    else {
+        panic!("{contact:?}");
+    };
+    // A poll of 1 s and its grace had passed without an answer; the retry at once failed too.
+    assert!((1_300_000..1_500_000).contains(&silent_for.0), "{silent_for:?}");
+    while log.tick(50).connects.is_empty() {}
+    log.with(|f, now, out| f.connected(now, out));
+    let contact = log.bytes(&answer(4, &[])).contact;
+    assert!(matches!(contact[..], [ContactEvent::Restored { .. }, ContactEvent::Confirmed]), "{contact:?}");
+}
