--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -1,6 +1,8 @@
 //! The platform's router as a process: what passes on its sockets when workers, clients and the change log misbehave.
 
 mod crossings;
+mod fleet_size;
+mod list_outage;
 mod stepped_router;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/gateway/tests/platform/test_servers/change_log.rs
+++ b/crates/gateway/tests/platform/test_servers/change_log.rs
@@ -9,11 +9,27 @@
 use std::thread;
 use std::time::Duration;
 
+/// How a change log treats those who ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Service {
+    /// Answers at once where there is news.
+    Prompt,
+    /// Each answer is written so much later.
+    Late(Duration),
+    /// Connections end as soon as they are accepted, and open ones at their next answer.
+    Refusing,
+    /// Connections stay open and get no answer.
+    Silent,
+}
+
 /// A change log.
 #[derive(Clone)]
 pub(crate) struct ChangeLog {
     pub address: SocketAddr,
     events: Arc<(Mutex<Vec<Value>>, Condvar)>,
+    service: Arc<Mutex<Service>>,
+    /// Bytes of all answers.
+    sent_bytes: Arc<AtomicUsize>,
     /// Answers that break off in the middle before one is whole.
     breaks: Arc<Mutex<usize>>,
     /// Questions read, and answers written whole.
@@ -29,12 +45,19 @@
 impl ChangeLog {
     /// One whose first event is the whole list of these workers.
     pub(crate) fn start(workers: &[(&str, SocketAddr)]) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let members: Vec<Value> = workers.iter().map(|(id, a)| member(id, *a, "active")).collect();
+        ChangeLog::start_with(members)
+    }
+
+    /// The same from members as they stand in the list.
+    pub(crate) fn start_with(members: Vec<Value>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let first = json!({"seq": 1, "fleet": {"revision": 1, "complete": true, "members": members}});
         let log = ChangeLog {
             address: listener.local_addr().unwrap(),
             events: Arc::new((Mutex::new(vec![first]), Condvar::new())),
+            service: Arc::new(Mutex::new(Service::Prompt)),
+            sent_bytes: Arc::default(),
             breaks: Arc::default(),
             asked: Arc::default(),
             answered: Arc::default(),
@@ -61,7 +84,26 @@
         });
     }
 
+    /// Waits until an answer may be written; `None` where its connection is to end instead.
+    fn wait_for_service(&self) -> Option<()> {
+        loop {
+            let service = *self.service.lock().unwrap();
+            match service {
+                Service::Prompt => return Some(()),
+                Service::Late(delay) => {
+                    thread::sleep(delay);
+                    return Some(());
+                }
+                Service::Refusing => return None,
+                Service::Silent => thread::sleep(Duration::from_millis(5)),
+            }
+        }
+    }
+
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
+        if *self.service.lock().unwrap() == Service::Refusing {
+            return None;
+        }
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         loop {
             let (mut line, mut target) = (String::new(), String::new());
@@ -85,6 +127,7 @@
             let body = json!({"seq": all.len(), "results": all.get(since..).unwrap_or_default()}).to_string();
             drop(all);
             let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            self.wait_for_service()?;
             let mut breaks = self.breaks.lock().unwrap();
             if *breaks > 0 {
                 *breaks -= 1;
@@ -92,11 +135,23 @@
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return None;
             }
+            drop(breaks);
             stream.write_all(answer.as_bytes()).ok()?;
+            self.sent_bytes.fetch_add(answer.len(), Ordering::SeqCst);
             self.answered.fetch_add(1, Ordering::SeqCst);
         }
     }
 
+    /// Changes how it treats those who ask from now on.
+    pub(crate) fn set_service(&self, service: Service) {
+        *self.service.lock().unwrap() = service;
+    }
+
+    /// Bytes of all answers so far.
+    pub(crate) fn sent_bytes(&self) -> usize {
+        self.sent_bytes.load(Ordering::SeqCst)
+    }
+
     /// Answers that were written whole.
     pub(crate) fn answers(&self) -> usize {
         self.answered.load(Ordering::SeqCst)
@@ -109,10 +164,14 @@
 
     /// Tells of workers' new states.
     pub(crate) fn tell(&self, changes: &[(&str, SocketAddr, &str)]) {
+        self.tell_members(changes.iter().map(|(id, a, phase)| member(id, *a, phase)).collect());
+    }
+
+    /// The same by members as they stand in the list.
+    pub(crate) fn tell_members(&self, members: Vec<Value>) {
         let (events, told) = &*self.events;
         let mut all = events.lock().unwrap();
         let seq = all.len() + 1;
-        let members: Vec<Value> = changes.iter().map(|(id, a, phase)| member(id, *a, phase)).collect();
         all.push(json!({"seq": seq, "fleet": {"revision": seq, "complete": false, "members": members}}));
         told.notify_all();
     }
--- a/crates/gateway/tests/platform/test_servers/client.rs
+++ b/crates/gateway/tests/platform/test_servers/client.rs
@@ -109,15 +109,24 @@
 
     /// The next answer if it is there; the socket does not block.
     pub(crate) fn answer_now(&mut self) -> Option<End> {
+        self.numbered_answer_now().map(|(_, end)| end)
+    }
+
+    /// The same with the number of its call.
+    pub(crate) fn numbered_answer_now(&mut self) -> Option<(u32, End)> {
         let mut bytes = [0; 4096];
-        while let Ok(n) = self.stream.read(&mut bytes) {
-            if n == 0 {
-                return Some(End::Closed);
+        let has_ended = loop {
+            match self.stream.read(&mut bytes) {
+                Ok(0) => break true,
+                Ok(n) => self.buffer.extend_from_slice(&bytes[..n]),
+                Err(error) => break error.kind() != std::io::ErrorKind::WouldBlock,
             }
-            self.buffer.extend_from_slice(&bytes[..n]);
-        }
+        };
         let whole = Scanner::default().scan(&self.buffer).expect("a message").is_some();
-        whole.then(|| self.answer().1)
+        match whole {
+            true => Some(self.answer()),
+            false => has_ended.then_some((0, End::Closed)),
+        }
     }
 
     pub(crate) fn call(&mut self, class: &str, function: u64, tag: u64) -> End {
--- /dev/null
+++ b/crates/gateway/tests/platform/test_servers/fleet_worker.rs
@@ -0,0 +1,219 @@
+//! A worker that keeps a record of what it was sent, and that drains, resets connections and misses functions as a test says.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{HashMap, HashSet};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a worker was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Command {
+    /// A call.
+    Exec {
+        /// The client's request id.
+        id: String,
+        /// How long the router says that it will wait, in milliseconds.
+        max_ms: u64,
+        /// Whether the call was executed.
+        ran: bool,
+    },
+    /// An order to hold copies of a function.
+    Ensure,
+}
+
+/// A command and when it had arrived whole.
+#[derive(Clone, Debug)]
+pub(crate) struct Received {
+    pub at: Instant,
+    pub command: Command,
+}
+
+/// How a worker treats calls, in per cent of them; the rest is served.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Behaviour {
+    /// Time that a call or a load takes.
+    pub service_time: Duration,
+    /// Calls whose connection is reset after they ran.
+    pub reset_percent: u32,
+    /// Calls answered with `NOENT`, as if their function were not loaded.
+    pub miss_percent: u32,
+}
+
+impl Behaviour {
+    /// Serves everything within a few milliseconds.
+    pub(crate) const GOOD: Behaviour =
+        Behaviour { service_time: Duration::from_millis(5), reset_percent: 0, miss_percent: 0 };
+}
+
+struct State {
+    behaviour: Behaviour,
+    is_draining: AtomicBool,
+    received: Mutex<Vec<Received>>,
+    loaded: Mutex<HashSet<String>>,
+    connections: Mutex<HashMap<usize, TcpStream>>,
+    accepted: AtomicUsize,
+    random: Mutex<Pcg64Mcg>,
+}
+
+/// A running worker.
+#[derive(Clone)]
+pub(crate) struct FleetWorker {
+    pub address: SocketAddr,
+    state: Arc<State>,
+}
+
+impl FleetWorker {
+    pub(crate) fn start(behaviour: Behaviour, seed: u64) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let state = State {
+            behaviour,
+            is_draining: AtomicBool::new(false),
+            received: Mutex::default(),
+            loaded: Mutex::default(),
+            connections: Mutex::default(),
+            accepted: AtomicUsize::new(0),
+            random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
+        };
+        let worker = FleetWorker { address: listener.local_addr().unwrap(), state: Arc::new(state) };
+        let accepting = worker.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let worker = accepting.clone();
+                thread::spawn(move || worker.serve_connection(stream));
+            }
+        });
+        worker
+    }
+
+    /// From now on it turns new work away and says that it drains.
+    pub(crate) fn drain(&self) {
+        self.state.is_draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Resets all its connections, as the end of its process does.
+    pub(crate) fn reset_connections(&self) {
+        for (_, stream) in self.state.connections.lock().unwrap().drain() {
+            let socket = socket2::Socket::from(stream);
+            let _ = socket.set_linger(Some(Duration::ZERO));
+            let _ = socket.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Everything it was sent so far, in the order of arrival.
+    pub(crate) fn received(&self) -> Vec<Received> {
+        self.state.received.lock().unwrap().clone()
+    }
+
+    /// Connections that it accepted so far.
+    pub(crate) fn accepted(&self) -> usize {
+        self.state.accepted.load(Ordering::SeqCst)
+    }
+
+    fn serve_connection(&self, stream: TcpStream) {
+        let number = self.state.accepted.fetch_add(1, Ordering::SeqCst);
+        let Ok(copy) = stream.try_clone() else { return };
+        self.state.connections.lock().unwrap().insert(number, copy);
+        let _ = self.serve_commands(stream);
+        self.state.connections.lock().unwrap().remove(&number);
+    }
+
+    fn serve_commands(&self, mut stream: TcpStream) -> Option<()> {
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        let mut line = String::new();
+        loop {
+            line.clear();
+            if reader.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            let words: Vec<&str> = line.trim_end().split(' ').collect();
+            let body = match words[0] {
+                "exec" => read_body(&mut reader, words[3])?,
+                _ => Vec::new(),
+            };
+            let at = Instant::now();
+            match words[0] {
+                "exec" => self.execute(at, words[1], words[2], &body, &mut stream)?,
+                "ensure" => self.load(at, words[1], words[2], &mut stream)?,
+                "load" | "health" => self.report(words[1], &mut stream)?,
+                "drop" | "release" => {}
+                other => panic!("a worker was sent {other}"),
+            }
+        }
+    }
+
+    fn execute(
+        &self,
+        at: Instant,
+        id: &str,
+        fields: &str,
+        body: &[u8],
+        stream: &mut TcpStream,
+    ) -> Option<()> {
+        let drawn = self.state.random.lock().unwrap().next_u32() % 100;
+        let Behaviour { service_time, reset_percent, miss_percent } = self.state.behaviour;
+        let is_draining = self.state.is_draining.load(Ordering::SeqCst);
+        let is_loaded = self.state.loaded.lock().unwrap().contains(&field(fields, "thing"));
+        let is_missing = !is_loaded || (reset_percent..reset_percent + miss_percent).contains(&drawn);
+        let ran = !is_draining && !is_missing;
+        let max_ms = field(fields, "max").parse().expect("a time");
+        self.record(at, Command::Exec { id: id.into(), max_ms, ran });
+        if !ran {
+            let word = if is_draining { "AGAIN" } else { "NOENT" };
+            return answer(stream, id, word, "-", b"");
+        }
+        thread::sleep(service_time);
+        if drawn < reset_percent {
+            let socket = socket2::SockRef::from(&*stream);
+            let _ = socket.set_linger(Some(Duration::ZERO));
+            let _ = socket.shutdown(std::net::Shutdown::Both);
+            return None;
+        }
+        answer(stream, id, "ACK", "-", body)
+    }
+
+    fn load(&self, at: Instant, tag: &str, fields: &str, stream: &mut TcpStream) -> Option<()> {
+        if field(fields, "copies") != "0" {
+            self.record(at, Command::Ensure);
+        }
+        if self.state.is_draining.load(Ordering::SeqCst) {
+            return answer(stream, tag, "AGAIN", "copies=0", b"");
+        }
+        thread::sleep(self.state.behaviour.service_time);
+        self.state.loaded.lock().unwrap().insert(field(fields, "thing"));
+        answer(stream, tag, "ACK", "copies=1", b"")
+    }
+
+    fn report(&self, tag: &str, stream: &mut TcpStream) -> Option<()> {
+        let is_draining = self.state.is_draining.load(Ordering::SeqCst);
+        let word = if is_draining { "AILING" } else { "READY" };
+        answer(stream, tag, word, "report=queue:0", b"")
+    }
+
+    fn record(&self, at: Instant, command: Command) {
+        self.state.received.lock().unwrap().push(Received { at, command });
+    }
+}
+
+fn read_body(reader: &mut impl Read, length: &str) -> Option<Vec<u8>> {
+    let mut body = vec![0; length.parse::<usize>().ok()? + 2];
+    reader.read_exact(&mut body).ok()?;
+    assert_eq!(body.split_off(body.len() - 2), b"\r\n");
+    Some(body)
+}
+
+fn answer(stream: &mut TcpStream, id: &str, word: &str, fields: &str, body: &[u8]) -> Option<()> {
+    let mut bytes = format!("{id} {word} {fields} {}\r\n", body.len()).into_bytes();
+    bytes.extend_from_slice(body);
+    bytes.extend_from_slice(b"\r\n");
+    stream.write_all(&bytes).ok()
+}
+
+fn field(fields: &str, name: &str) -> String {
+    let mut pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(found, _)| *found == name).map(|(_, value)| value.to_string()).unwrap_or_default()
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -136,6 +136,14 @@
         assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
     }
 
+    /// Lets it run on one processor core only.
+    pub(crate) fn pin_to_core(&self, core: usize) {
+        let process = rustix::process::Pid::from_child(&self.child);
+        let mut cores = rustix::thread::CpuSet::new();
+        cores.set(core);
+        rustix::thread::sched_setaffinity(Some(process), &cores).unwrap();
+    }
+
     /// Waits for its end and gives its exit code.
     pub(crate) fn wait(&mut self) -> Option<i32> {
         let start = Instant::now();
