Balancer: an event no longer walks all workers for each worker it weighs

Cause: after a reset, and wherever no worker of a function may be sent to, all workers were candidates (selection.rs), and for each slow start summed the weights of all workers twice (slow_start.rs: slow_start_allows, effective_weight). Admission, retries and hedged attempts looked at every worker too. One answer cost 230 ms before 3,200 workers, a part of a core made seconds of it. Change: the effective weight is a linear function of time between starts and ends of warm-ups, summed up at those only; 256 candidates along the ring at most, with the cell's peers of a keyed request behind them; counts stop at what they are compared with; peers of a cell are indexed. Up to 256 workers every decision is as before.

--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -176,12 +176,21 @@
             record.consecutive_failures < STALLED_WORKER_FAILURES || record.is_overload
         };
         let responsive = || self.membership.workers.values().filter(is_responsive);
-        let in_flight: usize = responsive().map(|worker| worker.in_flight).sum();
-        let exceeds =
-            |in_flight: usize| in_flight > responsive().count() && (in_flight + 1) as f64 > queue_limit;
+        let in_flight = self.in_flight_at(is_responsive);
+        // Counted no further than needed: with many workers, a look at each would dominate the cost of a request.
+        let exceeds_workers = |in_flight: usize| responsive().take(in_flight).count() < in_flight;
+        let exceeds = |in_flight: usize| (in_flight + 1) as f64 > queue_limit && exceeds_workers(in_flight);
         exceeds(in_flight) && exceeds(in_flight.saturating_sub(self.lost_attempts()))
     }
 
+    /// Attempts in flight at workers that `accepts` allows, those that wait for loads left out.
+    fn in_flight_at(&self, accepts: impl Fn(&&Worker) -> bool) -> usize {
+        let attempts = self.requests.open.values().flat_map(|open| &open.attempts);
+        let queued = attempts.filter(|attempt| attempt.outcome.is_none() && !attempt.waits_for_load);
+        let workers = queued.filter_map(|attempt| self.membership.workers.get(&attempt.worker));
+        workers.filter(accepts).count()
+    }
+
     /// Attempts in flight for longer than their objective. Where responses are lost they never end, and counted as a
     /// queue they would cause refusals, a lower response rate and further refusals.
     fn lost_attempts(&self) -> usize {
--- a/src/balancer/hash_ring.rs
+++ b/src/balancer/hash_ring.rs
@@ -79,8 +79,9 @@
         let points = &self.hash_ring.points;
         let start = points.partition_point(|point| point.position < position);
         let (mut candidates, mut seen) = (Vec::new(), BTreeSet::new());
+        let most = most.min(self.membership.ready_count);
         for point in points[start..].iter().chain(&points[..start]) {
-            if candidates.len() >= most.min(self.membership.workers.len()) {
+            if candidates.len() >= most {
                 break;
             }
             let worker = self.membership.workers.get(&point.worker);
--- a/src/balancer/membership.rs
+++ b/src/balancer/membership.rs
@@ -1,7 +1,7 @@
 //! The workers: the worker list, its updates, and the state kept for each worker.
 
 use super::outlier::FailureRecord;
-use super::statistics::{after, since};
+use super::statistics::since;
 use super::Balancer;
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -87,12 +87,29 @@
     pub(super) workers: BTreeMap<WorkerId, Worker>,
     /// Number of distinct zones of the workers.
     pub(super) zone_count: usize,
+    /// Number of workers that accept new work; each has points on the ring.
+    pub(super) ready_count: usize,
+    /// The workers of each cell.
+    pub(super) cells: BTreeMap<CellId, Vec<WorkerId>>,
     /// Whether updates of the list arrive without a request.
     subscribed: bool,
     /// When the list was last requested.
     requested_at: Option<Micros>,
 }
 
+impl Membership {
+    /// Brings what is derived from all workers up to date.
+    fn summarize(&mut self) {
+        let zones = self.workers.values().map(|worker| worker.entry.zone.0);
+        self.zone_count = zones.collect::<BTreeSet<_>>().len();
+        self.ready_count = self.workers.values().filter(|worker| worker.is_ready()).count();
+        self.cells.clear();
+        for (id, worker) in &self.workers {
+            self.cells.entry(worker.entry.cell).or_default().push(*id);
+        }
+    }
+}
+
 impl Balancer {
     /// Applies an update of the worker list. If the list was not available, the current one stays.
     pub(super) fn update_membership(&mut self, listing: Listing) {
@@ -115,9 +132,9 @@
         let functions = self.placement.functions.values_mut();
         functions.for_each(|function| function.replicas.retain(|id, _| workers.contains_key(id)));
         self.recount_in_flight();
-        self.reset_slow_start_end();
-        let zones = self.membership.workers.values().map(|worker| worker.entry.zone.0);
-        self.membership.zone_count = zones.collect::<BTreeSet<_>>().len();
+        self.slow_start.invalidate();
+        self.refresh_weights();
+        self.membership.summarize();
         changed.retain(|id, before| self.current_ring_weight(*id) != *before);
         self.update_ring(&changed);
         self.update_offered_load();
@@ -198,12 +215,4 @@
             _ => 1.0,
         }
     }
-
-    /// Sets when the last started worker has warmed up; the total weight is then summed up once.
-    fn reset_slow_start_end(&mut self) {
-        let warm_within = self.settings.rules.warm_within;
-        let started = self.membership.workers.values().filter_map(|worker| worker.started_at);
-        let end = started.map(|start| after(start, warm_within)).max();
-        self.slow_start.reset(end.unwrap_or(self.now));
-    }
 }
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -96,6 +96,7 @@
             self.hash_ring.invalidate();
         }
         self.settings = Settings { routers: self.settings.routers, ..settings };
+        self.slow_start.invalidate();
     }
 
     /// Handles one event and appends the actions to be executed, in order. A time before that of an earlier event
@@ -130,7 +131,7 @@
         if self.next_tick.is_some_and(|due| since(self.now, due) > PROCESS_PAUSE_THRESHOLD) {
             self.resume();
         }
-        self.cache_total_weight();
+        self.refresh_weights();
     }
 
     /// Discards what the process missed during a pause: silence and latency of the workers are judged from now on.
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -1,6 +1,7 @@
 //! Retries: the retry budget, further attempts after a failure, and attempts elsewhere while one is unresponsive.
 
 use super::dispatch::{Attempt, OpenRequest};
+use super::membership::Worker;
 use super::outlier::FailureKind;
 use super::placement::{LOAD_TIME_DEFAULT_SECS, SERVICE_TIME_DEFAULT_SECS};
 use super::statistics::*;
@@ -61,7 +62,7 @@
     pub(super) fn retry_or_finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.requests.open.get(&id).filter(|open| !open.is_closed) else { return };
         let is_exhausted = open.attempts.len() >= self.settings.limits.max_attempts;
-        let is_possible = self.membership.workers.values().any(|worker| self.effect_allows(open, worker));
+        let is_possible = self.effect_allows_any(open, |_, _| true);
         let tokens = match open.attempts.last().and_then(|attempt| attempt.outcome) {
             None | Some(Outcome::Miss) => 0.0,
             Some(Outcome::Full | Outcome::TimedOut | Outcome::Cancelled) => RETRY_TOKENS_PER_RETRY,
@@ -131,9 +132,8 @@
         let is_exhausted = self.retry.tokens < RETRY_TOKENS_PER_RETRY
             || open.attempts.len() >= self.settings.limits.max_attempts
             || open.in_flight() > 1;
-        let mut others = self.membership.workers.iter().filter(|(other, _)| **other != unresponsive);
-        let has_other =
-            !is_exhausted && others.any(|(_, worker)| worker.is_ready() && self.effect_allows(open, worker));
+        let is_other = |id: WorkerId, worker: &Worker| id != unresponsive && worker.is_ready();
+        let has_other = !is_exhausted && self.effect_allows_any(open, is_other);
         if !has_other {
             return;
         }
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -9,7 +9,7 @@
 use super::probing::{CONTACT_MAX_AGE, PROBE_WAIT};
 use super::statistics::*;
 use super::Balancer;
-use crate::api::{Effect, Group, Micros, Outcome, WorkerId};
+use crate::api::{CellId, Effect, Group, Micros, Outcome, WorkerId};
 
 /// In-flight requests allowed at a worker relative to its fair share (consistent hashing with bounded loads), and
 /// requests allowed beyond that.
@@ -33,6 +33,9 @@
 const LATENCY_RATIO_COST_MIN: f64 = 0.5;
 /// Workers tried beyond those that serve the function, while one of them may be sent to.
 const SPILLOVER_CANDIDATES: usize = 4;
+/// Workers tried at most where none of those that serve the function may be sent to. It bounds the cost of a request
+/// before fleets of any size, and is as good as all: so many are not all ejected or cold by chance.
+const CANDIDATES_MAX: usize = 256;
 /// Queue delay in latency objectives at a worker where requests wait, and for each waiting request.
 const QUEUE_DELAY_BASE: f64 = 0.4;
 const QUEUE_DELAY_PER_REQUEST: f64 = 0.15;
@@ -80,7 +83,7 @@
         let replica_count = comparison.replica_count;
         let mut candidates = self.candidates(open, replica_count);
         if !candidates.iter().any(|id| self.can_send(open, *id, candidates.len())) {
-            candidates = self.ring_candidates(open.request.function, usize::MAX);
+            candidates = self.widest_candidates(open);
         }
         let reach = candidates.len();
         let mut best: Option<(f64, WorkerId)> = None;
@@ -172,8 +175,10 @@
     fn candidates(&self, open: &OpenRequest, replica_count: usize) -> Vec<WorkerId> {
         let function = open.request.function;
         let could_have_run = open.attempts.iter().any(Attempt::could_have_run);
-        let most = if could_have_run { usize::MAX } else { replica_count + SPILLOVER_CANDIDATES };
-        let mut candidates = self.ring_candidates(function, most);
+        let mut candidates = match could_have_run {
+            true => self.widest_candidates(open),
+            false => self.ring_candidates(function, replica_count + SPILLOVER_CANDIDATES),
+        };
         let serving = replica_count.min(candidates.len());
         let draw = |id: u64| hash_bits(self.hash_seed ^ hash_bits(function.0) ^ id);
         // As many routers keep to their zone as its workers can serve; the rest use the others.
@@ -188,6 +193,52 @@
         candidates
     }
 
+    /// The workers that may be tried at all, in the order of the ring. Where a key binds the request to the cell of an
+    /// earlier attempt, the workers of that cell follow, wherever they are on the ring.
+    fn widest_candidates(&self, open: &OpenRequest) -> Vec<WorkerId> {
+        let mut candidates = self.ring_candidates(open.request.function, CANDIDATES_MAX);
+        if candidates.len() < CANDIDATES_MAX {
+            return candidates;
+        }
+        if let Some(cell) = self.bound_cell(open) {
+            let peers = self.membership.cells.get(&cell).into_iter().flatten();
+            let others: Vec<WorkerId> = peers.copied().filter(|id| !candidates.contains(id)).collect();
+            candidates.extend(others);
+        }
+        candidates
+    }
+
+    /// The cell that the key of an attempt that could have run binds further ones to.
+    fn bound_cell(&self, open: &OpenRequest) -> Option<CellId> {
+        let Effect::IdempotentWithKey { group: Group::Cell, .. } = self.class(open).effect else {
+            return None;
+        };
+        open.attempts.iter().find(|attempt| attempt.could_have_run()).map(|attempt| attempt.cell)
+    }
+
+    /// Whether an attempt at any of the workers that `accepts` allows cannot repeat an effect.
+    pub(super) fn effect_allows_any(
+        &self,
+        open: &OpenRequest,
+        accepts: impl Fn(WorkerId, &Worker) -> bool,
+    ) -> bool {
+        let allows =
+            |id: &WorkerId, worker: &Worker| accepts(*id, worker) && self.effect_allows(open, worker);
+        if let Some(cell) = self.bound_cell(open) {
+            let peers = self.membership.cells.get(&cell).into_iter().flatten();
+            return peers
+                .filter_map(|id| Some((id, self.membership.workers.get(id)?)))
+                .any(|(id, w)| allows(id, w));
+        }
+        // What is not bound to workers by a key is the same at all of them.
+        let is_keyed = matches!(self.class(open).effect, Effect::IdempotentWithKey { .. });
+        let mut workers = self.membership.workers.iter().filter(|(id, worker)| accepts(**id, worker));
+        match is_keyed {
+            true => workers.any(|(_, worker)| self.effect_allows(open, worker)),
+            false => workers.next().is_some_and(|(_, worker)| self.effect_allows(open, worker)),
+        }
+    }
+
     /// Whether the request may be sent to the worker now: by its attempts and deadline, the worker's state, repeated
     /// effects and slow start.
     pub(super) fn can_send(&self, open: &OpenRequest, id: WorkerId, reach: usize) -> bool {
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -19,30 +19,68 @@
 /// Lower bound of divisors.
 const POSITIVE_MIN: f64 = 1e-9;
 
+/// The total weight of the workers, each reduced by its slow-start factor, as a linear function of time.
+///
+/// Each factor is linear between the start of a worker and the end of its warm-up, and constant before and after, so their
+/// sum is linear until the next such moment. A sum over all workers for each event would dominate the cost of an event.
+#[derive(Default)]
+struct EffectiveWeight {
+    summed_at: Micros,
+    weight: f64,
+    /// Increase with each microsecond.
+    slope: f64,
+    /// When the next worker starts or has warmed up; `None` if none will.
+    valid_until: Option<Micros>,
+}
+
 /// Progress of the warm-up over all workers.
 #[derive(Default)]
 pub(super) struct SlowStart {
-    /// From when on all workers have warmed up.
-    warmed_up_at: Micros,
-    /// Total weight, once all workers have warmed up and it was summed up.
-    total_weight: Option<f64>,
+    /// `None` while it has to be summed up anew.
+    effective_weight: Option<EffectiveWeight>,
+    /// Total weight, warm or not.
+    total_weight: f64,
     /// When the offered load was last summed up.
     offered_load_updated_at: Micros,
 }
 
 impl SlowStart {
-    /// Sets from when on all workers have warmed up, and discards the total weight.
-    pub(super) fn reset(&mut self, warmed_up_at: Micros) {
-        (self.total_weight, self.warmed_up_at) = (None, warmed_up_at);
+    /// Has the weights summed up anew, as workers or settings changed.
+    pub(super) fn invalidate(&mut self) {
+        self.effective_weight = None;
     }
 }
 
 impl Balancer {
-    /// Sums up the total weight once all workers have warmed up, instead of at each call.
-    pub(super) fn cache_total_weight(&mut self) {
-        if self.slow_start.total_weight.is_none() && self.now >= self.slow_start.warmed_up_at {
-            self.slow_start.total_weight = Some(self.effective_weight());
+    /// Sums up the weights of the workers where that is due.
+    pub(super) fn refresh_weights(&mut self) {
+        let is_valid = |sum: &EffectiveWeight| sum.valid_until.is_none_or(|until| self.now < until);
+        if !self.slow_start.effective_weight.as_ref().is_some_and(is_valid) {
+            self.slow_start.total_weight =
+                self.membership.workers.values().map(|worker| self.weight(worker)).sum();
+            self.slow_start.effective_weight = Some(self.sum_effective_weight());
+        }
+    }
+
+    fn sum_effective_weight(&self) -> EffectiveWeight {
+        let rules = &self.settings.rules;
+        let mut sum = EffectiveWeight { summed_at: self.now, ..EffectiveWeight::default() };
+        for worker in self.membership.workers.values() {
+            let weight = self.weight(worker);
+            sum.weight += weight * self.slow_start_factor(worker);
+            let Some(started_at) = worker.started_at else { continue };
+            let warm_at = after(started_at, rules.warm_within);
+            if self.now >= warm_at {
+                continue;
+            }
+            let is_started = self.now >= started_at;
+            if is_started {
+                sum.slope += weight * (1.0 - rules.start_capacity) / rules.warm_within.0 as f64;
+            }
+            let next = if is_started { warm_at } else { started_at };
+            sum.valid_until = Some(sum.valid_until.map_or(next, |until| until.min(next)));
         }
+        sum
     }
 
     /// The fraction of its capacity that a worker has at least, from 0 to 1; it grows linearly from its start.
@@ -56,10 +94,8 @@
 
     /// Total weight of the workers, each reduced by its slow-start factor.
     pub(super) fn effective_weight(&self) -> f64 {
-        self.slow_start.total_weight.unwrap_or_else(|| {
-            let workers = self.membership.workers.values();
-            workers.map(|worker| self.weight(worker) * self.slow_start_factor(worker)).sum()
-        })
+        let Some(sum) = &self.slow_start.effective_weight else { return 0.0 };
+        sum.weight + sum.slope * since(self.now, sum.summed_at).0 as f64
     }
 
     /// Sums up the offered load if it is out of date.
@@ -96,7 +132,7 @@
         if factor >= 1.0 {
             return true;
         }
-        let total_weight: f64 = self.membership.workers.values().map(|worker| self.weight(worker)).sum();
+        let total_weight = self.slow_start.total_weight;
         let budget = self.slow_start_budget(worker, total_weight, factor);
         let fall_window = self.settings.rules.fall_window;
         let recent = worker.recent_work.iter().filter(|work| since(self.now, work.sent_at) <= fall_window);
