Worker list: a change costs what it changes, not the whole ring

Cause: a change sorted all virtual points anew (hash_ring.rs: update_ring, 307,000 points before 3,200 workers); a complete list compared each worker with each line (change_log.rs: update_workers); a full pool looked at every worker for an idle connection (peers.rs: close_longest_idle). Change: the ring is kept in sorted buckets of equal arcs, of which a change touches those with its points; cells are kept up to date by change; the list is compared by sets; the pool looks at its connections.

--- a/crates/gateway/src/platform/change_log.rs
+++ b/crates/gateway/src/platform/change_log.rs
@@ -4,6 +4,7 @@
 use slatevalve::{Micros, WorkerId, WorkerState};
 use slatevalve_platform::changes::{Change, ChangeLogOutput, ContactEvent};
 use slatevalve_reactor::ReactorEvent;
+use std::collections::{BTreeSet, HashSet};
 use tracing::{debug, info, warn};
 
 /// Workers that a change affects beyond their new state.
@@ -104,32 +105,33 @@
     /// Updates the worker table, and the addresses in the pool.
     fn update_workers(&mut self, change: &Change) -> AffectedWorkers {
         let mut affected = AffectedWorkers::default();
+        let mut removed: BTreeSet<WorkerId> = BTreeSet::new();
         if change.complete {
-            let is_named = |worker: &WorkerId| change.lines.iter().any(|line| line.entry.id == *worker);
-            affected.removed.extend(self.workers.keys().filter(|worker| !is_named(worker)));
+            let named: HashSet<WorkerId> = change.lines.iter().map(|line| line.entry.id).collect();
+            removed.extend(self.workers.keys().filter(|worker| !named.contains(worker)));
         }
         for line in &change.lines {
             let worker = line.entry.id;
             let (state, address) = match (line.entry.state, line.address) {
                 (WorkerState::Gone, _) | (_, None) => {
-                    affected.removed.push(worker);
+                    removed.insert(worker);
                     continue;
                 }
                 (state, Some(address)) => (state, address),
             };
             // Removed and back in one event: waiting requests were for the one that was removed.
-            let replaced = affected.removed.contains(&worker);
-            affected.removed.retain(|removed| *removed != worker);
+            let replaced = removed.remove(&worker);
             let moved = self.pool.list(&mut self.reactor, worker, &line.name, address);
             self.workers.insert(worker, state);
             if state == WorkerState::Draining || moved || replaced {
                 affected.not_accepting.push(worker);
             }
         }
-        for worker in &affected.removed {
+        for worker in &removed {
             self.workers.remove(worker);
             affected.not_accepting.push(*worker);
         }
+        affected.removed.extend(removed);
         affected
     }
 }
--- a/crates/gateway/src/server/pool/peers.rs
+++ b/crates/gateway/src/server/pool/peers.rs
@@ -1,7 +1,8 @@
 //! The workers that the pool knows: their addresses and connections.
 
+use super::connections::Connection;
 use super::Pool;
-use slatevalve::{Micros, WorkerId};
+use slatevalve::WorkerId;
 use slatevalve_reactor::{Id, Reactor};
 use std::net::SocketAddr;
 
@@ -94,9 +95,13 @@
 
     /// Closes the connection that has been idle for the longest time. Returns whether there was one.
     pub(super) fn close_longest_idle(&mut self, reactor: &mut Reactor) -> bool {
-        let idle = self.peers.values().flat_map(|p| &p.idle);
-        let deadline = |id: &&Id| -> Option<Micros> { self.connections.get(id).and_then(|c| c.deadline) };
-        let Some(id) = idle.min_by_key(deadline).copied() else { return false };
+        // The connections are few; the workers may be thousands.
+        let is_idle = |id: &Id, connection: &Connection| {
+            self.peers.get(&connection.worker).is_some_and(|peer| peer.idle.contains(id))
+        };
+        let idle = self.connections.iter().filter(|(id, connection)| is_idle(id, connection));
+        let longest_idle = idle.min_by_key(|(id, connection)| (connection.deadline, **id));
+        let Some(id) = longest_idle.map(|(id, _)| *id) else { return false };
         self.close_connection(reactor, id);
         true
     }
--- a/src/balancer/hash_ring.rs
+++ b/src/balancer/hash_ring.rs
@@ -17,18 +17,31 @@
 /// Combined with function ids before hashing, so that they do not coincide with worker ids.
 const FUNCTION_HASH_SEED: u64 = 0x51a7_e7a1;
 
+/// Virtual points in one bucket of the ring, about.
+const POINTS_PER_BUCKET: usize = 64;
+/// The ring is built anew if it should have so many times as many buckets as it has.
+const BUCKET_GROWTH_MAX: usize = 4;
+
 /// A virtual point of a worker.
-pub(super) struct RingPoint {
+struct RingPoint {
     position: u64,
     worker: WorkerId,
     /// Fraction of the worker's points that come before this one; it is used once the worker is that warm.
     slow_start_threshold: f64,
 }
 
-/// The ring, sorted by position.
+impl RingPoint {
+    /// The place on the ring. Points of two workers at one position are in the order of the workers' ids.
+    fn key(&self) -> (u64, WorkerId) {
+        (self.position, self.worker)
+    }
+}
+
+/// The ring, in buckets of equal arcs, each sorted: an update costs what changes, not what is there.
 #[derive(Default)]
 pub(super) struct HashRing {
-    points: Vec<RingPoint>,
+    /// A power of two of them; none while there is no ring.
+    buckets: Vec<Vec<RingPoint>>,
     /// Weight that has `POINTS_PER_WORKER` points, a power of two; 0 while there is no ring.
     weight_unit: f64,
 }
@@ -38,6 +51,55 @@
     pub(super) fn invalidate(&mut self) {
         self.weight_unit = 0.0;
     }
+
+    /// A ring of these points.
+    fn of_points(point_count: usize, points: impl Iterator<Item = RingPoint>, weight_unit: f64) -> Self {
+        let bucket_count = bucket_count(point_count);
+        let bucket = || Vec::with_capacity(point_count / bucket_count);
+        let mut ring = HashRing { buckets: (0..bucket_count).map(|_| bucket()).collect(), weight_unit };
+        for point in points {
+            let index = ring.bucket_index(point.position);
+            ring.buckets[index].push(point);
+        }
+        ring.buckets.iter_mut().for_each(|bucket| bucket.sort_unstable_by_key(RingPoint::key));
+        ring
+    }
+
+    /// The bucket of a position: its highest bits.
+    fn bucket_index(&self, position: u64) -> usize {
+        let bits = self.buckets.len().trailing_zeros();
+        position.checked_shr(u64::BITS - bits).unwrap_or(0) as usize
+    }
+
+    fn insert(&mut self, point: RingPoint) {
+        let index = self.bucket_index(point.position);
+        let Some(bucket) = self.buckets.get_mut(index) else { return };
+        let at = bucket.partition_point(|other| other.key() < point.key());
+        bucket.insert(at, point);
+    }
+
+    fn remove(&mut self, point: &RingPoint) {
+        let index = self.bucket_index(point.position);
+        let Some(bucket) = self.buckets.get_mut(index) else { return };
+        if let Ok(at) = bucket.binary_search_by_key(&point.key(), RingPoint::key) {
+            bucket.remove(at);
+        }
+    }
+
+    /// All points clockwise from a position.
+    fn clockwise_from(&self, position: u64) -> impl Iterator<Item = &RingPoint> {
+        let index = self.bucket_index(position);
+        let first = self.buckets.get(index).map_or(&[][..], Vec::as_slice);
+        let (before, after) = first.split_at(first.partition_point(|point| point.position < position));
+        let later = self.buckets.iter().skip(index + 1).flatten();
+        let earlier = self.buckets.iter().take(index).flatten();
+        after.iter().chain(later).chain(earlier).chain(before)
+    }
+}
+
+/// Buckets for so many points: a power of two.
+fn bucket_count(point_count: usize) -> usize {
+    (point_count / POINTS_PER_BUCKET).next_power_of_two()
 }
 
 impl Balancer {
@@ -50,37 +112,46 @@
     /// two near the median weight, so that adding or removing one worker does not change the points of others.
     /// Another unit, or many changes, rebuild the whole ring.
     pub(super) fn update_ring(&mut self, changed: &BTreeMap<WorkerId, Option<f64>>) {
-        let mut weights: Vec<f64> =
-            self.membership.workers.values().map(|worker| self.weight(worker)).collect();
-        weights.sort_by(f64::total_cmp);
-        let median = weights.get(weights.len() / 2).copied().unwrap_or(1.0);
-        let unit = 2f64.powi(median.log2().round() as i32);
+        let unit = self.ring_weight_unit();
+        let point_count = self.membership.ready_count * POINTS_PER_WORKER as usize;
         let rebuild = unit != self.hash_ring.weight_unit
-            || changed.len() * REBUILD_DIVISOR > self.membership.workers.len();
-        self.hash_ring.weight_unit = unit;
-        if !rebuild && changed.is_empty() {
+            || changed.len() * REBUILD_DIVISOR > self.membership.workers.len()
+            || bucket_count(point_count) >= self.hash_ring.buckets.len() * BUCKET_GROWTH_MAX;
+        if rebuild {
+            let workers = self.membership.workers.iter();
+            let weights = workers.filter_map(|(id, worker)| Some((*id, self.ring_weight(worker)?)));
+            let points = weights.flat_map(|(id, weight)| worker_points(id, weight, unit));
+            self.hash_ring = HashRing::of_points(point_count, points, unit);
             return;
         }
-        let mut points = std::mem::take(&mut self.hash_ring.points);
-        points.retain(|point| !rebuild && !changed.contains_key(&point.worker));
-        for (id, worker) in &self.membership.workers {
-            if worker.is_ready() && (rebuild || changed.contains_key(id)) {
-                points.extend(worker_points(*id, self.weight(worker), unit));
-            }
+        for (id, weight_before) in changed {
+            let before = weight_before.iter().flat_map(|weight| worker_points(*id, *weight, unit));
+            before.for_each(|point| self.hash_ring.remove(&point));
+            let weight = self.current_ring_weight(*id);
+            let after = weight.into_iter().flat_map(|weight| worker_points(*id, weight, unit));
+            after.for_each(|point| self.hash_ring.insert(point));
+        }
+    }
+
+    /// A power of two near the median weight.
+    fn ring_weight_unit(&self) -> f64 {
+        let workers = self.membership.workers.values();
+        let mut weights: Vec<f64> = workers.map(|worker| self.weight(worker)).collect();
+        if weights.is_empty() {
+            return 1.0;
         }
-        points.sort_by_key(|point| (point.position, point.worker));
-        self.hash_ring.points = points;
+        let middle = weights.len() / 2;
+        let (_, median, _) = weights.select_nth_unstable_by(middle, f64::total_cmp);
+        2f64.powi(median.log2().round() as i32)
     }
 
     /// The first `most` distinct workers clockwise from the function's hash. Points of a started worker come into
     /// use one by one as it warms up; until then their arcs belong to the next worker.
     pub(super) fn ring_candidates(&self, function: FunctionId, most: usize) -> Vec<WorkerId> {
         let position = hash_bits(function.0 ^ FUNCTION_HASH_SEED);
-        let points = &self.hash_ring.points;
-        let start = points.partition_point(|point| point.position < position);
         let (mut candidates, mut seen) = (Vec::new(), BTreeSet::new());
         let most = most.min(self.membership.ready_count);
-        for point in points[start..].iter().chain(&points[..start]) {
+        for point in self.hash_ring.clockwise_from(position) {
             if candidates.len() >= most {
                 break;
             }
--- a/src/balancer/membership.rs
+++ b/src/balancer/membership.rs
@@ -103,9 +103,31 @@
         let zones = self.workers.values().map(|worker| worker.entry.zone.0);
         self.zone_count = zones.collect::<BTreeSet<_>>().len();
         self.ready_count = self.workers.values().filter(|worker| worker.is_ready()).count();
-        self.cells.clear();
-        for (id, worker) in &self.workers {
-            self.cells.entry(worker.entry.cell).or_default().push(*id);
+    }
+
+    /// Removes a worker and all that is known of it.
+    fn remove(&mut self, id: WorkerId) {
+        if let Some(worker) = self.workers.remove(&id) {
+            self.remove_from_cell(id, worker.entry.cell);
+        }
+    }
+
+    /// Moves a worker to the cell that it is listed in.
+    fn set_cell(&mut self, id: WorkerId, listed: CellId, before: Option<CellId>) {
+        if before == Some(listed) {
+            return;
+        }
+        if let Some(cell) = before {
+            self.remove_from_cell(id, cell);
+        }
+        self.cells.entry(listed).or_default().push(id);
+    }
+
+    fn remove_from_cell(&mut self, id: WorkerId, cell: CellId) {
+        let Some(peers) = self.cells.get_mut(&cell) else { return };
+        peers.retain(|peer| *peer != id);
+        if peers.is_empty() {
+            self.cells.remove(&cell);
         }
     }
 }
@@ -140,7 +162,8 @@
         self.update_offered_load();
     }
 
-    fn current_ring_weight(&self, id: WorkerId) -> Option<f64> {
+    /// The weight of a worker on the ring; `None` for one without points there.
+    pub(super) fn current_ring_weight(&self, id: WorkerId) -> Option<f64> {
         self.membership.workers.get(&id).and_then(|worker| self.ring_weight(worker))
     }
 
@@ -151,17 +174,21 @@
         changed: &mut BTreeMap<WorkerId, Option<f64>>,
     ) {
         let listed: BTreeSet<WorkerId> = entries.iter().map(|entry| entry.id).collect();
-        let removed = self.membership.workers.iter().filter(|(id, _)| !listed.contains(id));
-        changed.extend(removed.map(|(id, worker)| (*id, self.ring_weight(worker))));
-        self.membership.workers.retain(|id, _| listed.contains(id));
+        let unlisted = self.membership.workers.iter().filter(|(id, _)| !listed.contains(id));
+        let removed: Vec<(WorkerId, Option<f64>)> =
+            unlisted.map(|(id, worker)| (*id, self.ring_weight(worker))).collect();
+        removed.iter().for_each(|(id, _)| self.membership.remove(*id));
+        changed.extend(removed);
     }
 
     fn apply_entry(&mut self, entry: WorkerEntry) {
         let id = entry.id;
         if entry.state == WorkerState::Gone {
-            self.membership.workers.remove(&id);
+            self.membership.remove(id);
             return;
         }
+        let cell_before = self.membership.workers.get(&id).map(|worker| worker.entry.cell);
+        self.membership.set_cell(id, entry.cell, cell_before);
         let class_count = self.settings.classes.len();
         let new_worker = || Worker::new(entry.clone(), class_count);
         let worker = self.membership.workers.entry(id).or_insert_with(new_worker);
