Worker list under a lease: once it has expired, workers are asked before they get new work

Cause: the list was used without limit of age. What the log would have told counts as told 7 s after it broke off, and nothing in the router knew how old its list was (changes.rs told nobody of answers without news; can_send and request_load asked the list alone). Change: each complete answer of the log renews a lease of 7 s. Once it has expired, a call or load order goes only to a worker that said within half the drain's grace, by a health check or a served call, that it takes new work; one that says otherwise or whose connection breaks is left alone until the list is confirmed.

--- a/crates/engine/src/engine/fleet.rs
+++ b/crates/engine/src/engine/fleet.rs
@@ -13,6 +13,12 @@
         self.dispatch(Event::WorkersListed(listing), out);
     }
 
+    /// The worker list is complete as of now and may be acted on for `lease`.
+    pub fn worker_list_confirmed(&mut self, now: Micros, lease: Micros, out: &mut Vec<Output>) {
+        self.advance_clock(now);
+        self.dispatch(Event::WorkerListConfirmed { lease }, out);
+    }
+
     /// The number of routers changed; `routers` includes this one.
     pub fn routers(&mut self, now: Micros, routers: usize, out: &mut Vec<Output>) {
         self.advance_clock(now);
--- a/crates/gateway/src/platform/change_log.rs
+++ b/crates/gateway/src/platform/change_log.rs
@@ -1,8 +1,9 @@
 //! The change log: its connection, and its changes of the worker list.
 
 use super::{Router, MAX_UNUSABLE_LOGGED};
+use crate::clock::after;
 use slatevalve::{Micros, WorkerId, WorkerState};
-use slatevalve_platform::changes::{Change, ChangeLogOutput, ContactEvent};
+use slatevalve_platform::changes::{Change, ChangeLogOutput, ContactEvent, LIST_LEASE};
 use slatevalve_reactor::ReactorEvent;
 use std::collections::{BTreeSet, HashSet};
 use tracing::{debug, info, warn};
@@ -74,10 +75,30 @@
         }
     }
 
+    /// The worker list is complete as of now.
+    pub(super) fn confirm_list(&mut self, now: Micros, lease: Micros) {
+        if std::mem::take(&mut self.list_expiry_logged) {
+            info!(now = now.0, seq = self.watch_state.seq(), "the worker list is current again");
+        }
+        self.list_expires_at = after(now, lease);
+        self.engine.worker_list_confirmed(now, lease, &mut self.to_engine);
+    }
+
+    /// Logs that the list is out of date, once for each time.
+    pub(super) fn log_list_expiry(&mut self, now: Micros) {
+        if now >= self.list_expires_at && !std::mem::replace(&mut self.list_expiry_logged, true) {
+            warn!(
+                now = now.0,
+                seq = self.watch_state.seq(),
+                "the worker list is out of date; workers are asked before they are sent new work"
+            );
+        }
+    }
+
     fn handle_contact(&mut self, now: Micros, event: ContactEvent) {
         let seq = self.watch_state.seq();
         match event {
-            ContactEvent::Confirmed => {}
+            ContactEvent::Confirmed => self.confirm_list(now, LIST_LEASE),
             ContactEvent::Lost { failure, silent_for } => {
                 self.list_outages += 1;
                 let silent_us = silent_for.map(|time| time.0);
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -62,6 +62,9 @@
     iteration_log: IterationLog,
     /// Members of the worker list applied in this iteration.
     list_members: usize,
+    /// Until when the worker list may be acted on.
+    list_expires_at: Micros,
+    list_expiry_logged: bool,
     /// Outages of the change log so far.
     list_outages: u64,
     shutdown: Shutdown,
@@ -116,6 +119,7 @@
         };
         self.handle_events(now, events);
         self.advance_log(now);
+        self.log_list_expiry(now);
         self.advance_calls(now);
         self.listener.resume_if_due(now, &mut self.reactor);
         self.retry_reload_if_due(now);
--- a/crates/gateway/src/platform/startup.rs
+++ b/crates/gateway/src/platform/startup.rs
@@ -10,7 +10,7 @@
 use crate::settings::PoolSettings;
 use slatevalve::{Micros, Settings};
 use slatevalve_engine::{Engine, EngineSettings, FunctionTraits};
-use slatevalve_platform::changes::{ChangeLogClient, EventBatch};
+use slatevalve_platform::changes::{ChangeLogClient, EventBatch, KNOWN_LIST_LEASE, LIST_LEASE};
 use slatevalve_platform::config::Config;
 use slatevalve_platform::front::{Front, FrontSettings, LinkId};
 use slatevalve_platform::workers::LineProtocol;
@@ -97,6 +97,8 @@
             loop_timer,
             iteration_log: IterationLog::default(),
             list_members: 0,
+            list_expires_at: Micros(0),
+            list_expiry_logged: false,
             list_outages: 0,
             shutdown: Shutdown::new(longest_deadline),
             reload_retry: None,
@@ -105,18 +107,21 @@
             to_front: Vec::new(),
             log_outputs: Vec::new(),
         };
-        router.apply_known(clock.now(), known);
+        // Where workers cannot be asked, nothing could be sent until the first answer of the log.
+        let lease = if site.settings.limits.probes { KNOWN_LIST_LEASE } else { LIST_LEASE };
+        router.apply_known(clock.now(), known, lease);
         Ok(router)
     }
 
-    /// Applies the events that the configuration holds.
-    fn apply_known(&mut self, now: Micros, known: EventBatch) {
+    /// Applies the events that the configuration holds; the list may be acted on for `lease`.
+    fn apply_known(&mut self, now: Micros, known: EventBatch, lease: Micros) {
         for error in known.malformed {
             warn!(%error, "invalid event in the configuration");
         }
         for change in known.changes {
             self.apply_change(now, change);
         }
+        self.confirm_list(now, lease);
         self.drain_outputs(now);
     }
 }
--- a/crates/platform/src/changes.rs
+++ b/crates/platform/src/changes.rs
@@ -24,10 +24,18 @@
 use slatevalve_site_config::{FieldError, Names};
 use std::net::SocketAddr;
 
+/// How long the worker list may be acted on after a complete answer of the log: what the log would have told since it broke
+/// off counts as told after this time, by the platform's protocol.
+pub const LIST_LEASE: Micros = Micros(7_000_000);
+/// How long the list of the configuration may be acted on without an answer of the log: a first poll with its grace. The log
+/// may have broken off long before the router's start.
+pub const KNOWN_LIST_LEASE: Micros = Micros(500_000);
 /// How long the log may hold a poll open before it answers without events, in milliseconds as the request states it.
 const LONG_POLL_TIMEOUT_MS: i64 = 1_000;
-const LONG_POLL_TIMEOUT: Micros = Micros(LONG_POLL_TIMEOUT_MS * 1_000);
-/// Time beyond [`LONG_POLL_TIMEOUT`] after which a poll without an answer has failed.
+/// The same for a poll after the start or after a failure, as the list has to be confirmed soon.
+const FIRST_POLL_TIMEOUT_MS: i64 = 200;
+const MICROS_PER_MILLISECOND: i64 = 1_000;
+/// Time beyond that after which a poll without an answer has failed.
 const RESPONSE_GRACE: Micros = Micros(300_000);
 /// Time after which a connection that is not established has failed.
 const CONNECT_TIMEOUT: Micros = Micros(250_000);
@@ -211,9 +219,11 @@
     }
 
     fn poll(&mut self, now: Micros, out: &mut Vec<ChangeLogOutput>) {
-        let target = format!("/changes?since={}&timeout={}", self.seq, LONG_POLL_TIMEOUT_MS);
+        let timeout_ms =
+            if self.contact.is_established() { LONG_POLL_TIMEOUT_MS } else { FIRST_POLL_TIMEOUT_MS };
+        let target = format!("/changes?since={}&timeout={timeout_ms}", self.seq);
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
-        let deadline = after(after(now, LONG_POLL_TIMEOUT), RESPONSE_GRACE);
+        let deadline = after(after(now, Micros(timeout_ms * MICROS_PER_MILLISECOND)), RESPONSE_GRACE);
         self.state = State::Pending { deadline, timeout: ContactFailure::ResponseTimeout };
         out.push(ChangeLogOutput::Write(request.into_bytes()));
     }
--- a/crates/platform/src/changes/contact.rs
+++ b/crates/platform/src/changes/contact.rs
@@ -50,6 +50,11 @@
 }
 
 impl Contact {
+    /// Whether the last exchange brought a complete answer.
+    pub(super) fn is_established(&self) -> bool {
+        self.confirmed_at.is_some() && self.failures == 0
+    }
+
     /// Notes a complete answer; returns the end of an outage.
     pub(super) fn confirmed(&mut self, now: Micros) -> Option<ContactEvent> {
         let failures = std::mem::take(&mut self.failures);
--- a/src/api/events.rs
+++ b/src/api/events.rs
@@ -156,6 +156,11 @@
     },
     /// The worker list was updated.
     WorkersListed(Listing),
+    /// The worker list is complete as of now. Without such an event it counts as current for ever.
+    WorkerListConfirmed {
+        /// How long it may be acted on.
+        lease: Micros,
+    },
     /// A probe completed.
     ProbeCompleted {
         /// Which worker.
--- a/src/balancer/completion.rs
+++ b/src/balancer/completion.rs
@@ -80,7 +80,10 @@
             {
                 self.record_class_failure(worker, class, FailureKind::Fault);
             }
-            Outcome::ConnectFailed | Outcome::Reset => self.record_connection_failure(worker),
+            Outcome::ConnectFailed | Outcome::Reset => {
+                self.suspend_if_unlisted(worker, answer.outcome);
+                self.record_connection_failure(worker);
+            }
             _ => {}
         }
     }
--- a/src/balancer/dispatch.rs
+++ b/src/balancer/dispatch.rs
@@ -203,7 +203,8 @@
     /// Sends the next attempt of a request to the worker, if that is still allowed.
     fn send(&mut self, id: RequestId, worker_id: WorkerId, out: &mut Vec<Action>) {
         let Some(open) = self.requests.open.get(&id) else { return };
-        if !self.can_send(open, worker_id, 1) {
+        let Some(worker) = self.membership.workers.get(&worker_id) else { return };
+        if !self.can_send(open, worker_id, 1) || !self.is_confirmed_ready(worker) {
             return;
         }
         let (work_secs, function_id) = (self.class_work(open), open.request.function);
--- a/src/balancer/membership.rs
+++ b/src/balancer/membership.rs
@@ -51,6 +51,8 @@
     pub(super) last_contact: Option<Micros>,
     /// Its last reported queue length.
     pub(super) reported_queue: Option<QueueReport>,
+    /// When a request was sent that it answered as one does that takes new work.
+    pub(super) verified_at: Option<Micros>,
     /// When the probe in flight was sent, if there is one.
     pub(super) probe_sent_at: Option<Micros>,
     /// Requests that wait for the probe in flight.
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -10,6 +10,7 @@
 mod completion;
 mod dispatch;
 mod hash_ring;
+mod list_lease;
 mod membership;
 mod outlier;
 mod placement;
@@ -23,6 +24,7 @@
 use admission::Admission;
 use dispatch::OpenRequests;
 use hash_ring::HashRing;
+use list_lease::ListLease;
 use membership::Membership;
 use outlier::FailureRecord;
 use placement::Placement;
@@ -52,6 +54,7 @@
     /// When the process last resumed after a pause; older attempts say nothing of the workers.
     resumed_at: Micros,
     membership: Membership,
+    list_lease: ListLease,
     hash_ring: HashRing,
     slow_start: SlowStart,
     placement: Placement,
@@ -109,6 +112,7 @@
             Event::Streaming { id, .. } => self.begin_streaming(id),
             Event::ClientDisconnected { id } => self.disconnect(id, out),
             Event::WorkersListed(listing) => self.update_membership(listing),
+            Event::WorkerListConfirmed { lease } => self.confirm_list(lease),
             Event::ProbeCompleted { worker, outcome, report, .. } => {
                 self.complete_probe(worker, outcome, report, out);
             }
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -1,7 +1,6 @@
 //! Placement: which functions are loaded where, how many workers serve each, and the requests to load them.
 
 use super::dispatch::{Attempt, OpenRequest};
-use super::membership::Worker;
 use super::outlier::OVERLOAD_EJECTION_BASE;
 use super::statistics::*;
 use super::{Balancer, TICK_INTERVAL};
@@ -255,7 +254,8 @@
         copies: u32,
         out: &mut Vec<Action>,
     ) -> bool {
-        let is_ready = self.membership.workers.get(&worker).is_some_and(Worker::is_ready);
+        let is_ready =
+            self.membership.workers.get(&worker).is_some_and(|worker| self.is_confirmed_ready(worker));
         let Some(function) = self.placement.functions.get_mut(&id) else { return false };
         let replica = function.replicas.entry(worker).or_default();
         let is_pending = self.placement.pending_loads.contains(&(worker, id));
--- a/src/balancer/probing.rs
+++ b/src/balancer/probing.rs
@@ -57,6 +57,9 @@
     /// Has a request wait for a probe of a worker without recent contact: of many routers each meets a worker too
     /// seldom to know it by its own calls. Returns whether the request waits.
     pub(super) fn probe_first(&mut self, id: RequestId, worker_id: WorkerId, out: &mut Vec<Action>) -> bool {
+        if !self.list_is_current() {
+            return self.verify_first(id, worker_id, out);
+        }
         let Some(open) = self.requests.open.get_mut(&id) else { return false };
         let Some(worker) = self.membership.workers.get_mut(&worker_id) else { return false };
         let is_urgent = since(open.deadline, self.now) <= PROBE_DEADLINE_MARGIN;
@@ -90,14 +93,18 @@
         if let Some(report) = report {
             self.record_report(id, report);
         }
+        self.suspend_if_unlisted(id, outcome);
+        let is_current = self.list_is_current();
         let Some(worker) = self.membership.workers.get_mut(&id) else { return };
         let waiting = std::mem::take(&mut worker.awaiting_probe);
         let is_healthy = matches!(outcome, Outcome::Ok | Outcome::Full);
-        // Suspect workers are probed in any case and show nothing of the gain at the others.
-        let learning_rate = if worker.is_suspect() { 0.0 } else { PROBE_GAIN_RATE };
-        worker.probe_sent_at = None;
+        // Suspect workers, and all once the list is out of date, are probed in any case: that shows nothing of the gain
+        // at the others.
+        let learning_rate = if worker.is_suspect() || !is_current { 0.0 } else { PROBE_GAIN_RATE };
+        let sent_at = worker.probe_sent_at.take();
         if is_healthy {
             worker.last_contact = Some(self.now);
+            worker.verified_at = worker.verified_at.max(sent_at);
         } else {
             self.record_connection_failure(id);
         }
