Change log: time limits that adapt to a log that is slow

Cause: a connection was given up after 0.25 s and an answer after 1.3 s, each time anew; a log that is slower than that, as in a crowd, was never heard (changes.rs: CONNECT_TIMEOUT, RESPONSE_GRACE), and each try stood at the end of its queue again. Change: the limits double with each that is reached, three times at most, and are halved while answers come well within them.

--- a/crates/platform/src/changes.rs
+++ b/crates/platform/src/changes.rs
@@ -9,6 +9,7 @@
 
 mod contact;
 mod event;
+mod timeouts;
 
 pub use contact::{ContactEvent, ContactFailure};
 pub use event::{Change, MemberLine};
@@ -23,6 +24,7 @@
 use slatevalve_site_config::object::{array, object, unsigned, JsonObject};
 use slatevalve_site_config::{FieldError, Names};
 use std::net::SocketAddr;
+use timeouts::Timeouts;
 
 /// How long the worker list may be acted on after a complete answer of the log: what the log would have told since it broke
 /// off counts as told after this time, by the platform's protocol.
@@ -35,13 +37,9 @@
 /// The same for a poll after the start or after a failure, as the list has to be confirmed soon.
 const FIRST_POLL_TIMEOUT_MS: i64 = 200;
 const MICROS_PER_MILLISECOND: i64 = 1_000;
-/// Time beyond that after which a poll without an answer has failed.
-const RESPONSE_GRACE: Micros = Micros(300_000);
-/// Time after which a connection that is not established has failed.
-const CONNECT_TIMEOUT: Micros = Micros(250_000);
 /// Backoff: one immediate retry, then random delays, so that routers whose log went away together do not retry together.
-/// With the connect timeout, an event is requested 0.65 s after it becomes available at the latest; the platform allows
-/// 2 s after a broken connection.
+/// With the least connect timeout, an event is requested 0.65 s after it becomes available at the latest; the platform
+/// allows 2 s after a broken connection.
 const RETRY_LIMITS: PaceLimits = PaceLimits {
     per_second: 500.0,
     requests: 1.0,
@@ -115,6 +113,7 @@
     response: MessageReader,
     schedule: PollSchedule,
     contact: Contact,
+    timeouts: Timeouts,
     /// Consecutive answers that left a gap.
     incomplete_answers: u32,
 }
@@ -145,6 +144,7 @@
             // The number of routers is unknown here, so the backoff is that of a single client.
             schedule: PollSchedule::new(RETRY_LIMITS, 1, seed),
             contact: Contact::default(),
+            timeouts: Timeouts::default(),
             // The first number may be any: a gap before it is accepted at once.
             incomplete_answers: MAX_INCOMPLETE_ANSWERS,
         };
@@ -170,12 +170,13 @@
     pub fn advance(&mut self, now: Micros, out: &mut Vec<ChangeLogOutput>) {
         match self.state {
             State::Disconnected { connect_at } if connect_at <= now => {
-                let deadline = after(now, CONNECT_TIMEOUT);
+                let deadline = after(now, self.timeouts.connect());
                 self.state = State::Pending { deadline, timeout: ContactFailure::ConnectTimeout };
                 self.response = response_reader();
                 out.push(ChangeLogOutput::Connect(self.address));
             }
             State::Pending { deadline, timeout } if deadline <= now => {
+                self.timeouts.reached();
                 self.schedule_retry(now, timeout, out);
             }
             _ => {}
@@ -223,7 +224,8 @@
             if self.contact.is_established() { LONG_POLL_TIMEOUT_MS } else { FIRST_POLL_TIMEOUT_MS };
         let target = format!("/changes?since={}&timeout={timeout_ms}", self.seq);
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
-        let deadline = after(after(now, Micros(timeout_ms * MICROS_PER_MILLISECOND)), RESPONSE_GRACE);
+        let deadline =
+            after(after(now, Micros(timeout_ms * MICROS_PER_MILLISECOND)), self.timeouts.response_grace());
         self.state = State::Pending { deadline, timeout: ContactFailure::ResponseTimeout };
         out.push(ChangeLogOutput::Write(request.into_bytes()));
     }
@@ -251,6 +253,9 @@
             return AnswerStatus::Failed(ContactFailure::IncompleteAnswer);
         }
         self.schedule.succeeded();
+        if let State::Pending { deadline, .. } = self.state {
+            self.timeouts.answered(Micros(deadline.0.saturating_sub(now.0)));
+        }
         out.extend(self.contact.confirmed(now).map(ChangeLogOutput::Contact));
         out.push(ChangeLogOutput::Contact(ContactEvent::Confirmed));
         AnswerStatus::Complete
--- a/crates/platform/tests/changes.rs
+++ b/crates/platform/tests/changes.rs
@@ -161,6 +161,39 @@
     waited
 }
 
+/// Guards against limits that a slow log never meets: its connections and answers are given up and asked for anew without end.
+#[test]
+fn a_log_whose_connections_or_answers_come_late_is_heard_within_seven_seconds() {
+    for (connect_ms, answer_ms) in [(0, 2_000), (900, 0), (900, 1_000), (200, 250)] {
+        let mut log = Log::asked();
+        log.bytes(&answer(3, &[]));
+        // The log falls silent for the poll that is open, and is slow from then on.
+        let (mut elapsed_ms, mut connects_at, mut answers_at) = (0, None, None);
+        let changes = loop {
+            elapsed_ms += 10;
+            assert!(
+                elapsed_ms < 7_000,
+                "not heard: connections take {connect_ms} ms, answers {answer_ms} ms"
+            );
+            let seen = log.tick(10);
+            if seen.closes > 0 {
+                (connects_at, answers_at) = (None, None);
+            }
+            if !seen.connects.is_empty() {
+                connects_at = Some(elapsed_ms + connect_ms);
+            }
+            if connects_at.take_if(|at| *at <= elapsed_ms).is_some() {
+                log.with(|f, now, out| f.connected(now, out));
+                answers_at = Some(elapsed_ms + answer_ms);
+            }
+            if answers_at.take_if(|at| *at <= elapsed_ms).is_some() {
+                break log.bytes(&answer(4, &[fleet(4, false, &[("a", "leaving")])])).changes;
+            }
+        };
+        assert_eq!(changes.len(), 1);
+    }
+}
+
 #[test]
 fn a_log_that_cannot_be_reached_is_tried_again_with_pauses() {
     let mut log = Log::asked();
