Change log: an answer that waited to be read confirms nothing; unsent work is decided anew

Cause: after a pause the router read an answer of the log that was older than the drain's grace, took the list for current and wrote its decisions together with the next poll, before the answer to that could come (changes.rs: handle_answer). Change: an answer that may have waited for more than 0.1 s to be read ends the lease; requests of which no byte has left are cancelled and decided anew, the log is polled with a wait of 1 ms, and until its answer workers are asked as after an outage.

--- a/crates/gateway/src/event_loop/worker_side.rs
+++ b/crates/gateway/src/event_loop/worker_side.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// Cancels all unsent requests. The engine has to know first why they may not be sent.
+    pub(crate) fn cancel_all_unsent(&mut self, now: Micros) {
+        let ends = self.pool.cancel_all_unsent(now, self.reactor);
+        self.report(now, ends);
+    }
+
     /// Executes an output that concerns workers; returns any other.
     #[must_use]
     pub(crate) fn execute(&mut self, now: Micros, output: Output) -> Option<Output> {
--- a/crates/gateway/src/platform/change_log.rs
+++ b/crates/gateway/src/platform/change_log.rs
@@ -19,10 +19,10 @@
 impl Router {
     /// Handles an event of the change log's connection.
     pub(super) fn handle_log_event(&mut self, now: Micros, event: ReactorEvent) {
-        let outputs = &mut self.log_outputs;
+        let (outputs, read_delay) = (&mut self.log_outputs, self.read_delay);
         match event {
             ReactorEvent::Connected(_) => self.watch_state.connected(now, outputs),
-            ReactorEvent::Received(_, bytes) => self.watch_state.received(now, &bytes, outputs),
+            ReactorEvent::Received(_, bytes) => self.watch_state.received(now, read_delay, &bytes, outputs),
             ReactorEvent::Closed { .. } => {
                 self.log_connection = None;
                 self.watch_state.closed(now, outputs);
@@ -84,6 +84,15 @@
         self.engine.worker_list_confirmed(now, lease, &mut self.to_engine);
     }
 
+    /// The list may be out of date: what was decided by it and has not been sent is decided anew, after the next answer of the
+    /// log or after workers were asked.
+    fn distrust_list(&mut self, now: Micros) {
+        debug!(now = now.0, seq = self.watch_state.seq(), "an answer of the change log waited to be read");
+        self.list_expires_at = now;
+        self.engine.worker_list_confirmed(now, Micros(0), &mut self.to_engine);
+        self.worker_side().cancel_all_unsent(now);
+    }
+
     /// Logs that the list is out of date, once for each time.
     pub(super) fn log_list_expiry(&mut self, now: Micros) {
         if now >= self.list_expires_at && !std::mem::replace(&mut self.list_expiry_logged, true) {
@@ -99,6 +108,7 @@
         let seq = self.watch_state.seq();
         match event {
             ContactEvent::Confirmed => self.confirm_list(now, LIST_LEASE),
+            ContactEvent::Outdated => self.distrust_list(now),
             ContactEvent::Lost { failure, silent_for } => {
                 self.list_outages += 1;
                 let silent_us = silent_for.map(|time| time.0);
--- a/crates/gateway/src/server/pool/requests.rs
+++ b/crates/gateway/src/server/pool/requests.rs
@@ -151,6 +151,25 @@
         ends
     }
 
+    /// Cancels the requests of which no byte has been written, of all workers. Connections left without a request can be
+    /// reused.
+    pub(crate) fn cancel_all_unsent(&mut self, now: Micros, reactor: &mut Reactor) -> Vec<RequestEnd> {
+        let requests = self.connections.iter().flat_map(|(id, connection)| {
+            connection.requests.keys().map(|tag| RequestKey { connection: *id, tag: *tag })
+        });
+        let mut requests: Vec<RequestKey> = requests.collect();
+        // The last request of a connection first, so that discarding one moves no other that is discarded next.
+        requests.sort_unstable_by_key(|request| Reverse((request.connection, request.tag)));
+        let mut ends = Vec::new();
+        for request in requests {
+            if let Some(end) = self.discard_unsent(now, reactor, request) {
+                ends.push(end);
+                self.release(now, reactor, request.connection);
+            }
+        }
+        ends
+    }
+
     /// Cancels the attempts that a predicate selects and of which no byte has been written.
     pub(crate) fn cancel_unsent_where(
         &mut self,
--- a/crates/gateway/tests/platform/list_outage.rs
+++ b/crates/gateway/tests/platform/list_outage.rs
@@ -3,6 +3,7 @@
 
 use crate::support::until;
 use crate::test_servers::*;
+use std::io::Write;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -91,3 +92,37 @@
     until("the drain to be heard", || !Client::connect(router.process.address).is_ready());
     assert!(told.elapsed() < COUNTS_AS_TOLD_AFTER + GRACE, "heard after {:?}", told.elapsed());
 }
+
+/// Guards against a router that was stopped and acts on an answer of the log that is older than the drain's grace.
+#[test]
+fn a_router_that_was_stopped_asks_the_log_anew_before_it_sends() {
+    let workers: Vec<FleetWorker> = (0..3).map(|seed| FleetWorker::start(Behaviour::GOOD, seed)).collect();
+    let names = ["a", "b", "c"];
+    let list: Vec<_> = names.iter().zip(&workers).map(|(name, worker)| (*name, worker.address)).collect();
+    let log = ChangeLog::start(&list);
+    // Nobody is probed, so that a decision leaves at once.
+    let mut settings = config(&log);
+    settings["settings"]["limits"]["probes"] = false.into();
+    let router = Router::start_with(&settings);
+    ready(&router);
+    let mut client = Client::connect(router.process.address);
+    for tag in 0..30 {
+        assert_ne!(client.call("quote", tag, 1 + tag), End::Closed);
+    }
+    until("the router to follow the log", || log.waiting() > 0);
+    router.process.signal("STOP");
+    // The poll that is open is answered by this; what is told later has to be asked for.
+    log.tell_whole(&[("b", workers[1].address, "active")]);
+    workers[0].drain();
+    log.tell(&[("a", workers[0].address, "leaving")]);
+    thread::sleep(GRACE);
+    let calls: Vec<u8> = (0..30).flat_map(|tag| client.bytes("quote", tag, 1_000 + tag)).collect();
+    client.stream.write_all(&calls).unwrap();
+    let resumed = Instant::now();
+    router.process.signal("CONT");
+    for _ in 0..30 {
+        assert_ne!(client.answer().1, End::Closed);
+    }
+    let late: Vec<Received> = workers[0].received().into_iter().filter(|sent| sent.at > resumed).collect();
+    assert!(late.is_empty(), "{} sends to a worker that drains, the first {:?}", late.len(), late.first());
+}
--- a/crates/platform/src/changes.rs
+++ b/crates/platform/src/changes.rs
@@ -36,6 +36,10 @@
 const LONG_POLL_TIMEOUT_MS: i64 = 1_000;
 /// The same for a poll after the start or after a failure, as the list has to be confirmed soon.
 const FIRST_POLL_TIMEOUT_MS: i64 = 200;
+/// The same for a poll that only asks what the log has by now.
+const IMMEDIATE_POLL_TIMEOUT_MS: i64 = 1;
+/// An answer that may have waited longer to be read does not confirm the list. Less than the least drain grace of the platform.
+const ANSWER_MAX_AGE: Micros = Micros(100_000);
 const MICROS_PER_MILLISECOND: i64 = 1_000;
 /// Backoff: one immediate retry, then random delays, so that routers whose log went away together do not retry together.
 /// With the least connect timeout, an event is requested 0.65 s after it becomes available at the latest; the platform
@@ -113,6 +117,8 @@
     response: MessageReader,
     schedule: PollSchedule,
     contact: Contact,
+    /// Whether the last answer waited too long to be read.
+    is_outdated: bool,
     timeouts: Timeouts,
     /// Consecutive answers that left a gap.
     incomplete_answers: u32,
@@ -144,6 +150,7 @@
             // The number of routers is unknown here, so the backoff is that of a single client.
             schedule: PollSchedule::new(RETRY_LIMITS, 1, seed),
             contact: Contact::default(),
+            is_outdated: false,
             timeouts: Timeouts::default(),
             // The first number may be any: a gap before it is accepted at once.
             incomplete_answers: MAX_INCOMPLETE_ANSWERS,
@@ -205,8 +212,15 @@
         self.schedule_retry(now, ContactFailure::Closed, out);
     }
 
-    /// Handles bytes that were read from the connection.
-    pub fn received(&mut self, now: Micros, bytes: &[u8], out: &mut Vec<ChangeLogOutput>) {
+    /// Handles bytes that were read from the connection, and may have waited for `read_delay` to be read.
+    pub fn received(
+        &mut self,
+        now: Micros,
+        read_delay: Micros,
+        bytes: &[u8],
+        out: &mut Vec<ChangeLogOutput>,
+    ) {
+        self.is_outdated = read_delay > ANSWER_MAX_AGE;
         let message = match self.response.feed(bytes) {
             Ok(None) => return,
             Ok(Some(message)) => message,
@@ -220,8 +234,11 @@
     }
 
     fn poll(&mut self, now: Micros, out: &mut Vec<ChangeLogOutput>) {
-        let timeout_ms =
-            if self.contact.is_established() { LONG_POLL_TIMEOUT_MS } else { FIRST_POLL_TIMEOUT_MS };
+        let timeout_ms = match self.contact.is_established() {
+            _ if self.is_outdated => IMMEDIATE_POLL_TIMEOUT_MS,
+            true => LONG_POLL_TIMEOUT_MS,
+            false => FIRST_POLL_TIMEOUT_MS,
+        };
         let target = format!("/changes?since={}&timeout={timeout_ms}", self.seq);
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
         let deadline =
@@ -257,7 +274,8 @@
             self.timeouts.answered(Micros(deadline.0.saturating_sub(now.0)));
         }
         out.extend(self.contact.confirmed(now).map(ChangeLogOutput::Contact));
-        out.push(ChangeLogOutput::Contact(ContactEvent::Confirmed));
+        let event = if self.is_outdated { ContactEvent::Outdated } else { ContactEvent::Confirmed };
+        out.push(ChangeLogOutput::Contact(event));
         AnswerStatus::Complete
     }
 
--- a/crates/platform/src/changes/contact.rs
+++ b/crates/platform/src/changes/contact.rs
@@ -25,6 +25,9 @@
 pub enum ContactEvent {
     /// A complete answer came: every event that the log had is known.
     Confirmed,
+    /// A complete answer came that waited to be read, as the process was paused or busy: what the log has had since is not
+    /// known yet.
+    Outdated,
     /// The log cannot be reached.
     Lost {
         /// Why the last exchange failed.
--- a/crates/platform/tests/changes.rs
+++ b/crates/platform/tests/changes.rs
@@ -89,7 +89,7 @@
     }
 
     fn bytes(&mut self, bytes: &[u8]) -> Seen {
-        self.with(|f, now, out| f.received(now, bytes, out))
+        self.with(|f, now, out| f.received(now, Micros(0), bytes, out))
     }
 }
 
