Change log: starts of workers by the monotonic clock, whatever the Unix clock does

Cause: a start told in Unix time was converted by the offset at the router's own start (clock.rs: at_unix_ms): after a step back of an hour a worker that had just started passed for one an hour old, after a step forward it stayed cold. Change: a start is converted once, by the Unix clock as it is when its event comes, and counted by the monotonic clock from then on; one told by an event of changes is neither in the future nor more than 5 s ago. Measured: a_start_is_known_by_the_monotonic_clock... failed before (a step of 30 s: 29 s in the future) and passes for steps of 1 s, 30 s and an hour both ways.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -42,7 +42,16 @@
         self.unix_start_us / 1_000
     }
 
-    /// Converts a Unix time in milliseconds to this clock. Never 0, which stands for an unknown time.
+    /// Converts a Unix time in milliseconds to this clock by the Unix clock as it is now. Never 0, which stands for an unknown
+    /// time.
+    #[must_use]
+    pub fn at_present_unix_ms(&self, millis: f64) -> Micros {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let age_us = unix.as_micros() as f64 - millis * 1_000.0;
+        Micros(self.now().0.saturating_sub(age_us as i64).max(1))
+    }
+
+    /// Converts a Unix time in milliseconds to this clock, by the offset at its start. Never 0, which stands for an unknown time.
     #[must_use]
     pub fn at_unix_ms(&self, millis: f64) -> Micros {
         let since_start_us = (millis * 1_000.0) as i64 - self.unix_start_us;
--- a/crates/gateway/src/platform/startup.rs
+++ b/crates/gateway/src/platform/startup.rs
@@ -131,7 +131,7 @@
     file: &Path,
     clock: Clock,
 ) -> Result<(ChangeLogClient, EventBatch), PlatformError> {
-    let at_unix_ms = Box::new(move |millis| clock.at_unix_ms(millis));
+    let at_unix_ms = Box::new(move |millis| clock.at_present_unix_ms(millis));
     ChangeLogClient::new(config.site.names.clone(), at_unix_ms, config.changelog, &config.known, config.seed)
         .map_err(|error| PlatformError::Known(file.into(), error))
 }
--- a/crates/platform/src/changes.rs
+++ b/crates/platform/src/changes.rs
@@ -9,6 +9,7 @@
 
 mod contact;
 mod event;
+mod starts;
 mod timeouts;
 
 pub use contact::{ContactEvent, ContactFailure};
@@ -155,7 +156,7 @@
             // The first number may be any: a gap before it is accepted at once.
             incomplete_answers: MAX_INCOMPLETE_ANSWERS,
         };
-        let batch = follower.read_events(known)?;
+        let batch = follower.read_events(None, known)?;
         Ok((follower, batch))
     }
 
@@ -256,7 +257,7 @@
         if message.head.status != 200 {
             return AnswerStatus::Failed(ContactFailure::InvalidAnswer);
         }
-        match self.read_answer(&message.body) {
+        match self.read_answer(now, &message.body) {
             Ok(batch) => {
                 out.extend(batch.changes.into_iter().map(ChangeLogOutput::Change));
                 out.extend(batch.malformed.into_iter().map(ChangeLogOutput::Malformed));
@@ -279,10 +280,10 @@
         AnswerStatus::Complete
     }
 
-    fn read_answer(&mut self, body: &[u8]) -> Result<EventBatch, FieldError> {
+    fn read_answer(&mut self, now: Micros, body: &[u8]) -> Result<EventBatch, FieldError> {
         const NAME: &str = "the answer";
         let value: Value = serde_json::from_slice(body).map_err(|_| FieldError::NotObject(NAME.into()))?;
-        self.read_events(object(&value, NAME)?)
+        self.read_events(Some(now), object(&value, NAME)?)
     }
 
     /// Disconnects and connects again after the backoff delay, which is zero for the first failure.
@@ -303,13 +304,13 @@
     /// Events behind a gap are returned too, as a late drain is better than none, but `self.seq` stays before the gap, so
     /// that they are requested again with what was left out. A complete list closes any gap before it. An event with a
     /// malformed member counts as a gap: one bad member must not hide the drain of the next.
-    fn read_events(&mut self, answer: &JsonObject) -> Result<EventBatch, FieldError> {
+    fn read_events(&mut self, now: Option<Micros>, answer: &JsonObject) -> Result<EventBatch, FieldError> {
         let last_seq = unsigned(answer, "seq")?;
         let mut contiguous_seq = self.seq;
         let mut highest_seq = self.seq;
         let mut batch = EventBatch::default();
         for value in array(answer, "results")? {
-            let Some(event) = self.events.read(value, highest_seq)? else { continue };
+            let Some(event) = self.events.read(now, value, highest_seq)? else { continue };
             let Event { seq, change, malformed } = event;
             let complete = change.as_ref().is_some_and(|change| change.complete);
             if (complete || seq == contiguous_seq + 1) && malformed.is_empty() {
--- a/crates/platform/src/changes/event.rs
+++ b/crates/platform/src/changes/event.rs
@@ -1,5 +1,6 @@
 //! Events of the change log: JSON objects read into membership changes.
 
+use super::starts::StartTimes;
 use serde_json::Value;
 use slatevalve::{CellId, KindId, Listing, Micros, Scope, WorkerEntry, WorkerState, ZoneId};
 use slatevalve_engine::worker_id;
@@ -51,20 +52,25 @@
 /// Reads events, with the names of zones and kinds from the operators' settings.
 pub(super) struct EventReader {
     names: Names,
-    /// Converts a Unix time in milliseconds to the router's clock.
-    at_unix_ms: Box<dyn Fn(f64) -> Micros>,
+    starts: StartTimes,
 }
 
 impl EventReader {
     pub(super) fn new(names: Names, at_unix_ms: Box<dyn Fn(f64) -> Micros>) -> Self {
-        EventReader { names, at_unix_ms }
+        EventReader { names, starts: StartTimes::new(at_unix_ms) }
     }
 
-    /// Reads an event whose number is above `after`; `None` for one that is not.
+    /// Reads an event whose number is above `after`; `None` for one that is not. `now` is when it came; none for events that
+    /// were known at the start.
     ///
     /// # Errors
     /// Where the event itself is malformed; malformed members are collected in [`Event::malformed`].
-    pub(super) fn read(&self, value: &Value, after: u64) -> Result<Option<Event>, FieldError> {
+    pub(super) fn read(
+        &mut self,
+        now: Option<Micros>,
+        value: &Value,
+        after: u64,
+    ) -> Result<Option<Event>, FieldError> {
         let event = object(value, "results")?;
         let seq = unsigned(event, "seq")?;
         if seq <= after {
@@ -72,18 +78,33 @@
         }
         let mut malformed = Vec::new();
         let fleet = optional(event, "fleet").map(|fleet| object(fleet, "fleet")).transpose()?;
-        let change = fleet.map(|fleet| self.change(fleet, &mut malformed)).transpose()?;
+        let change = fleet.map(|fleet| self.change(now, fleet, &mut malformed)).transpose()?;
         Ok(Some(Event { seq, change, malformed }))
     }
 
-    fn change(&self, fleet: &JsonObject, malformed: &mut Vec<FieldError>) -> Result<Change, FieldError> {
+    fn change(
+        &mut self,
+        now: Option<Micros>,
+        fleet: &JsonObject,
+        malformed: &mut Vec<FieldError>,
+    ) -> Result<Change, FieldError> {
         let complete = bool_or(fleet, "complete", false)?;
-        let members = array(fleet, "members")?.iter().map(|value| self.member(object(value, "members")?));
-        let lines = members.filter_map(|member| member.map_err(|e| malformed.push(e)).ok()).collect();
+        let told_at = now.filter(|_| !complete);
+        let mut lines = Vec::new();
+        for value in array(fleet, "members")? {
+            match object(value, "members").and_then(|member| self.member(told_at, member)) {
+                Ok(line) => lines.push(line),
+                Err(error) => malformed.push(error),
+            }
+        }
+        if complete {
+            self.starts.retain(&lines.iter().map(|line| line.entry.id).collect());
+        }
         Ok(Change { complete, lines })
     }
 
-    fn member(&self, member: &JsonObject) -> Result<MemberLine, FieldError> {
+    /// Reads a member of a complete list, or of an event of changes that came at `told_at`.
+    fn member(&mut self, told_at: Option<Micros>, member: &JsonObject) -> Result<MemberLine, FieldError> {
         let name = text(member, "id")?.to_string();
         let state = match text(member, "phase")? {
             "active" => WorkerState::Ready,
@@ -93,15 +114,22 @@
         };
         let address = address(member, state)?;
         let up_since_ms = number_or(member, "up_since_ms", 0.0)?;
+        let id = worker_id(&name);
         let entry = WorkerEntry {
-            id: worker_id(&name),
+            id,
             zone: ZoneId(index_of_name(&self.names.zones, member, "locality")?),
             kind: KindId(index_of_name(&self.names.kinds, member, "flavor")?),
             cell: CellId(optional(member, "cell").map_or(Ok(0), |_| unsigned(member, "cell"))?),
             state,
             weight: number_or(member, "size", 1.0)?,
-            up_since: (up_since_ms > 0.0).then(|| (self.at_unix_ms)(up_since_ms)),
+            up_since: (up_since_ms > 0.0).then(|| match told_at {
+                Some(now) => self.starts.announced(now, id, up_since_ms),
+                None => self.starts.listed(id, up_since_ms),
+            }),
         };
+        if state == WorkerState::Gone {
+            self.starts.forget(id);
+        }
         Ok(MemberLine { entry, name, address })
     }
 }
--- a/crates/platform/tests/changes.rs
+++ b/crates/platform/tests/changes.rs
@@ -161,6 +161,29 @@
     waited
 }
 
+/// Guards against a cold worker that passes for a warm one, or for one that never warms up, after a step of the Unix clock.
+#[test]
+fn a_start_is_known_by_the_monotonic_clock_whatever_the_unix_clock_does() {
+    const HOUR_MS: i64 = 3_600_000;
+    for step_ms in [0, 1_000, -1_000, 30_000, -30_000, HOUR_MS, -HOUR_MS] {
+        let mut log = Log::asked();
+        log.now.0 += 2 * HOUR_MS * 1_000;
+        let mut event = fleet(4, false, &[("b", "active")]);
+        // It started a second ago, and the Unix clock has stepped since.
+        event["fleet"]["members"][0]["up_since_ms"] = (log.now.0 / 1_000 - 1_000 + step_ms).into();
+        let told = log.now;
+        let up_since = log.bytes(&answer(4, &[event.clone()])).changes[0].lines[0].entry.up_since.unwrap();
+        let age_ms = (told.0 - up_since.0) / 1_000;
+        assert!((0..=5_000).contains(&age_ms), "a step of {step_ms} ms: {age_ms} ms old");
+        // The same start told again, later, is no restart.
+        log.tick(500);
+        event["seq"] = 5.into();
+        event["fleet"]["members"][0]["phase"] = "leaving".into();
+        let again = log.bytes(&answer(5, &[event])).changes[0].lines[0].entry.up_since;
+        assert_eq!(again, Some(up_since));
+    }
+}
+
 /// Guards against limits that a slow log never meets: its connections and answers are given up and asked for anew without end.
 #[test]
 fn a_log_whose_connections_or_answers_come_late_is_heard_within_seven_seconds() {
