Shutdown: connections are closed before the kill, also those of clients that never pause

Cause: the shutdown closed connections only after an iteration without any client's input (shutdown.rs: is_drained); clients that ask again as soon as they are answered never leave one, and SIGKILL found their requests open.

--- a/crates/gateway/src/platform/shutdown.rs
+++ b/crates/gateway/src/platform/shutdown.rs
@@ -2,8 +2,9 @@
 //!
 //! Clients still connect for a while after the signal, so the listener stays open. When it closes, the accept queue is
 //! accepted first, and the shutdown waits for all answers, for incomplete requests, and for an iteration without input from a
-//! client. All calls are answered before the platform may kill the process. Connections are half-closed and read until their
-//! peers close, as closing over unread bytes would discard answers that were written. Called at the end of each iteration.
+//! client. Shortly before the platform may kill the process all calls are answered and the connections closed, whatever the
+//! clients still send. Connections are half-closed and read until their peers close, as closing over unread bytes would
+//! discard answers that were written. Called at the end of each iteration.
 
 use super::Router;
 use crate::clock::{after, elapsed};
@@ -83,7 +84,9 @@
         let since_signal = elapsed(self.shutdown.began_at, now);
         self.stop_engine_if_due(now, since_signal);
         match stage {
-            Stage::LameDuck if since_signal >= LAME_DUCK_PERIOD => self.close_listener(now),
+            Stage::LameDuck if since_signal >= LAME_DUCK_PERIOD || self.shutdown.engine_stopped => {
+                self.close_listener(now);
+            }
             Stage::Draining if self.is_drained(since_signal, client_input) => self.close_clients(),
             Stage::Closing => return self.reactor.lingering() == 0,
             Stage::Running | Stage::LameDuck | Stage::Draining => {}
@@ -111,6 +114,10 @@
 
     /// Whether nothing is left to be answered or sent, or the time for that is up.
     fn is_drained(&self, since_signal: Micros, client_input: ClientInput) -> bool {
+        if self.shutdown.engine_stopped && self.front.unanswered() == 0 {
+            // Busy clients would send until the kill, and what it finds unanswered is lost.
+            return true;
+        }
         let open = self.front.unanswered() + self.front.incomplete();
         let idle = client_input == ClientInput::None && open == 0 && !self.reactor.has_pending();
         idle || since_signal > after(self.shutdown.kill_after, DRAIN_EXTENSION)
--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The platform's router as a process: what passes on its sockets when workers, clients and the change log misbehave.
 
+mod busy_shutdown;
 mod crossings;
 mod fleet_size;
 mod list_outage;
