Front: a call read behind the taking back of the first one is no longer dropped

Cause: a connection that had taken back all it asked and never had an answer was closed at once, and the bytes behind the interrupt in the same read were ignored (front.rs: handle_interrupt).

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -192,7 +192,7 @@
                     let frame = rest.get(..length).unwrap_or_default();
                     connection.message_completed(now);
                     match message::read(frame) {
-                        Ok(message) => self.handle_message(id, message, ready, out),
+                        Ok(message) => self.handle_message(now, id, message, ready, out),
                         Err(_) => self.close(id, Unusable::NotAMessage, out),
                     }
                     start += length;
@@ -206,7 +206,14 @@
         }
     }
 
-    fn handle_message(&mut self, id: LinkId, message: Message, ready: bool, out: &mut Vec<FrontOutput>) {
+    fn handle_message(
+        &mut self,
+        now: Micros,
+        id: LinkId,
+        message: Message,
+        ready: bool,
+        out: &mut Vec<FrontOutput>,
+    ) {
         match message {
             Message::Check { number } => {
                 if self.accept_number(id, number, out) {
@@ -218,7 +225,7 @@
                     self.handle_request(id, number, request, out);
                 }
             }
-            Message::Interrupt(numbers) => self.handle_interrupt(id, &numbers, out),
+            Message::Interrupt(numbers) => self.handle_interrupt(now, id, &numbers, out),
             Message::Other => {}
         }
     }
@@ -286,20 +293,17 @@
         self.write(id, message::error(number, CODE_INVALID), out);
     }
 
-    fn handle_interrupt(&mut self, id: LinkId, numbers: &[u32], out: &mut Vec<FrontOutput>) {
+    fn handle_interrupt(&mut self, now: Micros, id: LinkId, numbers: &[u32], out: &mut Vec<FrontOutput>) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let interrupted: Vec<Ticket> =
             numbers.iter().filter_map(|number| connection.open.remove(number)).collect();
-        let never_served = connection.open.is_empty() && !connection.has_response;
+        if !interrupted.is_empty() {
+            connection.interrupted_since.get_or_insert(now);
+        }
         for ticket in &interrupted {
             self.remove_request(*ticket);
             out.push(FrontOutput::ClientDisconnected(*ticket));
         }
-        // A client that interrupts all it ever requested only costs resources.
-        if never_served && !interrupted.is_empty() {
-            self.connections.remove(&id);
-            out.push(FrontOutput::Finish(id));
-        }
     }
 
     fn write(&mut self, id: LinkId, bytes: Vec<u8>, out: &mut Vec<FrontOutput>) {
--- a/crates/platform/src/front/connection.rs
+++ b/crates/platform/src/front/connection.rs
@@ -7,6 +7,9 @@
 
 /// Time in which a connection must bring its first message, and in which each message that began must be complete.
 const MESSAGE_TIMEOUT: Micros = Micros(2_000_000);
+/// Time after which a connection is closed that interrupted requests and never had a response: it only costs resources. It is
+/// not closed at once, as its next request may have been sent already.
+const INTERRUPTED_TIMEOUT: Micros = Micros(1_500_000);
 /// Time after which a connection without an open request is closed; usual clients close theirs after 4 s.
 const IDLE_TIMEOUT: Micros = Micros(5_500_000);
 /// Age below which a connection may be just about to send its first request; it is evicted after all others.
@@ -31,6 +34,8 @@
     received_message: bool,
     /// Whether a response was written.
     pub has_response: bool,
+    /// When a request was interrupted first.
+    pub interrupted_since: Option<Micros>,
 }
 
 /// The order in which idle connections are evicted, lowest first: unused ones before used ones, and the longest idle
@@ -75,12 +80,15 @@
         }
     }
 
-    /// Whether the connection has sent nothing, stopped within a message or been idle for too long.
+    /// Whether the connection has sent nothing, stopped within a message, been idle for too long or only taken requests back.
     pub(super) fn is_expired(&self, now: Micros) -> bool {
         let is_stalled = self.incomplete_since.is_some_and(|since| elapsed(since, now) > MESSAGE_TIMEOUT);
         let is_unused = !self.received_message && elapsed(self.opened_at, now) > MESSAGE_TIMEOUT;
         let is_idle = self.open.is_empty() && elapsed(self.last_active, now) > IDLE_TIMEOUT;
-        is_stalled || is_unused || is_idle
+        let only_interrupts = !self.has_response
+            && self.open.is_empty()
+            && self.interrupted_since.is_some_and(|since| elapsed(since, now) > INTERRUPTED_TIMEOUT);
+        is_stalled || is_unused || is_idle || only_interrupts
     }
 }
 
