--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod crossings;
 mod fleet_size;
 mod list_outage;
+mod soak;
 mod stepped_router;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/gateway/tests/platform/test_servers/change_log.rs
+++ b/crates/gateway/tests/platform/test_servers/change_log.rs
@@ -188,7 +188,7 @@
         *self.breaks.lock().unwrap() = times;
     }
 
-    pub(super) fn known(&self) -> Value {
+    pub(crate) fn known(&self) -> Value {
         let all = self.events.0.lock().unwrap();
         json!({"seq": all.len(), "results": *all})
     }
--- a/crates/gateway/tests/platform/test_servers/client.rs
+++ b/crates/gateway/tests/platform/test_servers/client.rs
@@ -56,6 +56,11 @@
     pub(crate) fn connect(address: SocketAddr) -> Self {
         let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client::on(stream)
+    }
+
+    /// One on a connection that stands.
+    pub(crate) fn on(stream: TcpStream) -> Self {
         Client { stream, buffer: Vec::new(), number: 0 }
     }
 
@@ -89,7 +94,8 @@
 
     /// Says that it no longer waits for a call.
     pub(crate) fn interrupt(&mut self, number: u32) {
-        self.stream.write_all(&interrupt(number)).unwrap();
+        // A router that closes may do so at any time.
+        let _ = self.stream.write_all(&interrupt(number));
     }
 
     /// A call and its taking back in one write.
--- a/crates/gateway/tests/platform/test_servers/fleet_worker.rs
+++ b/crates/gateway/tests/platform/test_servers/fleet_worker.rs
@@ -1,4 +1,4 @@
-//! A worker that keeps a record of what it was sent, and that drains, resets connections and misses functions as a test says.
+//! A worker that keeps a record of what it was sent, and that drains, hangs, resets connections and misses functions as a test says.
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -53,6 +53,7 @@
 struct State {
     behaviour: Behaviour,
     is_draining: AtomicBool,
+    is_hanging: AtomicBool,
     received: Mutex<Vec<Received>>,
     loaded: Mutex<HashSet<String>>,
     connections: Mutex<HashMap<usize, TcpStream>>,
@@ -73,6 +74,7 @@
         let state = State {
             behaviour,
             is_draining: AtomicBool::new(false),
+            is_hanging: AtomicBool::new(false),
             received: Mutex::default(),
             loaded: Mutex::default(),
             connections: Mutex::default(),
@@ -95,6 +97,11 @@
         self.state.is_draining.store(true, Ordering::SeqCst);
     }
 
+    /// While it hangs it reads nothing more and answers nothing.
+    pub(crate) fn set_hanging(&self, is_hanging: bool) {
+        self.state.is_hanging.store(is_hanging, Ordering::SeqCst);
+    }
+
     /// Resets all its connections, as the end of its process does.
     pub(crate) fn reset_connections(&self) {
         for (_, stream) in self.state.connections.lock().unwrap().drain() {
@@ -136,6 +143,9 @@
                 _ => Vec::new(),
             };
             let at = Instant::now();
+            while self.state.is_hanging.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(5));
+            }
             match words[0] {
                 "exec" => self.execute(at, words[1], words[2], &body, &mut stream)?,
                 "ensure" => self.load(at, words[1], words[2], &mut stream)?,
