Shutdown: the listener closes only once its queue was accepted, also where accepting fails

Cause: the listener was closed after a try to accept its queue, whether or not accepting failed (listeners.rs: close_listener). Change: while accepting fails the listener stays open and is tried again, until the calls are ended before the kill. The first test of the reactor checks the two steps that replace the one; what it asserts is the same.

--- a/crates/gateway/src/event_loop/listener.rs
+++ b/crates/gateway/src/event_loop/listener.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::after;
 use slatevalve::Micros;
-use slatevalve_reactor::{Id, Reactor, ReactorEvent};
+use slatevalve_reactor::{AcceptQueue, Id, Reactor, ReactorEvent};
 use std::io;
 use std::net::SocketAddr;
 
@@ -55,13 +55,13 @@
     }
 
     /// Closes at once; connections in the kernel's accept queue are reset.
-    pub(crate) fn close(&self, reactor: &mut Reactor) {
+    pub(crate) fn close(&mut self, reactor: &mut Reactor) {
         reactor.close(self.id);
+        self.resume_at = None;
     }
 
-    /// Accepts what is in the kernel's accept queue, then closes. `accepted` receives the events of these connections.
-    pub(crate) fn close_after_accepting(&mut self, reactor: &mut Reactor, accepted: &mut Vec<ReactorEvent>) {
-        reactor.close_listener(self.id, accepted);
-        self.resume_at = None;
+    /// Accepts what is in the kernel's accept queue; `accepted` receives the events of these connections.
+    pub(crate) fn accept_all(&self, reactor: &mut Reactor, accepted: &mut Vec<ReactorEvent>) -> AcceptQueue {
+        reactor.accept_all(self.id, accepted)
     }
 }
--- a/crates/gateway/src/platform/shutdown.rs
+++ b/crates/gateway/src/platform/shutdown.rs
@@ -9,6 +9,7 @@
 use super::Router;
 use crate::clock::{after, elapsed};
 use slatevalve::Micros;
+use slatevalve_reactor::AcceptQueue;
 use tracing::info;
 
 /// New connections are accepted for this long after the signal.
@@ -105,11 +106,16 @@
         self.drain_outputs(now);
     }
 
+    /// Closes the listener once its queue is accepted. Where accepting fails, as no descriptor is available, it is tried again
+    /// until the calls are ended.
     fn close_listener(&mut self, now: Micros) {
         let mut accepted = Vec::new();
-        self.listener.close_after_accepting(&mut self.reactor, &mut accepted);
+        let queue = self.listener.accept_all(&mut self.reactor, &mut accepted);
         self.handle_events(now, accepted);
-        self.shutdown.stage = Stage::Draining;
+        if queue == AcceptQueue::Empty || self.shutdown.engine_stopped {
+            self.listener.close(&mut self.reactor);
+            self.shutdown.stage = Stage::Draining;
+        }
     }
 
     /// Whether nothing is left to be answered or sent, or the time for that is up.
--- a/crates/gateway/tests/platform/busy_shutdown.rs
+++ b/crates/gateway/tests/platform/busy_shutdown.rs
@@ -71,6 +71,30 @@
     ends.filter(|end| end.ended_at >= killed || end.ended_at - end.sent_at > CROSSING).collect()
 }
 
+/// Guards against clients that wait to be accepted and are reset, as descriptors have run out when the listener closes.
+#[test]
+fn who_waits_to_be_accepted_while_descriptors_have_run_out_is_answered_once_there_are_some() {
+    let worker = FleetWorker::start(Behaviour::GOOD, 1);
+    let mut router = Router::start(&ChangeLog::start(&[("w", worker.address)]));
+    ready(&router);
+    let mut open = Client::connect(router.process.address);
+    assert_ne!(open.call("quote", 1, 1), End::Closed);
+    let limit = router.process.set_descriptor_limit(0);
+    router.process.signal("TERM");
+    let mut waiting: Vec<Client> = (0..3).map(|_| Client::connect(router.process.address)).collect();
+    for (client, tag) in waiting.iter_mut().zip(10..) {
+        client.send("quote", 1, tag);
+    }
+    // Beyond the moment at which the listener closes.
+    thread::sleep(Duration::from_millis(1_000));
+    router.process.set_descriptor_limit(limit);
+    for client in &mut waiting {
+        assert_ne!(client.answer().1, End::Closed);
+    }
+    drop((waiting, open));
+    assert_eq!(router.process.wait(), Some(0));
+}
+
 /// Guards against requests that SIGKILL finds unanswered because busy clients keep the router from closing their connections.
 #[test]
 fn no_request_of_a_busy_client_is_open_when_the_kill_comes() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -136,6 +136,16 @@
         assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
     }
 
+    /// Sets how many descriptors it may have from now on; open ones stay. Returns the limit before.
+    pub(crate) fn set_descriptor_limit(&self, limit: u64) -> u64 {
+        use rustix::process::{prlimit, Pid, Resource, Rlimit};
+        let process = Pid::from_child(&self.child);
+        let current = rustix::process::getrlimit(Resource::Nofile);
+        let before =
+            prlimit(Some(process), Resource::Nofile, Rlimit { current: Some(limit), ..current }).unwrap();
+        before.current.expect("a limit")
+    }
+
     /// Lets it run on one processor core only.
     pub(crate) fn pin_to_core(&self, core: usize) {
         let process = rustix::process::Pid::from_child(&self.child);
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -32,5 +32,5 @@
 mod write_buffer;
 
 pub use event::{Id, ReactorEvent};
-pub use reactor::{Reactor, MAX_LINGERING};
+pub use reactor::{AcceptQueue, Reactor, MAX_LINGERING};
 pub use signal::Waker;
--- a/crates/reactor/src/reactor/listeners.rs
+++ b/crates/reactor/src/reactor/listeners.rs
@@ -20,6 +20,15 @@
 /// Permissions of a Unix socket: only its owner may connect.
 const UNIX_SOCKET_MODE: u32 = 0o600;
 
+/// What is left in the kernel's accept queue of a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AcceptQueue {
+    /// Nothing was.
+    Empty,
+    /// Accepting failed; connections may be waiting.
+    Unknown,
+}
+
 impl Reactor {
     /// Listens on a TCP address; port 0 lets the kernel choose. Returns the listener and the address that was bound.
     ///
@@ -62,16 +71,20 @@
         }
     }
 
-    /// Closes a listener after accepting the connections in its queue, as far as possible. The events are appended to `out`.
-    pub fn close_listener(&mut self, listener: Id, out: &mut Vec<ReactorEvent>) {
+    /// Accepts all connections in a listener's queue; the events are appended to `out`. Returns whether accepting failed, so
+    /// that connections may still be waiting.
+    pub fn accept_all(&mut self, listener: Id, out: &mut Vec<ReactorEvent>) -> AcceptQueue {
         for _ in 0..LISTEN_BACKLOG as usize / ACCEPTS_PER_POLL {
             let before = out.len();
             self.accept(listener, out);
+            if matches!(out.last(), Some(ReactorEvent::AcceptFailed { .. })) {
+                return AcceptQueue::Unknown;
+            }
             if out.len() == before {
                 break;
             }
         }
-        self.close(listener);
+        AcceptQueue::Empty
     }
 
     /// Accepts the connections that are waiting, up to the limit of one poll.
--- a/crates/reactor/src/reactor/mod.rs
+++ b/crates/reactor/src/reactor/mod.rs
@@ -6,6 +6,7 @@
 mod signals;
 
 pub use graceful_close::MAX_LINGERING;
+pub use listeners::AcceptQueue;
 
 use crate::event::{Id, ReactorEvent};
 use crate::registry::{Registry, Source};
--- a/crates/reactor/tests/crossings.rs
+++ b/crates/reactor/tests/crossings.rs
@@ -1,7 +1,7 @@
 //! Invariants of the reactor when a peer's bytes, close or reset arrive between two polls. Peers are plain sockets whose
 //! action is complete before each poll: the write has returned, the close has been seen.
 
-use slatevalve_reactor::{Id, Reactor, ReactorEvent, MAX_LINGERING};
+use slatevalve_reactor::{AcceptQueue, Id, Reactor, ReactorEvent, MAX_LINGERING};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -206,7 +206,8 @@
     let mut fixture = Fixture::new();
     let (listener, address) = fixture.reactor.listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let peers: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(address).unwrap()).collect();
-    fixture.reactor.close_listener(listener, &mut fixture.events);
+    assert_eq!(fixture.reactor.accept_all(listener, &mut fixture.events), AcceptQueue::Empty);
+    fixture.reactor.close(listener);
     let accepted = fixture.events.iter().filter(|h| matches!(h, ReactorEvent::Accepted { .. })).count();
     assert_eq!(accepted, peers.len());
     assert!(TcpStream::connect(address).is_err(), "closed");
