Reactor: a connection outlives a want of kernel memory

Cause: ENOBUFS and ENOMEM of a read or write ended the connection as a reset does (write_buffer.rs: is_transient). Change: both are repeated with the next readiness, as EINTR is.

--- a/crates/reactor/src/write_buffer.rs
+++ b/crates/reactor/src/write_buffer.rs
@@ -66,7 +66,14 @@
     }
 }
 
-/// Whether an operation on a non-blocking socket is to be repeated later, rather than having failed.
+/// Whether an operation on a non-blocking socket is to be repeated later, rather than having failed: it was interrupted, or the
+/// kernel has no memory for it now.
 pub(crate) fn is_transient(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted | io::ErrorKind::OutOfMemory
+    ) || error.raw_os_error() == Some(libc::ENOBUFS)
 }
+
+#[cfg(test)]
+mod tests;
