Worker list: the lease counts from the poll that asked for the list

Callers would see: work sent to a worker that drained while an answer of the log was on its way (the age of the list again). Cause: the lease of 7 s began when an answer was read; a log that answers late may have had it since the poll. Change: the lease counts from the poll.

--- a/crates/gateway/src/platform/change_log.rs
+++ b/crates/gateway/src/platform/change_log.rs
@@ -107,7 +107,9 @@
     fn handle_contact(&mut self, now: Micros, event: ContactEvent) {
         let seq = self.watch_state.seq();
         match event {
-            ContactEvent::Confirmed => self.confirm_list(now, LIST_LEASE),
+            ContactEvent::Confirmed { age } => {
+                self.confirm_list(now, Micros(LIST_LEASE.0.saturating_sub(age.0)));
+            }
             ContactEvent::Outdated => self.distrust_list(now),
             ContactEvent::Lost { failure, silent_for } => {
                 self.list_outages += 1;
--- a/crates/gateway/tests/platform/fleet_size.rs
+++ b/crates/gateway/tests/platform/fleet_size.rs
@@ -99,7 +99,9 @@
     let log = ChangeLog::start_with(members.collect());
     let config = day_config(&log);
     let routers: Vec<Router> = (0..ROUTERS).map(|_| Router::start_with(&config)).collect();
-    routers.iter().for_each(|router| router.process.pin_to_core(0));
+    // Another core for each day, as days may be played side by side.
+    let core = seed as usize % thread::available_parallelism().map_or(1, usize::from);
+    routers.iter().for_each(|router| router.process.pin_to_core(core));
     routers.iter().for_each(ready);
     let before: usize = servers.iter().map(FleetWorker::accepted).sum();
     let watch = NeedsWatch::start(&routers);
--- a/crates/platform/src/changes.rs
+++ b/crates/platform/src/changes.rs
@@ -118,6 +118,8 @@
     response: MessageReader,
     schedule: PollSchedule,
     contact: Contact,
+    /// When the last poll was written.
+    polled_at: Micros,
     /// Whether the last answer waited too long to be read.
     is_outdated: bool,
     timeouts: Timeouts,
@@ -151,6 +153,7 @@
             // The number of routers is unknown here, so the backoff is that of a single client.
             schedule: PollSchedule::new(RETRY_LIMITS, 1, seed),
             contact: Contact::default(),
+            polled_at: Micros(0),
             is_outdated: false,
             timeouts: Timeouts::default(),
             // The first number may be any: a gap before it is accepted at once.
@@ -235,6 +238,7 @@
     }
 
     fn poll(&mut self, now: Micros, out: &mut Vec<ChangeLogOutput>) {
+        self.polled_at = now;
         let timeout_ms = match self.contact.is_established() {
             _ if self.is_outdated => IMMEDIATE_POLL_TIMEOUT_MS,
             true => LONG_POLL_TIMEOUT_MS,
@@ -275,7 +279,8 @@
             self.timeouts.answered(Micros(deadline.0.saturating_sub(now.0)));
         }
         out.extend(self.contact.confirmed(now).map(ChangeLogOutput::Contact));
-        let event = if self.is_outdated { ContactEvent::Outdated } else { ContactEvent::Confirmed };
+        let age = Micros(now.0.saturating_sub(self.polled_at.0));
+        let event = if self.is_outdated { ContactEvent::Outdated } else { ContactEvent::Confirmed { age } };
         out.push(ChangeLogOutput::Contact(event));
         AnswerStatus::Complete
     }
--- a/crates/platform/src/changes/contact.rs
+++ b/crates/platform/src/changes/contact.rs
@@ -23,8 +23,11 @@
 /// A change of the contact with the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ContactEvent {
-    /// A complete answer came: every event that the log had is known.
-    Confirmed,
+    /// A complete answer came: every event that the log had when it was asked is known.
+    Confirmed {
+        /// Time since it was asked.
+        age: Micros,
+    },
     /// A complete answer came that waited to be read, as the process was paused or busy: what the log has had since is not
     /// known yet.
     Outdated,
--- a/crates/platform/tests/changes.rs
+++ b/crates/platform/tests/changes.rs
@@ -377,7 +377,9 @@
 fn an_outage_of_the_log_is_reported_once_with_its_cause_and_once_when_it_ends() {
     let mut log = Log::asked();
     let whole = answer(4, &[fleet(4, false, &[("a", "leaving")])]);
-    assert_eq!(log.bytes(&whole).contact, [ContactEvent::Confirmed]);
+    log.tick(150);
+    // The lease on the list counts from the poll, as the log may have had the answer since then.
+    assert_eq!(log.bytes(&whole).contact, [ContactEvent::Confirmed { age: Micros(150_000) }]);
     let mut contact = Vec::new();
     for _ in 0..40 {
         let seen = log.tick(50);
@@ -395,5 +397,8 @@
     while log.tick(50).connects.is_empty() {}
     log.with(|f, now, out| f.connected(now, out));
     let contact = log.bytes(&answer(4, &[])).contact;
-    assert!(matches!(contact[..], [ContactEvent::Restored { .. }, ContactEvent::Confirmed]), "{contact:?}");
+    assert!(
+        matches!(contact[..], [ContactEvent::Restored { .. }, ContactEvent::Confirmed { .. }]),
+        "{contact:?}"
+    );
 }
