--- a/crates/gateway/src/server/pool/connections.rs
+++ b/crates/gateway/src/server/pool/connections.rs
@@ -85,7 +85,7 @@
         worker: WorkerId,
         purpose: Purpose,
     ) -> Result<Id, Outcome> {
-        self.peers.get(&worker).filter(|p| p.workers_listed).ok_or(Outcome::NotSent)?;
+        self.peers.get(&worker).filter(|p| p.is_listed).ok_or(Outcome::NotSent)?;
         if let Some(id) = self.take_idle(now, reactor, worker, purpose) {
             return Ok(id);
         }
@@ -204,7 +204,7 @@
         let Some(connection) = self.connections.get_mut(&id).filter(|c| c.requests.is_empty()) else {
             return;
         };
-        let peer = self.peers.get_mut(&connection.worker).filter(|p| p.workers_listed);
+        let peer = self.peers.get_mut(&connection.worker).filter(|p| p.is_listed);
         match peer.filter(|_| connection.reader.is_reusable() && !connection.retired) {
             // Idle already, with its timer running.
             Some(peer) if peer.idle.contains(&id) && connection.deadline.is_some() => {}
--- a/crates/gateway/src/server/pool/peers.rs
+++ b/crates/gateway/src/server/pool/peers.rs
@@ -18,7 +18,7 @@
     /// All connections, in the order they were opened.
     pub(super) connections: Vec<Id>,
     /// Whether new requests may be sent to the worker.
-    pub(super) workers_listed: bool,
+    pub(super) is_listed: bool,
 }
 
 impl Pool {
@@ -39,9 +39,9 @@
             host: address.to_string(),
             idle: Vec::new(),
             connections: Vec::new(),
-            workers_listed: true,
+            is_listed: true,
         });
-        peer.workers_listed = true;
+        peer.is_listed = true;
         let moved = peer.address != address;
         if moved {
             peer.address = address;
@@ -55,7 +55,7 @@
     /// Removes a worker: no new request is sent to it, and those in flight run to their end.
     pub(crate) fn unlist(&mut self, reactor: &mut Reactor, worker: WorkerId) {
         if let Some(peer) = self.peers.get_mut(&worker) {
-            peer.workers_listed = false;
+            peer.is_listed = false;
         }
         self.close_idle(reactor, worker);
         self.remove_peer_if_unused(worker);
@@ -88,7 +88,7 @@
     }
 
     pub(super) fn remove_peer_if_unused(&mut self, worker: WorkerId) {
-        if self.peers.get(&worker).is_some_and(|p| !p.workers_listed && p.connections.is_empty()) {
+        if self.peers.get(&worker).is_some_and(|p| !p.is_listed && p.connections.is_empty()) {
             self.peers.remove(&worker);
         }
     }
