--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -5,8 +5,9 @@
 //! and measures time; it decides nothing about a call. Called by the sub-command `platform`. What holds when events of one
 //! iteration cross is in `docs/design-platform.md`.
 //!
-//! One concern a module: `startup` reads the configuration, `events` dispatches what the reactor reports, `iteration_log` logs slow iterations, `outputs` executes
-//! what the protocols ask for, `change_log` applies changes of the worker list, `reload` and `shutdown` handle the signals.
+//! One concern a module: `startup` reads the configuration, `events` dispatches what the reactor reports, `outputs` executes
+//! what the protocols ask for, `change_log` applies changes of the worker list, `reload` and `shutdown` handle the signals,
+//! `iteration_log` logs slow iterations.
 
 mod change_log;
 mod error;
