Review, case 1: a charge that had run is refused after a restart, and runs a second time

Cause: a redelivered publish whose key the new process does not know ends as refused, which says that sending it again is harmless.

--- a/review/lab/cases.rs
+++ b/review/lab/cases.rs
@@ -1,5 +1,6 @@
 //! What each case does, and its check.
 
+use crate::mqtt::{start_http_worker, Broker, Client5, Connect5, Gateway, MqttClient};
 use crate::sites;
 use crate::world::*;
 use crate::Verdict;
@@ -18,6 +19,9 @@
         "client-gone" => client_gone(world, trouble),
         "outage-drain" => outage_drain(world, trouble),
         "moved-log" => moved_log(world, trouble),
+        "redelivered-charge" => redelivered_charge(world, trouble),
+        "assigned-id" => assigned_id(world, trouble),
+        "mqtt-backlog" => mqtt_backlog(world, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     }
 }
@@ -401,3 +405,224 @@
         None => Verdict::Held(format!("all {} requests were answered", requests.len())),
     }
 }
+
+/// A client's connection drops while its charges run, and it comes back for their answers.
+fn mqtt_backlog(world: &Arc<World>, trouble: bool) -> Verdict {
+    const CHARGES: u16 = 200;
+    const RECEIPT: usize = 64 * 1024;
+    let ran: Arc<std::sync::Mutex<Vec<String>>> = Arc::default();
+    let workers: Vec<String> = (1..=4)
+        .map(|n| {
+            let address = start_http_worker(world, &format!("w{n}"), 500, RECEIPT, &ran);
+            format!(r#"(worker "w{n}" (address "{address}") (cell {n}))"#)
+        })
+        .collect();
+    let forms = format!(
+        r#"(gateway (name "gw-1") (seed 1))
+        (mqtt (listen "LISTEN"))
+        (class "charge" (effect unsafe) (aim-ms 1200) (deadline-ms 3000) (worth 3))
+        (route "calls/charge/+/+" (class "charge") (function "{{3}}") (key "{{4}}"))
+        (loading (on-request yes))
+        {}"#,
+        workers.join("\n        ")
+    );
+    let Some(mut gateway) = Gateway::start(world, &forms) else {
+        return Verdict::CouldNotRun("the gateway does not get ready".into());
+    };
+    let client = MqttClient::new(world, "app-1");
+    let Some(mut connection) = client.connect(gateway.address) else {
+        return Verdict::CouldNotRun("no connection".into());
+    };
+    sleep_ms(300);
+    for number in 1..=CHARGES {
+        connection.publish(world, &format!("calls/charge/card/ride-{number}"), number, b"charge");
+    }
+    sleep_ms(300);
+    let accepted = client.acknowledged.lock().unwrap().len();
+    if trouble {
+        connection.drop_it(world);
+        sleep_ms(2000);
+        let Some(again) = client.connect(gateway.address) else {
+            return Verdict::CouldNotRun("no connection".into());
+        };
+        connection = again;
+    }
+    let (begin, mut connections) = (Instant::now(), 1);
+    while begin.elapsed() < Duration::from_secs(30) && client.answers.lock().unwrap().len() < accepted {
+        if connection.has_ended() {
+            sleep_ms(500);
+            let Some(again) = client.connect(gateway.address) else { continue };
+            connection = again;
+            connections += 1;
+        }
+        sleep_ms(20);
+    }
+    sleep_ms(300);
+    let (answered, runs) = (client.answers.lock().unwrap().len(), ran.lock().unwrap().len());
+    if !gateway.is_running() || accepted != usize::from(CHARGES) {
+        return Verdict::CouldNotRun(format!("{accepted} charges were acknowledged\n{}", gateway.output()));
+    }
+    let text = format!("{accepted} charges were acknowledged, {runs} ran, {answered} were answered on {connections} connections");
+    match answered < accepted {
+        true => Verdict::Broken(format!("lost: {text} within 30 s")),
+        false => Verdict::Held(text),
+    }
+}
+
+/// A gateway behind a broker is killed while charges run, and starts again; the broker redelivers.
+fn redelivered_charge(world: &Arc<World>, trouble: bool) -> Verdict {
+    const CHARGES: usize = 10;
+    let ran: Arc<std::sync::Mutex<Vec<String>>> = Arc::default();
+    let workers: Vec<String> = (1..=4)
+        .map(|n| {
+            let address = start_http_worker(world, &format!("w{n}"), 1000, 16, &ran);
+            format!(r#"(worker "w{n}" (address "{address}") (cell {n}))"#)
+        })
+        .collect();
+    let Some(broker) = Broker::start(world) else {
+        return Verdict::CouldNotRun("the broker does not start".into());
+    };
+    let forms = format!(
+        r#"(gateway (name "gw-1") (seed 1))
+        (mqtt (listen "LISTEN"))
+        (bridge (broker "{}") (client-id "gw-1"))
+        (class "charge" (effect unsafe) (aim-ms 1200) (deadline-ms 3000) (worth 3))
+        (route "calls/charge/+" (class "charge") (function "{{3}}"))
+        (loading (on-request yes))
+        {}"#,
+        broker.address,
+        workers.join("\n        ")
+    );
+    let Some(mut gateway) = Gateway::start(world, &forms) else {
+        return Verdict::CouldNotRun("the gateway does not get ready".into());
+    };
+    sleep_ms(1000);
+    let options = Connect5 { name: "client", client_id: "app-1", clean_start: true, expiry_s: 60 };
+    let Some(mut client) = Client5::connect(world, broker.address, &options) else {
+        return Verdict::CouldNotRun("no connection to the broker".into());
+    };
+    client.subscribe();
+    let keys: Vec<String> = (1..=CHARGES).map(|number| format!("ride-{number}")).collect();
+    for key in &keys {
+        client.call("calls/charge/card", key, &format!("{key}/1"));
+    }
+    sleep_ms(400);
+    if trouble {
+        let address = gateway.address;
+        gateway.kill(world);
+        sleep_ms(1600);
+        let Some(again) = Gateway::start_at(world, &forms, address) else {
+            return Verdict::CouldNotRun("the gateway does not get ready again".into());
+        };
+        gateway = again;
+    }
+    // The client sends a charge again only if it was told that this is harmless, and twice at most.
+    let mut refused_after_run = 0;
+    let (mut answers, begin) = (0, Instant::now());
+    while begin.elapsed() < Duration::from_secs(10) {
+        let Some(answer) = client.next_answer(Duration::from_millis(200)) else { continue };
+        answers += 1;
+        let Some((key, number)) = answer.correlation.split_once('/') else { continue };
+        let number: usize = number.parse().unwrap_or(9);
+        if answer.outcome == "refused" {
+            if runs_of(&ran, key) > 0 {
+                refused_after_run += 1;
+            }
+            if number < 3 {
+                sleep_ms(100);
+                client.call("calls/charge/card", key, &format!("{key}/{}", number + 1));
+            }
+        }
+    }
+    let twice: Vec<&String> = keys.iter().filter(|key| runs_of(&ran, key) > 1).collect();
+    let ran_once = keys.iter().filter(|key| runs_of(&ran, key) > 0).count();
+    if !gateway.is_running() || ran_once == 0 {
+        return Verdict::CouldNotRun(format!("{ran_once} charges ran\n{}", gateway.output()));
+    }
+    let text = format!("{ran_once} of {CHARGES} charges ran, {answers} answers came, {refused_after_run} of them refused a charge that had run");
+    match twice.is_empty() && refused_after_run == 0 {
+        true => Verdict::Held(text),
+        false => Verdict::Broken(format!(
+            "duplicate: {text}; {} charges ran more than once: {twice:?}",
+            twice.len()
+        )),
+    }
+}
+
+/// How often workers ran the charge with this key, which they see in hexadecimal.
+fn runs_of(ran: &std::sync::Mutex<Vec<String>>, key: &str) -> usize {
+    let seen: String = format!("k:{key}").bytes().map(|byte| format!("{byte:02x}")).collect();
+    ran.lock().unwrap().iter().filter(|other| **other == seen).count()
+}
+
+/// A gateway starts again; a client comes back with the id that was assigned to it, another one without any.
+fn assigned_id(world: &Arc<World>, trouble: bool) -> Verdict {
+    const CHARGES: usize = 5;
+    let ran: Arc<std::sync::Mutex<Vec<String>>> = Arc::default();
+    let workers: Vec<String> = (1..=4)
+        .map(|n| {
+            let address = start_http_worker(world, &format!("w{n}"), 1500, 16, &ran);
+            format!(r#"(worker "w{n}" (address "{address}") (cell {n}))"#)
+        })
+        .collect();
+    let forms = format!(
+        r#"(gateway (name "gw-1") (seed 1))
+        (mqtt (listen "LISTEN"))
+        (class "charge" (effect unsafe) (aim-ms 1200) (deadline-ms 3000) (worth 3))
+        (route "calls/charge/+" (class "charge") (function "{{3}}"))
+        (loading (on-request yes))
+        {}"#,
+        workers.join("\n        ")
+    );
+    let Some(mut gateway) = Gateway::start(world, &forms) else {
+        return Verdict::CouldNotRun("the gateway does not get ready".into());
+    };
+    let unnamed = Connect5 { name: "first client", client_id: "", clean_start: true, expiry_s: 300 };
+    let Some(mut first) = Client5::connect(world, gateway.address, &unnamed) else {
+        return Verdict::CouldNotRun("no connection".into());
+    };
+    let Some(id) = first.assigned_id.clone() else {
+        return Verdict::CouldNotRun("no client id was assigned".into());
+    };
+    if trouble {
+        let address = gateway.address;
+        gateway.kill(world);
+        sleep_ms(1600);
+        let Some(again) = Gateway::start_at(world, &forms, address) else {
+            return Verdict::CouldNotRun("the gateway does not get ready again".into());
+        };
+        gateway = again;
+        // The first client resumes with the id that it was given.
+        let again = Connect5 { name: "first client", client_id: &id, clean_start: false, expiry_s: 300 };
+        let Some(connected) = Client5::connect(world, gateway.address, &again) else {
+            return Verdict::CouldNotRun("no connection".into());
+        };
+        first = connected;
+    }
+    for number in 1..=CHARGES {
+        first.call("calls/charge/card", &format!("ride-{number}"), &format!("ride-{number}/1"));
+    }
+    sleep_ms(500);
+    let accepted = first.acknowledged();
+    // The second client has no id yet.
+    let other = Connect5 { name: "second client", client_id: "", clean_start: false, expiry_s: 300 };
+    let Some(second) = Client5::connect(world, gateway.address, &other) else {
+        return Verdict::CouldNotRun("no connection".into());
+    };
+    let (mut own, mut foreign, begin) = (0, 0, Instant::now());
+    while begin.elapsed() < Duration::from_secs(6) {
+        own += usize::from(first.next_answer(Duration::from_millis(50)).is_some());
+        foreign += usize::from(second.next_answer(Duration::from_millis(50)).is_some());
+    }
+    if !gateway.is_running() || accepted != CHARGES {
+        return Verdict::CouldNotRun(format!("{accepted} charges were acknowledged\n{}", gateway.output()));
+    }
+    let text = format!(
+        "{accepted} charges of the first client (id {id}) were acknowledged; it got {own} answers; the second client (id {:?}, session present {}), who asked nothing, got {foreign} answers",
+        second.assigned_id, second.session_present
+    );
+    match foreign > 0 || own < accepted {
+        true => Verdict::Broken(format!("lost: {text}")),
+        false => Verdict::Held(text),
+    }
+}
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -4,6 +4,7 @@
 //! environment, the same without the disruption.
 
 mod cases;
+mod mqtt;
 mod sites;
 mod world;
 
--- a/review/lab/world.rs
+++ b/review/lab/world.rs
@@ -36,6 +36,16 @@
     thread::sleep(Duration::from_millis(milliseconds));
 }
 
+/// Lets a program end with this one, however that ends.
+pub fn end_with_parent(command: &mut Command) {
+    let set = || match unsafe { prctl(1, SIGKILL as u64) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    };
+    // PR_SET_PDEATHSIG is 1.
+    unsafe { command.pre_exec(set) };
+}
+
 /// Ends a connection with a reset.
 pub fn reset(stream: &TcpStream) {
     let linger = Linger { on: 1, seconds: 0 };
@@ -762,16 +772,7 @@
         command.stdout(output.try_clone().unwrap()).stderr(output);
         command.env("EDGE_NAME", "n1").env("EDGE_LISTEN", address.to_string()).env("EDGE_CONFIG", &path);
         command.env("TMPDIR", &folder);
-        // The router ends with this program, however that ends: PR_SET_PDEATHSIG is 1.
-        unsafe {
-            command.pre_exec(|| {
-                if prctl(1, SIGKILL as u64) == 0 {
-                    Ok(())
-                } else {
-                    Err(std::io::Error::last_os_error())
-                }
-            })
-        };
+        end_with_parent(&mut command);
         let child = command.spawn().expect("the router starts");
         world.note(format!("router: started by `{run}` at {address}"));
         Router { child, address, folder, config }
