--- a/review/lab/cases.rs
+++ b/review/lab/cases.rs
@@ -1,6 +1,6 @@
 //! What each case does, and its check.
 
-use crate::mqtt::{start_http_worker, Broker, Client5, Connect5, Gateway, MqttClient};
+use crate::mqtt::{start_http_worker, Broker, Client5, Connect5, Gateway, Link, MqttClient};
 use crate::sites;
 use crate::world::*;
 use crate::Verdict;
@@ -21,6 +21,7 @@
         "moved-log" => moved_log(world, trouble),
         "redelivered-charge" => redelivered_charge(world, trouble),
         "assigned-id" => assigned_id(world, trouble),
+        "bridge-backlog" => bridge_backlog(world, trouble),
         "mqtt-backlog" => mqtt_backlog(world, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     }
@@ -626,3 +627,75 @@
         false => Verdict::Held(text),
     }
 }
+
+/// The connection of a gateway to its broker drops while charges run.
+fn bridge_backlog(world: &Arc<World>, trouble: bool) -> Verdict {
+    const CHARGES: usize = 200;
+    const LATER: usize = 20;
+    const RECEIPT: usize = 64 * 1024;
+    let ran: Arc<std::sync::Mutex<Vec<String>>> = Arc::default();
+    let workers: Vec<String> = (1..=4)
+        .map(|n| {
+            let address = start_http_worker(world, &format!("w{n}"), 800, RECEIPT, &ran);
+            format!(r#"(worker "w{n}" (address "{address}") (cell {n}))"#)
+        })
+        .collect();
+    let Some(broker) = Broker::start(world) else {
+        return Verdict::CouldNotRun("the broker does not start".into());
+    };
+    let link = Link::start(broker.address);
+    let forms = format!(
+        r#"(gateway (name "gw-1") (seed 1))
+        (mqtt (listen "LISTEN"))
+        (bridge (broker "{}") (client-id "gw-1"))
+        (class "charge" (effect unsafe) (aim-ms 1200) (deadline-ms 3000) (worth 3))
+        (route "calls/charge/+" (class "charge") (function "{{3}}"))
+        (loading (on-request yes))
+        {}"#,
+        link.address,
+        workers.join("\n        ")
+    );
+    let Some(mut gateway) = Gateway::start(world, &forms) else {
+        return Verdict::CouldNotRun("the gateway does not get ready".into());
+    };
+    sleep_ms(1000);
+    let options = Connect5 { name: "client", client_id: "app-1", clean_start: true, expiry_s: 60 };
+    let Some(mut client) = Client5::connect(world, broker.address, &options) else {
+        return Verdict::CouldNotRun("no connection to the broker".into());
+    };
+    client.subscribe();
+    let answers_within = |client: &mut Client5, wanted: usize, seconds: u64| {
+        let (begin, mut count) = (Instant::now(), 0);
+        while begin.elapsed() < Duration::from_secs(seconds) && count < wanted {
+            count += usize::from(client.next_answer(Duration::from_millis(50)).is_some());
+        }
+        count
+    };
+    let send = |client: &mut Client5, numbers: std::ops::RangeInclusive<usize>| {
+        for number in numbers {
+            client.call("calls/charge/card", &format!("ride-{number}"), &format!("ride-{number}/1"));
+        }
+    };
+    send(&mut client, 1..=CHARGES);
+    sleep_ms(400);
+    if trouble {
+        link.cut(world);
+        sleep_ms(2000);
+        link.mend(world);
+    }
+    let first = answers_within(&mut client, CHARGES, 25);
+    send(&mut client, CHARGES + 1..=CHARGES + LATER);
+    let later = answers_within(&mut client, LATER, 15);
+    let runs = ran.lock().unwrap().len();
+    if !gateway.is_running() || runs < CHARGES {
+        return Verdict::CouldNotRun(format!("{runs} charges ran\n{}", gateway.output()));
+    }
+    let connections = gateway.output().matches("the broker accepted the connection").count();
+    let text = format!(
+        "of {CHARGES} charges {first} were answered; of {LATER} more, sent after that, {later}; {runs} ran; the gateway connected {connections} times"
+    );
+    match first < CHARGES || later < LATER {
+        true => Verdict::Broken(format!("lost: {text}")),
+        false => Verdict::Held(text),
+    }
+}
--- a/review/lab/mqtt.rs
+++ b/review/lab/mqtt.rs
@@ -7,6 +7,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -177,6 +178,56 @@
     }
 }
 
+/// A link to a server, which can be cut.
+pub struct Link {
+    pub address: SocketAddr,
+    is_up: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Link {
+    pub fn start(server: SocketAddr) -> Link {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let is_up = Arc::new(AtomicBool::new(true));
+        let link = Link { address, is_up: is_up.clone(), connections: Arc::default() };
+        let connections = link.connections.clone();
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                if !is_up.load(Ordering::SeqCst) {
+                    reset(&near);
+                    continue;
+                }
+                let Ok(far) = TcpStream::connect(server) else { continue };
+                for (from, to) in [(&near, &far), (&far, &near)] {
+                    connections.lock().unwrap().push(from.try_clone().unwrap());
+                    let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+                    thread::spawn(move || {
+                        let _ = std::io::copy(&mut from, &mut to);
+                        let _ = from.shutdown(Shutdown::Both);
+                        let _ = to.shutdown(Shutdown::Both);
+                    });
+                }
+            }
+        });
+        link
+    }
+
+    /// Ends all connections, and new ones as they come.
+    pub fn cut(&self, world: &World) {
+        world.note("link between gateway and broker: cut, its connection drops");
+        self.is_up.store(false, Ordering::SeqCst);
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn mend(&self, world: &World) {
+        world.note("link between gateway and broker: up again");
+        self.is_up.store(true, Ordering::SeqCst);
+    }
+}
+
 /// An answer that an MQTT 5 client got.
 #[derive(Clone, Debug, Default)]
 pub struct Answer5 {
