--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
     echo "could not run: build first"
     exit 2
 fi
-exec target/review/lab mqtt-backlog review/3/record.txt
+exec target/review/lab assigned-id review/3/record.txt
