--- a/review/lab/cases.rs
+++ b/review/lab/cases.rs
@@ -12,17 +12,20 @@
 /// Every time limit on sockets is so much longer (PROTOCOL.md, "The rules on sockets").
 const SLACK_MS: f64 = 50.0;
 
+/// Runs a case. The first five are in the folders of the review; the others are named in its report.
 pub fn run(case: &str, world: &Arc<World>, trouble: bool) -> Verdict {
     match case {
+        "redelivered-charge" => redelivered_charge(world, trouble),
+        "bridge-backlog" => bridge_backlog(world, trouble),
+        "assigned-id" => assigned_id(world, trouble),
         "outage-cell" => outage_cell(world, trouble),
+        "outage-drain" => outage_drain(world, trouble),
         "full-buffer" => full_buffer(world, trouble),
         "client-gone" => client_gone(world, trouble),
-        "outage-drain" => outage_drain(world, trouble),
         "moved-log" => moved_log(world, trouble),
-        "redelivered-charge" => redelivered_charge(world, trouble),
-        "assigned-id" => assigned_id(world, trouble),
-        "bridge-backlog" => bridge_backlog(world, trouble),
         "mqtt-backlog" => mqtt_backlog(world, trouble),
+        "other-gateway" => other_gateway(world, trouble),
+        "late-read" => late_read(world, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     }
 }
@@ -699,3 +702,117 @@
         false => Verdict::Held(text),
     }
 }
+
+/// A client's connection drops while its charges run; it comes back to another gateway and sends them again.
+fn other_gateway(world: &Arc<World>, trouble: bool) -> Verdict {
+    const CHARGES: usize = 5;
+    let ran: Arc<std::sync::Mutex<Vec<String>>> = Arc::default();
+    let workers: Vec<String> = (1..=4)
+        .map(|n| {
+            let address = start_http_worker(world, &format!("w{n}"), 1000, 16, &ran);
+            format!(r#"(worker "w{n}" (address "{address}") (cell {n}))"#)
+        })
+        .collect();
+    let forms = |name: &str, seed: u32| {
+        format!(
+            r#"(gateway (name "{name}") (routers 2) (seed {seed}))
+            (mqtt (listen "LISTEN"))
+            (class "charge" (effect unsafe) (aim-ms 1200) (deadline-ms 3000) (worth 3))
+            (route "calls/charge/+" (class "charge") (function "{{3}}"))
+            (loading (on-request yes))
+            {}"#,
+            workers.join("\n        ")
+        )
+    };
+    let (first, second) =
+        (Gateway::start(world, &forms("gw-1", 1)), Gateway::start(world, &forms("gw-2", 2)));
+    let (Some(mut first), Some(mut second)) = (first, second) else {
+        return Verdict::CouldNotRun("the gateways do not get ready".into());
+    };
+    let options = Connect5 { name: "client", client_id: "app-1", clean_start: false, expiry_s: 300 };
+    let Some(mut client) = Client5::connect(world, first.address, &options) else {
+        return Verdict::CouldNotRun("no connection".into());
+    };
+    let keys: Vec<String> = (1..=CHARGES).map(|number| format!("ride-{number}")).collect();
+    for key in &keys {
+        client.call("calls/charge/card", key, &format!("{key}/1"));
+    }
+    sleep_ms(400);
+    let mut answers = 0;
+    if trouble {
+        client.drop_connection();
+        sleep_ms(100);
+        // The front layer, which spreads clients over the gateways, leads it to the other one.
+        let Some(connected) = Client5::connect(world, second.address, &options) else {
+            return Verdict::CouldNotRun("no connection".into());
+        };
+        client = connected;
+        for key in &keys {
+            client.call("calls/charge/card", key, &format!("{key}/2"));
+        }
+    }
+    let begin = Instant::now();
+    while begin.elapsed() < Duration::from_secs(5) {
+        answers += usize::from(client.next_answer(Duration::from_millis(100)).is_some());
+    }
+    let twice = keys.iter().filter(|key| runs_of(&ran, key) > 1).count();
+    let once = keys.iter().filter(|key| runs_of(&ran, key) == 1).count();
+    if !first.is_running() || !second.is_running() || once + twice == 0 {
+        return Verdict::CouldNotRun(format!("{once} charges ran"));
+    }
+    let text = format!("of {CHARGES} charges {once} ran once and {twice} ran twice; {answers} answers came");
+    match twice {
+        0 => Verdict::Held(text),
+        _ => Verdict::Broken(format!("duplicate: {text}")),
+    }
+}
+
+/// Many clients connect and ask while the router's process stands still.
+fn late_read(world: &Arc<World>, trouble: bool) -> Verdict {
+    let events = Events::default();
+    let log = ChangeLog::start(world, "log", &events);
+    let hangs = |call: &Call| match call.class.as_str() {
+        "card-charge" => Reply::Run(6000, b"late".to_vec()),
+        _ => quick(call),
+    };
+    let places: Vec<_> = (1..=4u64)
+        .map(|n| Place::start(world, Worker::new(&format!("w{n}"), n.div_ceil(2), hangs)))
+        .collect();
+    let members: Vec<Member> = places.iter().map(|p| p.member("hall-a", "duo-15", "active", 0)).collect();
+    events.push(world, &members, true);
+    let site = Site { settings: sites::kyyti_central(1), sockets: 1024 };
+    let mut router = Router::start(world, &site, log.address, &events);
+    if !router.wait_until_ready(world) {
+        return Verdict::CouldNotRun("the router does not get ready".into());
+    }
+    let functions = functions(4);
+    let traffic = Traffic::start(world, &router, vec![("fare-quote", false)], 40, functions.clone());
+    sleep_ms(2000);
+    if trouble {
+        router.signal(world, SIGSTOP, "stands still (SIGSTOP)");
+    }
+    let mut clients: Vec<Client> = (0..300).filter_map(|_| Client::connect(world, router.address)).collect();
+    let ids: Vec<String> = (clients.iter_mut().zip(functions.iter().cycle()))
+        .map(|(client, function)| client.call("card-charge", function, "", 1500, b"call"))
+        .collect();
+    sleep_ms(1000);
+    if trouble {
+        router.signal(world, SIGCONT, "goes on (SIGCONT)");
+    }
+    sleep_ms(4000);
+    traffic.end();
+    let requests = world.requests();
+    let asked: Vec<&Request> = requests.iter().filter(|request| ids.contains(&request.id)).collect();
+    let limit = 1500.0 + 500.0 + SLACK_MS;
+    let is_late = |request: &&&Request| request.answers.first().is_none_or(|a| a.0 - request.sent_ms > limit);
+    let late = asked.iter().filter(is_late).count();
+    if !router.is_running() || asked.len() < 300 {
+        return Verdict::CouldNotRun(format!("{} requests were sent", asked.len()));
+    }
+    let text =
+        format!("{late} of 300 requests were answered more than half a second after their time, or never");
+    match late {
+        0 => Verdict::Held(text),
+        _ => Verdict::Broken(format!("lost: {text}")),
+    }
+}
--- a/review/lab/mqtt.rs
+++ b/review/lab/mqtt.rs
@@ -339,6 +339,13 @@
         sleep_ms(200);
     }
 
+    /// Ends the connection without a DISCONNECT.
+    pub fn drop_connection(self) {
+        self.world.note(format!("{}: its connection drops", self.name));
+        reset(&self.stream);
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+
     /// How many publishes were acknowledged.
     pub fn acknowledged(&self) -> usize {
         *self.acknowledged.lock().unwrap()
--- a/review/lab/world.rs
+++ b/review/lab/world.rs
@@ -87,7 +87,7 @@
     pub arrivals: Mutex<Vec<Arrival>>,
     pub requests: Mutex<HashMap<String, Request>>,
     /// Bodies that workers gave, by request id.
-    bodies: Mutex<HashMap<String, Vec<u8>>>,
+    bodies: Mutex<HashMap<String, Vec<Vec<u8>>>>,
     next_id: AtomicU64,
 }
 
@@ -507,7 +507,7 @@
         }
         Reply::Run(work_ms, body) => {
             sleep_ms(work_ms);
-            world.bodies.lock().unwrap().insert(call.id.clone(), body.clone());
+            world.bodies.lock().unwrap().entry(call.id.clone()).or_default().push(body.clone());
             world.note(format!("{}: answers {} ACK, {} bytes", worker.name, call.id, body.len()));
             send_reply(&writer, &call.id, "ACK", "-", &body);
         }
@@ -724,7 +724,8 @@
         },
         _ => ("unreadable".to_string(), None),
     };
-    let is_right = body.is_none_or(|body| world.bodies.lock().unwrap().get(&id) == Some(&body));
+    let is_right = body
+        .is_none_or(|body| world.bodies.lock().unwrap().get(&id).is_some_and(|given| given.contains(&body)));
     let ms = world.note(format!(
         "client: {id} is answered: {outcome}{}",
         if is_right { "" } else { " (foreign body)" }
