--- a/adapter/src/events.rs
+++ b/adapter/src/events.rs
@@ -50,6 +50,7 @@
                 outcome: outcome(event)?,
                 latency: time_or(event, "lag", Micros(0))?,
                 report: report(event)?,
+                process: None,
             },
             "InPlace" => Event::LoadCompleted {
                 worker: worker(event)?,
@@ -107,6 +108,7 @@
             queue_depth: has_depth.then_some(remark / REMARK_CODES),
             load_failed: remark % REMARK_CODES == REMARK_LOAD_FAILED,
             report: report(event)?,
+            process: None,
         })))
     }
 
--- a/adapter/tests/platform.rs
+++ b/adapter/tests/platform.rs
@@ -9,7 +9,9 @@
 use slatevalve::{
     CellId, KindId, Listing, Micros, Outcome, Report, Scope, WorkerEntry, WorkerId, WorkerState, ZoneId,
 };
-use slatevalve_engine::{function_id, worker_id, AttemptEnd, AttemptRef, Engine, EngineSettings, Output};
+use slatevalve_engine::{
+    function_id, worker_id, AttemptEnd, AttemptRef, Engine, EngineSettings, Output, ProbeEnd,
+};
 use slatevalve_platform::front::{Front, FrontOutput, FrontSettings, LinkId};
 use slatevalve_site_config::SiteConfig;
 use std::collections::HashMap;
@@ -379,7 +381,8 @@
             ScriptedEvent::Probed { worker, queue } => {
                 let report = Some(Report { queue: Some(*queue), ..Report::default() });
                 let lag = Micros(1_000);
-                self.engine.probe_completed(self.now, number(worker), Outcome::Ok, lag, report, &mut out);
+                let end = ProbeEnd { outcome: Outcome::Ok, latency: lag, report, process: None };
+                self.engine.probe_completed(self.now, number(worker), end, &mut out);
             }
             ScriptedEvent::Loaded { worker, function, outcome } => {
                 let (worker, function): (WorkerId, _) = (number(worker), function_id(function));
--- a/benches/module.rs
+++ b/benches/module.rs
@@ -56,12 +56,16 @@
                         queue_depth: None,
                         load_failed: false,
                         report: Some(Report { queue: Some(0.0), inflight: Some(1.0), util: Some(0.3) }),
+                        process: None,
                     };
                     self.schedule(5_000, Event::Answer(answer));
                 }
                 Action::Probe { worker } => {
                     let (outcome, latency, report) = (Outcome::Ok, Micros(300), None);
-                    self.schedule(300, Event::ProbeCompleted { worker, outcome, latency, report });
+                    self.schedule(
+                        300,
+                        Event::ProbeCompleted { worker, outcome, latency, report, process: None },
+                    );
                 }
                 Action::Load { worker, function, copies } => {
                     let (outcome, latency) = (Outcome::Ok, Micros(1_000));
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -1,6 +1,6 @@
 //! Identity and outcome of one attempt of a call, as exchanged with the connection pool.
 
-use slatevalve::{Outcome, Report, RequestId};
+use slatevalve::{Micros, Outcome, ProcessInfo, Report, RequestId};
 use std::sync::Arc;
 
 /// Identifies one attempt of one call.
@@ -28,6 +28,21 @@
     pub load_failed: bool,
     /// Load report that came with the reply.
     pub report: Option<Report>,
+    /// The process that the attempt was sent to; `None` if nothing is known of it.
+    pub process: Option<ProcessInfo>,
+}
+
+/// How a health check ended, as reported by the connection pool.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ProbeEnd {
+    /// Outcome in the balancer's terms.
+    pub outcome: Outcome,
+    /// Time from the health check to its end.
+    pub latency: Micros,
+    /// Load report that came with the reply.
+    pub report: Option<Report>,
+    /// The process that replied; `None` if nothing is known of it.
+    pub process: Option<ProcessInfo>,
 }
 
 impl AttemptEnd {
@@ -41,6 +56,7 @@
             queue_depth: None,
             load_failed: false,
             report: None,
+            process: None,
         }
     }
 }
--- a/crates/engine/src/engine/actions.rs
+++ b/crates/engine/src/engine/actions.rs
@@ -26,7 +26,9 @@
     /// Executes one action. If it cannot be executed, returns the event that reports this to the balancer.
     fn execute(&mut self, action: Action, out: &mut Vec<Output>) -> Option<Event> {
         match action {
-            Action::Send { id, worker, timeout: _ } => return self.send(id, worker, out),
+            Action::Send { id, worker, timeout: _, process_since } => {
+                return self.send(id, worker, process_since, out);
+            }
             // Answers have no field for `retry_after`; the balancer sets it only if the settings allow it.
             Action::Refuse { id, retry_after: _ } => self.refuse(id, out),
             Action::Fail { id } => self.close(id, Verdict::Failed(Reason::NoResult), out),
@@ -40,7 +42,13 @@
         None
     }
 
-    fn send(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Output>) -> Option<Event> {
+    fn send(
+        &mut self,
+        id: RequestId,
+        worker: WorkerId,
+        process_since: Option<Micros>,
+        out: &mut Vec<Output>,
+    ) -> Option<Event> {
         let (now, is_suspended) = (self.now, self.is_suspended(id));
         let Some(call) = self.open_calls.get_mut(&id).filter(|call| !call.answered) else {
             let answer =
@@ -55,7 +63,8 @@
         }
         self.statistics.attempts += 1;
         let time_remaining = Micros(call.deadline.0.saturating_sub(now.0));
-        out.push(Output::Send { attempt, worker, body: call.body.clone(), time_remaining });
+        let body = call.body.clone();
+        out.push(Output::Send { attempt, worker, process_since, body, time_remaining });
         None
     }
 
@@ -113,5 +122,6 @@
         queue_depth: None,
         load_failed: false,
         report: None,
+        process: None,
     }
 }
--- a/crates/engine/src/engine/attempts.rs
+++ b/crates/engine/src/engine/attempts.rs
@@ -32,6 +32,7 @@
             queue_depth: end.queue_depth,
             load_failed: end.load_failed,
             report: end.report,
+            process: end.process,
         };
         self.dispatch(Event::Answer(answer), out);
         self.remove_if_closed(id);
@@ -53,7 +54,8 @@
         }
         self.statistics.version_mismatches += 1;
         out.push(Output::VersionMismatch { worker, version: version.clone(), ran: end.ran });
-        AttemptEnd { report: end.report, ..AttemptEnd::without_payload(Outcome::Error) }
+        let AttemptEnd { report, process, .. } = end;
+        AttemptEnd { report, process, ..AttemptEnd::without_payload(Outcome::Error) }
     }
 
     fn set_outcome(&mut self, of: AttemptRef, outcome: Outcome) {
--- a/crates/engine/src/engine/fleet.rs
+++ b/crates/engine/src/engine/fleet.rs
@@ -1,9 +1,10 @@
 //! Forwards events about workers, loads and routers to the balancer, and queries its view of replicas.
 
 use super::Engine;
+use crate::attempt::ProbeEnd;
 use crate::names::function_id;
 use crate::output::Output;
-use slatevalve::{Event, FunctionId, Listing, Micros, Outcome, Report, WorkerId};
+use slatevalve::{Event, FunctionId, Listing, Micros, Outcome, WorkerId};
 use std::sync::Arc;
 
 impl Engine {
@@ -13,10 +14,23 @@
         self.dispatch(Event::WorkersListed(listing), out);
     }
 
-    /// Handles the confirmation that the worker list is complete as of `now`. It may be acted on for `lease`.
-    pub fn worker_list_confirmed(&mut self, now: Micros, lease: Micros, out: &mut Vec<Output>) {
+    /// Handles the confirmation that the worker list is complete as of `as_of`. It may be acted on for `lease`
+    /// from `now`.
+    pub fn worker_list_confirmed(
+        &mut self,
+        now: Micros,
+        as_of: Micros,
+        lease: Micros,
+        out: &mut Vec<Output>,
+    ) {
+        self.advance_clock(now);
+        self.dispatch(Event::WorkerListConfirmed { as_of, lease }, out);
+    }
+
+    /// Handles that the worker list may be out of date.
+    pub fn worker_list_expired(&mut self, now: Micros, out: &mut Vec<Output>) {
         self.advance_clock(now);
-        self.dispatch(Event::WorkerListConfirmed { lease }, out);
+        self.dispatch(Event::WorkerListExpired, out);
     }
 
     /// Handles a change of the number of routers; `routers` includes this one.
@@ -26,17 +40,10 @@
     }
 
     /// Handles the end of a health check.
-    pub fn probe_completed(
-        &mut self,
-        now: Micros,
-        worker: WorkerId,
-        outcome: Outcome,
-        latency: Micros,
-        report: Option<Report>,
-        out: &mut Vec<Output>,
-    ) {
+    pub fn probe_completed(&mut self, now: Micros, worker: WorkerId, end: ProbeEnd, out: &mut Vec<Output>) {
         self.advance_clock(now);
-        self.dispatch(Event::ProbeCompleted { worker, outcome, latency, report }, out);
+        let ProbeEnd { outcome, latency, report, process } = end;
+        self.dispatch(Event::ProbeCompleted { worker, outcome, latency, report, process }, out);
     }
 
     /// Handles the end of a load request.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,7 +23,7 @@
 mod version;
 
 pub use answer::{Answer, Reason, Verdict};
-pub use attempt::{AttemptEnd, AttemptRef};
+pub use attempt::{AttemptEnd, AttemptRef, ProbeEnd};
 pub use call::{Call, ClientRef, Repeat, RunBody, Ticket};
 pub use duplicates::DuplicateLimits;
 pub use engine::{Engine, Statistics};
--- a/crates/engine/src/output.rs
+++ b/crates/engine/src/output.rs
@@ -16,6 +16,9 @@
         attempt: AttemptRef,
         /// Recipient of the request.
         worker: WorkerId,
+        /// If set, the attempt may reach only a process that is known to run since this time at the latest;
+        /// otherwise it ends as not sent.
+        process_since: Option<Micros>,
         /// Content of the request, shared by all attempts of the call.
         body: Arc<RunBody>,
         /// Time until the deadline of the call, at the time of this output.
--- a/crates/gateway/src/platform/change_log.rs
+++ b/crates/gateway/src/platform/change_log.rs
@@ -76,13 +76,14 @@
         }
     }
 
-    /// Renews the lease on the worker list: the list was confirmed, and may be used for `lease` from `now`.
-    pub(super) fn confirm_list(&mut self, now: Micros, lease: Micros) {
-        if std::mem::take(&mut self.list_expiry_logged) {
+    /// Renews the lease on the worker list: it was confirmed to be complete as of `as_of`, and may be used for
+    /// `lease` from `now`.
+    pub(super) fn confirm_list(&mut self, now: Micros, as_of: Micros, lease: Micros) {
+        if std::mem::take(&mut self.list_expiry_handled) {
             info!(now = now.0, seq = self.change_log.seq(), "the worker list is current again");
         }
         self.list_expires_at = after(now, lease);
-        self.engine.worker_list_confirmed(now, lease, &mut self.to_engine);
+        self.engine.worker_list_confirmed(now, as_of, lease, &mut self.to_engine);
     }
 
     /// Ends the lease on the worker list, which may be out of date. Unsent requests that were assigned by it
@@ -95,18 +96,26 @@
             "answer of the change log was read late; the worker list may be out of date"
         );
         self.list_expires_at = now;
-        self.engine.worker_list_confirmed(now, Micros(0), &mut self.to_engine);
+        self.engine.worker_list_expired(now, &mut self.to_engine);
         self.worker_side().cancel_all_unsent(now);
     }
 
-    /// Logs the end of the lease on the worker list, once per expiry.
-    pub(super) fn log_list_expiry(&mut self, now: Micros) {
-        if now >= self.list_expires_at && !std::mem::replace(&mut self.list_expiry_logged, true) {
+    /// When the lease on the worker list expires, unless it already has.
+    pub(super) fn next_list_expiry(&self) -> Option<Micros> {
+        (!self.list_expiry_handled).then_some(self.list_expires_at)
+    }
+
+    /// Handles the end of the lease on the worker list, once per expiry: logs it, and cancels the unsent
+    /// requests, which the engine then assigns by what workers say themselves.
+    pub(super) fn handle_list_expiry(&mut self, now: Micros) {
+        if now >= self.list_expires_at && !std::mem::replace(&mut self.list_expiry_handled, true) {
             warn!(
                 now = now.0,
                 seq = self.change_log.seq(),
                 "the worker list is out of date; workers are probed before new calls are sent to them"
             );
+            self.worker_side().cancel_all_unsent(now);
+            self.drain_outputs(now);
         }
     }
 
@@ -114,7 +123,8 @@
         let seq = self.change_log.seq();
         match event {
             ContactEvent::Confirmed { age } => {
-                self.confirm_list(now, Micros(LIST_LEASE.0.saturating_sub(age.0)));
+                let as_of = Micros(now.0.saturating_sub(age.0));
+                self.confirm_list(now, as_of, Micros(LIST_LEASE.0.saturating_sub(age.0)));
             }
             ContactEvent::Outdated => self.expire_list(now),
             ContactEvent::Lost { failure, silent_for } => {
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -72,7 +72,7 @@
     list_members: usize,
     /// End of the lease on the worker list; workers are probed before use after it.
     list_expires_at: Micros,
-    list_expiry_logged: bool,
+    list_expiry_handled: bool,
     /// Number of change log outages so far.
     list_outages: u64,
     shutdown: Shutdown,
@@ -127,7 +127,7 @@
         };
         self.handle_events(now, events);
         self.advance_log(now);
-        self.log_list_expiry(now);
+        self.handle_list_expiry(now);
         self.advance_calls(now);
         self.listener.resume_if_due(now, &mut self.reactor);
         self.retry_reload_if_due(now);
@@ -159,6 +159,7 @@
             self.listener.resume_at(),
             self.reload_retry.map(|retry| retry.at),
             Some(self.change_log.next_wake()),
+            self.next_list_expiry(),
         ];
         event_loop::poll_timeout(now, timers)
     }
--- a/crates/gateway/src/platform/startup.rs
+++ b/crates/gateway/src/platform/startup.rs
@@ -99,7 +99,7 @@
             iteration_log: IterationLog::default(),
             list_members: 0,
             list_expires_at: Micros(0),
-            list_expiry_logged: false,
+            list_expiry_handled: false,
             list_outages: 0,
             shutdown: Shutdown::new(longest_deadline),
             reload_retry: None,
@@ -123,7 +123,8 @@
         for change in known.changes {
             self.apply_change(now, change);
         }
-        self.confirm_list(now, lease);
+        // No connection is older than the start, so none leads to a process that this list names for sure.
+        self.confirm_list(now, now, lease);
         self.drain_outputs(now);
     }
 }
--- a/crates/gateway/src/server/pool/connections.rs
+++ b/crates/gateway/src/server/pool/connections.rs
@@ -17,6 +17,8 @@
     pub(super) reader: Box<dyn ReplyReader>,
     /// Whether the connection is established.
     pub(super) connected: bool,
+    /// Since when the process at its other end is known to run; `None` until the connection is established.
+    pub(super) process_since: Option<Micros>,
     /// Whether the connection is closed once its requests have completed, instead of being reused.
     pub(super) retired: bool,
     /// Requests queued or in flight.
@@ -46,6 +48,7 @@
             worker,
             reader,
             connected: false,
+            process_since: None,
             retired: false,
             requests: BTreeMap::new(),
             next_tag: 0,
@@ -70,6 +73,16 @@
         let same_kind = self.requests.values().all(|r| r.purpose.can_share_with(purpose));
         !self.retired && same_kind && self.requests.len() < max_requests && !self.has_carried(purpose)
     }
+
+    /// Whether the process at the other end is known to run since `limit` at the latest.
+    fn leads_to_process(&self, limit: Micros) -> bool {
+        self.process_since.is_some_and(|since| since <= limit)
+    }
+
+    fn set_connected(&mut self, now: Micros) {
+        self.connected = true;
+        self.process_since.get_or_insert(now);
+    }
 }
 
 impl Pool {
@@ -88,19 +101,40 @@
         purpose: Purpose,
     ) -> Result<Id, Outcome> {
         self.peers.get(&worker).filter(|p| p.is_listed).ok_or(Outcome::NotSent)?;
-        if let Some(id) = self.take_idle(now, reactor, worker, purpose) {
+        if let Some(id) = self.take_idle(now, reactor, worker, purpose, |_| true) {
             return Ok(id);
         }
         let peer = self.peers.get(&worker).ok_or(Outcome::NotSent)?;
         if peer.connections.len() >= self.settings.max_connections_per_worker {
-            return self.find_shareable(worker, purpose).ok_or(Outcome::ConnectFailed);
+            return self.find_shareable(worker, purpose, |_| true).ok_or(Outcome::ConnectFailed);
         }
         if self.connections.len() >= self.settings.max_connections && !self.close_longest_idle(reactor) {
-            return self.find_shareable(worker, purpose).ok_or(Outcome::NotSent);
+            return self.find_shareable(worker, purpose, |_| true).ok_or(Outcome::NotSent);
         }
         self.open_connection(now, reactor, worker, purpose)
     }
 
+    /// Selects a connection for a request that may reach only a process known to run since `limit`: an idle
+    /// one if available, otherwise one with requests of the same kind. A new one could lead to another
+    /// process.
+    ///
+    /// # Errors
+    /// [`Outcome::NotSent`] if no such connection is available.
+    pub(super) fn acquire_to_process(
+        &mut self,
+        now: Micros,
+        reactor: &mut Reactor,
+        worker: WorkerId,
+        purpose: Purpose,
+        limit: Micros,
+    ) -> Result<Id, Outcome> {
+        self.peers.get(&worker).filter(|p| p.is_listed).ok_or(Outcome::NotSent)?;
+        let is_suitable = |connection: &Connection| connection.leads_to_process(limit);
+        self.take_idle(now, reactor, worker, purpose, is_suitable)
+            .or_else(|| self.find_shareable(worker, purpose, is_suitable))
+            .ok_or(Outcome::NotSent)
+    }
+
     /// Opens a connection; shares an existing one if no descriptor is available or the address is
     /// unreachable.
     fn open_connection(
@@ -112,7 +146,7 @@
     ) -> Result<Id, Outcome> {
         let peer = self.peers.get_mut(&worker).ok_or(Outcome::NotSent)?;
         let Ok(id) = reactor.connect(peer.address) else {
-            return self.find_shareable(worker, purpose).ok_or(Outcome::ConnectFailed);
+            return self.find_shareable(worker, purpose, |_| true).ok_or(Outcome::ConnectFailed);
         };
         peer.connections.push(id);
         let deadline = after(now, self.settings.connect_timeout);
@@ -131,13 +165,19 @@
         reactor: &mut Reactor,
         worker: WorkerId,
         purpose: Purpose,
+        is_suitable: impl Fn(&Connection) -> bool,
     ) -> Option<Id> {
         for id in self.peers.get(&worker)?.idle.clone().into_iter().rev() {
             let Some(connection) = self.connections.get(&id) else { continue };
-            let expired = connection.deadline.is_some_and(|at| at <= now);
-            if expired || (connection.connected && !reactor.is_reusable(id)) {
+            let has_expired = connection.deadline.is_some_and(|at| at <= now);
+            let has_ended = connection.connected && !reactor.is_reusable(id);
+            let is_selected = !connection.has_carried(purpose) && is_suitable(connection);
+            if has_ended {
+                self.record_connection_end(now, worker);
+            }
+            if has_expired || has_ended {
                 self.close_connection(reactor, id);
-            } else if !connection.has_carried(purpose) {
+            } else if is_selected {
                 self.peers.get_mut(&worker)?.idle.retain(|i| *i != id);
                 return Some(id);
             }
@@ -147,11 +187,16 @@
 
     /// The worker's connection with the fewest requests, among those that may carry another request of this
     /// kind.
-    fn find_shareable(&self, worker: WorkerId, purpose: Purpose) -> Option<Id> {
+    fn find_shareable(
+        &self,
+        worker: WorkerId,
+        purpose: Purpose,
+        is_suitable: impl Fn(&Connection) -> bool,
+    ) -> Option<Id> {
         let max_requests = self.protocol.max_streams();
         let ids = self.peers.get(&worker)?.connections.iter();
         ids.filter_map(|id| Some((*id, self.connections.get(id)?)))
-            .filter(|(_, connection)| connection.can_share(purpose, max_requests))
+            .filter(|(_, connection)| connection.can_share(purpose, max_requests) && is_suitable(connection))
             .min_by_key(|(id, connection)| (connection.requests.len(), *id))
             .map(|(id, _)| id)
     }
@@ -160,7 +205,7 @@
     /// cancelled before.
     pub(crate) fn connected(&mut self, now: Micros, reactor: &mut Reactor, id: Id) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        connection.connected = true;
+        connection.set_connected(now);
         connection.deadline = None;
         self.release(now, reactor, id);
     }
@@ -178,6 +223,7 @@
         let parsed = connection.reader.feed(bytes, &mut completed);
         let mut ends: Vec<RequestEnd> = Vec::new();
         for CompletedRequest { tag, reply } in completed {
+            self.record_running_process(id, tag);
             ends.extend(self.complete(now, id, tag, reply));
         }
         if parsed.is_err() {
@@ -191,15 +237,41 @@
         ends
     }
 
+    /// Records that the process on a connection runs, as it replied to the request `tag`: the worker's other
+    /// connections that were established before the request lead to the same process, which has not left the
+    /// address meanwhile.
+    fn record_running_process(&mut self, id: Id, tag: Tag) {
+        let Some(connection) = self.connections.get(&id).filter(|connection| !connection.retired) else {
+            return;
+        };
+        let (Some(since), Some(request)) = (connection.process_since, connection.requests.get(&tag)) else {
+            return;
+        };
+        let requested_at = request.submitted_at;
+        for other in self.connections_of(connection.worker) {
+            let Some(other) = self.connections.get_mut(&other) else { continue };
+            if other.leads_to_process(requested_at) {
+                other.process_since = other.process_since.min(Some(since));
+            }
+        }
+    }
+
     /// Handles a closed connection. `written` is the number of bytes that the kernel accepted on it in total.
     pub(crate) fn closed(&mut self, now: Micros, id: Id, connected: bool, written: u64) -> Vec<RequestEnd> {
         let Some(connection) = self.connections.get_mut(&id) else { return Vec::new() };
         connection.connected = connected;
+        if connected {
+            connection.set_connected(now);
+        }
+        let worker = connection.worker;
         let last = connection.reader.end().filter(|_| connected);
         let mut ends: Vec<RequestEnd> =
             last.and_then(|l| self.complete(now, id, l.tag, l.reply)).into_iter().collect();
         let outcomes = FailureOutcomes { sent: Outcome::Reset, unsent: Outcome::ConnectFailed };
         ends.extend(self.complete_all(now, id, written, outcomes));
+        if connected {
+            self.record_connection_end(now, worker);
+        }
         self.remove_connection(id);
         ends
     }
--- a/crates/gateway/src/server/pool/mod.rs
+++ b/crates/gateway/src/server/pool/mod.rs
@@ -7,6 +7,10 @@
 //! malformed reply or a reset affects no other request; beyond the limits, requests of the same kind share
 //! connections.
 //!
+//! A worker's address may be taken over by another process. Connections tell the two apart: an established one
+//! leads to the same process until it ends. So each end of a request carries since when the process has been
+//! running at the latest, and a request can be limited to processes that run since a given time.
+//!
 //! The event loops pass reactor events in and receive [`RequestEnd`]s. Bounds:
 //! [`PoolSettings::max_connections`] connections, [`WorkerProtocol::max_streams`] requests on each, one peer
 //! for each worker that is listed or has a connection.
@@ -31,7 +35,7 @@
 use connections::Connection;
 use peers::Peer;
 use requests::RequestKey;
-use slatevalve::{FunctionId, Micros, WorkerId};
+use slatevalve::{FunctionId, Micros, ProcessInfo, WorkerId};
 use slatevalve_engine::{AttemptRef, Timers};
 use slatevalve_reactor::Id;
 use slatevalve_worker_protocol::reply::ParsedReply;
@@ -67,6 +71,8 @@
     pub purpose: Purpose,
     /// Time from submission to completion.
     pub latency: Micros,
+    /// The process that the request was sent to; `None` if no connection to it was established.
+    pub process: Option<ProcessInfo>,
     /// The worker's reply; only an outcome without payload if the request ended without a reply.
     pub reply: ParsedReply,
 }
--- a/crates/gateway/src/server/pool/outputs.rs
+++ b/crates/gateway/src/server/pool/outputs.rs
@@ -3,7 +3,7 @@
 use super::requests::OutgoingRequest;
 use super::{Pool, Purpose, RequestEnd};
 use slatevalve::{FunctionId, Micros, Outcome, WorkerId};
-use slatevalve_engine::{AttemptEnd, AttemptRef, Engine, Output, RunBody};
+use slatevalve_engine::{AttemptEnd, AttemptRef, Engine, Output, ProbeEnd, RunBody};
 use slatevalve_reactor::Reactor;
 use slatevalve_worker_protocol::{Call, WorkerRequest};
 use tracing::debug;
@@ -23,8 +23,9 @@
         out: &mut Vec<Output>,
     ) -> Option<Output> {
         let end = match output {
-            Output::Send { attempt, worker, body, time_remaining } => {
+            Output::Send { attempt, worker, process_since, body, time_remaining } => {
                 let request = self.attempt_request(now, worker, attempt, &body, time_remaining, classes);
+                let request = OutgoingRequest { process_since, ..request };
                 self.submit(now, reactor, request)
             }
             Output::Load { worker, function, name, copies } => {
@@ -33,11 +34,11 @@
             }
             Output::Unload { worker, name } => {
                 let message = WorkerRequest::Unload { function: name.to_string() };
-                self.submit(now, reactor, OutgoingRequest { worker, purpose: Purpose::Unload, message })
+                self.submit(now, reactor, OutgoingRequest::to_any(worker, Purpose::Unload, message))
             }
             Output::Probe(worker) => {
                 let message = WorkerRequest::Ready;
-                self.submit(now, reactor, OutgoingRequest { worker, purpose: Purpose::Probe, message })
+                self.submit(now, reactor, OutgoingRequest::to_any(worker, Purpose::Probe, message))
             }
             Output::Cancel(attempt) => {
                 self.end_attempt(now, reactor, engine, attempt, Outcome::Cancelled, out);
@@ -74,7 +75,7 @@
             "attempt submitted"
         );
         let call = worker_call(classes, &self.document_versions, attempt, body, time_remaining);
-        OutgoingRequest { worker, purpose: Purpose::Attempt(attempt), message: WorkerRequest::Infer(call) }
+        OutgoingRequest::to_any(worker, Purpose::Attempt(attempt), WorkerRequest::Infer(call))
     }
 
     /// Builds a request to have `copies` replicas loaded; for 0, a request to count the loaded replicas.
@@ -97,7 +98,7 @@
             0 => WorkerRequest::Count { function: name.to_string() },
             _ => WorkerRequest::Load { function: name.to_string(), copies },
         };
-        OutgoingRequest { worker, purpose: Purpose::Load(function), message }
+        OutgoingRequest::to_any(worker, Purpose::Load(function), message)
     }
 
     fn end_attempt(
@@ -125,13 +126,15 @@
         engine: &mut Engine,
         out: &mut Vec<Output>,
     ) {
-        let RequestEnd { worker, purpose, latency, reply } = end;
+        let RequestEnd { worker, purpose, latency, process, reply } = end;
         debug!(
             now_us = now.0,
             worker = self.name(worker),
             ?purpose,
             outcome = ?reply.outcome,
             latency_us = latency.0,
+            process_since_us = process.map(|process| process.since.0),
+            may_be_new_process = process.map(|process| process.may_be_new),
             queue_depth = reply.queue_depth,
             replicas = reply.copies,
             report = ?reply.report,
@@ -146,10 +149,15 @@
                     queue_depth: reply.queue_depth,
                     load_failed: reply.load_failed,
                     report: reply.report,
+                    process,
                 };
                 engine.attempt_completed(now, attempt, end, out);
             }
-            Purpose::Probe => engine.probe_completed(now, worker, reply.outcome, latency, reply.report, out),
+            Purpose::Probe => {
+                let (outcome, report) = (reply.outcome, reply.report);
+                let end = ProbeEnd { outcome, latency, report, process };
+                engine.probe_completed(now, worker, end, out);
+            }
             Purpose::Load(function) => {
                 engine.load_completed(now, worker, function, reply.outcome, reply.copies, latency, out);
             }
--- a/crates/gateway/src/server/pool/peers.rs
+++ b/crates/gateway/src/server/pool/peers.rs
@@ -2,7 +2,7 @@
 
 use super::connections::Connection;
 use super::Pool;
-use slatevalve::WorkerId;
+use slatevalve::{Micros, ProcessInfo, WorkerId};
 use slatevalve_reactor::{Id, Reactor};
 use std::net::SocketAddr;
 
@@ -17,6 +17,8 @@
     pub(super) idle: Vec<Id>,
     /// All connections, in the order they were opened.
     pub(super) connections: Vec<Id>,
+    /// When an established connection last ended without the pool closing it, as at the end of a process.
+    pub(super) connection_ended_at: Option<Micros>,
     /// Whether new requests may be sent to the worker.
     pub(super) is_listed: bool,
 }
@@ -39,6 +41,7 @@
             host: address.to_string(),
             idle: Vec::new(),
             connections: Vec::new(),
+            connection_ended_at: None,
             is_listed: true,
         });
         peer.is_listed = true;
@@ -71,6 +74,21 @@
         self.peers.get(&worker).map(|p| p.connections.clone()).unwrap_or_default()
     }
 
+    /// Records that an established connection to a worker ended without the pool closing it.
+    pub(super) fn record_connection_end(&mut self, now: Micros, worker: WorkerId) {
+        if let Some(peer) = self.peers.get_mut(&worker) {
+            peer.connection_ended_at = Some(now);
+        }
+    }
+
+    /// What is known of the process at the other end of a connection; `None` if it is not established.
+    pub(super) fn process_at(&self, connection: Id) -> Option<ProcessInfo> {
+        let connection = self.connections.get(&connection)?;
+        let since = connection.process_since?;
+        let ended_at = self.peers.get(&connection.worker).and_then(|peer| peer.connection_ended_at);
+        Some(ProcessInfo { since, may_be_new: ended_at.is_some_and(|at| since >= at) })
+    }
+
     fn close_idle(&mut self, reactor: &mut Reactor, worker: WorkerId) {
         let idle = self.peers.get_mut(&worker).map(|p| std::mem::take(&mut p.idle)).unwrap_or_default();
         for id in idle {
--- a/crates/gateway/src/server/pool/requests.rs
+++ b/crates/gateway/src/server/pool/requests.rs
@@ -14,9 +14,18 @@
 pub(super) struct OutgoingRequest {
     pub(super) worker: WorkerId,
     pub(super) purpose: Purpose,
+    /// If set, the request may reach only a process that is known to run since this time at the latest.
+    pub(super) process_since: Option<Micros>,
     pub(super) message: WorkerRequest,
 }
 
+impl OutgoingRequest {
+    /// A request that may reach any process at the worker's address.
+    pub(super) fn to_any(worker: WorkerId, purpose: Purpose, message: WorkerRequest) -> Self {
+        OutgoingRequest { worker, purpose, process_since: None, message }
+    }
+}
+
 /// A request queued or in flight on a connection.
 pub(super) struct PendingRequest {
     pub(super) purpose: Purpose,
@@ -56,15 +65,23 @@
         reactor: &mut Reactor,
         request: OutgoingRequest,
     ) -> Option<RequestEnd> {
-        let OutgoingRequest { worker, purpose, message } = request;
-        match self.acquire(now, reactor, worker, purpose) {
+        let OutgoingRequest { worker, purpose, process_since, message } = request;
+        let connection = match process_since {
+            Some(limit) => self.acquire_to_process(now, reactor, worker, purpose, limit),
+            None => self.acquire(now, reactor, worker, purpose),
+        };
+        match connection {
             Ok(id) => {
                 self.enqueue(now, reactor, id, purpose, message);
                 None
             }
-            Err(outcome) => {
-                Some(RequestEnd { worker, purpose, latency: Micros(0), reply: without_payload(outcome) })
-            }
+            Err(outcome) => Some(RequestEnd {
+                worker,
+                purpose,
+                latency: Micros(0),
+                process: None,
+                reply: without_payload(outcome),
+            }),
         }
     }
 
@@ -119,6 +136,7 @@
         tag: Tag,
         reply: ParsedReply,
     ) -> Option<RequestEnd> {
+        let process = self.process_at(id);
         let connection = self.connections.get_mut(&id)?;
         let request = connection.requests.remove(&tag)?;
         connection.reader.forget(tag);
@@ -127,7 +145,7 @@
             connection.remember_call(attempt.request);
         }
         let latency = Micros(now.0.saturating_sub(request.submitted_at.0));
-        Some(RequestEnd { worker: connection.worker, purpose: request.purpose, latency, reply })
+        Some(RequestEnd { worker: connection.worker, purpose: request.purpose, latency, process, reply })
     }
 
     /// Cancels a worker's requests of which no byte has been written. Connections without further requests
--- a/crates/gateway/src/server/pool/tests.rs
+++ b/crates/gateway/src/server/pool/tests.rs
@@ -18,6 +18,8 @@
     reactor: Reactor,
     pool: Pool,
     worker: TcpListener,
+    /// Time of the pool's events.
+    now: Micros,
 }
 
 impl PoolFixture {
@@ -35,6 +37,7 @@
             reactor: Reactor::new(1 << 20).expect("create a poller"),
             pool: Pool::new(settings, Box::new(wire), Micros(10_000_000)),
             worker,
+            now: Micros(1),
         };
         let address = fixture.worker.local_addr().expect("local address of the listener");
         fixture.pool.list(&mut fixture.reactor, WORKER, "w", address);
@@ -58,12 +61,20 @@
             class: "card-charge".into(),
             settings: Vec::new(),
         });
-        let request = OutgoingRequest { worker: WORKER, purpose: Purpose::Attempt(attempt), message };
-        let end = self.pool.submit(Micros(0), &mut self.reactor, request);
+        let request = OutgoingRequest::to_any(WORKER, Purpose::Attempt(attempt), message);
+        let end = self.pool.submit(self.now, &mut self.reactor, request);
         assert!(end.is_none(), "the request is accepted");
         attempt
     }
 
+    /// Submits a health check that may reach only a process that runs since `limit`; returns its end if no
+    /// connection leads to one.
+    fn probe(&mut self, limit: Option<Micros>) -> Option<Outcome> {
+        let probe = OutgoingRequest::to_any(WORKER, Purpose::Probe, WorkerRequest::Ready);
+        let probe = OutgoingRequest { process_since: limit, ..probe };
+        self.pool.submit(self.now, &mut self.reactor, probe).map(|end| end.reply.outcome)
+    }
+
     /// Polls until a connection is established. The pool does not handle the event, as if other events of the
     /// iteration were handled first. Nothing has been written yet.
     fn poll_until_connected(&mut self) -> Id {
@@ -111,22 +122,27 @@
 
     /// Runs one loop iteration in which the pool handles all events.
     fn poll(&mut self) -> Vec<Outcome> {
+        Self::outcomes(self.poll_ends())
+    }
+
+    /// Like [`PoolFixture::poll`], with all that is known of each completed request.
+    fn poll_ends(&mut self) -> Vec<RequestEnd> {
         let mut events = Vec::new();
         self.reactor.poll(Some(Duration::from_millis(20)), &mut events).expect("poll");
         let mut ends = Vec::new();
         for event in events {
             match event {
-                ReactorEvent::Connected(id) => self.pool.connected(Micros(1), &mut self.reactor, id),
+                ReactorEvent::Connected(id) => self.pool.connected(self.now, &mut self.reactor, id),
                 ReactorEvent::Received(id, bytes) => {
-                    ends.extend(self.pool.received(Micros(1), &mut self.reactor, id, &bytes));
+                    ends.extend(self.pool.received(self.now, &mut self.reactor, id, &bytes));
                 }
                 ReactorEvent::Closed { id, connected, written } => {
-                    ends.extend(self.pool.closed(Micros(1), id, connected, written));
+                    ends.extend(self.pool.closed(self.now, id, connected, written));
                 }
                 _ => {}
             }
         }
-        Self::outcomes(ends)
+        ends
     }
 
     /// Polls until a number of requests have completed.
@@ -141,6 +157,16 @@
         panic!("fewer than {number} requests completed within 1000 polls: {ends:?}");
     }
 
+    /// Polls until a request has completed; returns what is known of the process that it was sent to.
+    fn poll_process(&mut self) -> ProcessInfo {
+        for _ in 0..1000 {
+            if let Some(end) = self.poll_ends().pop() {
+                return end.process.expect("the connection was established");
+            }
+        }
+        panic!("no request completed within 1000 polls");
+    }
+
     /// Completes a call on a connection of its own; returns the worker's side of that connection.
     fn serve_call(&mut self, request: u64) -> TcpStream {
         self.call(request);
@@ -167,6 +193,15 @@
     }
 }
 
+/// Answers the next health check on the worker's side of a connection, whose tag is `tag`.
+fn answer_probe(peer: &mut TcpStream, tag: u64) {
+    let expected = format!("load t{tag}\r\n");
+    let mut line = vec![0; expected.len()];
+    peer.read_exact(&mut line).expect("read a health check within the timeout");
+    assert_eq!(String::from_utf8_lossy(&line), expected);
+    peer.write_all(format!("t{tag} READY - 0\r\n\r\n").as_bytes()).expect("the connection is open");
+}
+
 /// Reads calls on the worker's side; returns their request ids.
 fn received_calls(peer: &mut TcpStream, number: usize) -> Vec<String> {
     let mut text = String::new();
@@ -277,7 +312,7 @@
     // expires.
     let attempt = fixture.call(2);
     fixture.cancel_attempt(attempt);
-    let probe = OutgoingRequest { worker: WORKER, purpose: Purpose::Probe, message: WorkerRequest::Ready };
+    let probe = OutgoingRequest::to_any(WORKER, Purpose::Probe, WorkerRequest::Ready);
     let end = fixture.pool.submit(Micros(20_000_000), &mut fixture.reactor, probe);
     assert!(end.is_none());
     assert_eq!(fixture.pool.sizes()[1], 1, "the old connection is closed and a new one opened");
@@ -321,3 +356,58 @@
     let ends = fixture.poll_until_completed(2);
     assert_eq!(ends[0], Outcome::Ok, "{ends:?}");
 }
+
+/// Guards against a call to a process that took over the worker's address, where it may only reach the one
+/// before (review/4).
+#[test]
+fn a_request_limited_to_an_older_process_never_opens_a_connection() {
+    let mut fixture = PoolFixture::new(8);
+    let _first = fixture.serve_call(1);
+    assert_eq!(fixture.probe(Some(Micros(0))), Some(Outcome::NotSent), "the connection is younger");
+    assert_eq!(fixture.probe(Some(Micros(1))), None, "the connection is old enough");
+    assert_eq!(fixture.probe(Some(Micros(1))), None, "it is shared, as a new one would be younger");
+    assert_eq!(fixture.pool.sizes()[1], 1);
+}
+
+/// Guards against processes that count as new only because a connection to them is: a reply on an older one
+/// shows that the same process has been at the address all the time.
+#[test]
+fn a_reply_on_an_older_connection_tells_since_when_the_process_runs() {
+    let mut fixture = PoolFixture::new(8);
+    let mut old = fixture.serve_call(1);
+    // A retry does not use the connection that carried the call before.
+    fixture.now = Micros(100);
+    fixture.attempt(1, 1);
+    let mut new = fixture.peer();
+    fixture.poll();
+    fixture.poll();
+    assert_eq!(received_calls(&mut new, 1), [format!("{:016x}", 1)]);
+    // A reply to a request from before the new connection would show nothing.
+    fixture.now = Micros(200);
+    assert_eq!(fixture.probe(None), None);
+    fixture.poll();
+    answer_probe(&mut old, 1);
+    assert_eq!(fixture.poll_process().since, Micros(1));
+    send_reply(&mut new, 1, "ACK");
+    assert_eq!(fixture.poll_process(), ProcessInfo { since: Micros(1), may_be_new: false });
+}
+
+/// Guards against slow start being skipped for a process that replaced another one unnoticed.
+#[test]
+fn a_connection_opened_after_another_one_ended_may_lead_to_a_new_process() {
+    for is_handled in [true, false] {
+        let mut fixture = PoolFixture::new(8);
+        drop(fixture.serve_call(1));
+        fixture.now = Micros(100);
+        if is_handled {
+            fixture.poll();
+        }
+        fixture.call(2);
+        let mut peer = fixture.peer();
+        fixture.poll();
+        fixture.poll();
+        assert_eq!(received_calls(&mut peer, 1), [format!("{:016x}", 2)]);
+        send_reply(&mut peer, 2, "ACK");
+        assert_eq!(fixture.poll_process(), ProcessInfo { since: Micros(100), may_be_new: true });
+    }
+}
--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod crossings;
 mod fleet_size;
 mod list_outage;
+mod replaced_worker;
 mod soak;
 mod stepped_router;
 #[path = "../support/mod.rs"]
--- a/crates/gateway/tests/platform/test_servers/change_log.rs
+++ b/crates/gateway/tests/platform/test_servers/change_log.rs
@@ -38,7 +38,12 @@
 }
 
 fn member(id: &str, address: SocketAddr, phase: &str) -> Value {
-    json!({"id": id, "host_port": address.to_string(), "locality": "a", "flavor": "duo", "cell": 0,
+    member_of_cell(id, address, phase, 0)
+}
+
+/// A list entry of a worker in the given cell.
+pub(crate) fn member_of_cell(id: &str, address: SocketAddr, phase: &str, cell: u64) -> Value {
+    json!({"id": id, "host_port": address.to_string(), "locality": "a", "flavor": "duo", "cell": cell,
         "phase": phase, "size": 4, "up_since_ms": 0})
 }
 
--- a/crates/gateway/tests/platform/test_servers/fleet_worker.rs
+++ b/crates/gateway/tests/platform/test_servers/fleet_worker.rs
@@ -1,5 +1,5 @@
-//! A worker that records every command it receives, and that can drain, hang, reset connections and report
-//! missing functions.
+//! A worker that records every command it receives, and that can drain, hang, fail calls, reset connections,
+//! report missing functions and be replaced by another process at its address.
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -32,6 +32,8 @@
 pub(crate) struct Received {
     pub at: Instant,
     pub command: Command,
+    /// Number of the process that received it: 0 for the first one at the worker's address.
+    pub process: usize,
 }
 
 /// How a worker responds to calls: shares in percent that fail; the remaining calls are served.
@@ -55,6 +57,9 @@
     behaviour: Behaviour,
     is_draining: AtomicBool,
     is_hanging: AtomicBool,
+    is_failing: AtomicBool,
+    /// Number of the process that accepts connections.
+    process: AtomicUsize,
     received: Mutex<Vec<Received>>,
     loaded: Mutex<HashSet<String>>,
     connections: Mutex<HashMap<usize, TcpStream>>,
@@ -76,6 +81,8 @@
             behaviour,
             is_draining: AtomicBool::new(false),
             is_hanging: AtomicBool::new(false),
+            is_failing: AtomicBool::new(false),
+            process: AtomicUsize::new(0),
             received: Mutex::default(),
             loaded: Mutex::default(),
             connections: Mutex::default(),
@@ -103,6 +110,18 @@
         self.state.is_hanging.store(is_hanging, Ordering::SeqCst);
     }
 
+    /// While the worker fails, it executes calls and answers each with an error.
+    pub(crate) fn set_failing(&self, is_failing: bool) {
+        self.state.is_failing.store(is_failing, Ordering::SeqCst);
+    }
+
+    /// Ends the worker's process; another one listens at its address from now on.
+    pub(crate) fn replace(&self) {
+        self.state.process.fetch_add(1, Ordering::SeqCst);
+        self.state.loaded.lock().unwrap().clear();
+        self.reset_connections();
+    }
+
     /// Resets all connections, as the exit of the worker's process would.
     pub(crate) fn reset_connections(&self) {
         for (_, stream) in self.state.connections.lock().unwrap().drain() {
@@ -126,11 +145,12 @@
         let number = self.state.accepted.fetch_add(1, Ordering::SeqCst);
         let Ok(copy) = stream.try_clone() else { return };
         self.state.connections.lock().unwrap().insert(number, copy);
-        let _ = self.serve_commands(stream);
+        let process = self.state.process.load(Ordering::SeqCst);
+        let _ = self.serve_commands(process, stream);
         self.state.connections.lock().unwrap().remove(&number);
     }
 
-    fn serve_commands(&self, mut stream: TcpStream) -> Option<()> {
+    fn serve_commands(&self, process: usize, mut stream: TcpStream) -> Option<()> {
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let mut line = String::new();
         loop {
@@ -148,8 +168,8 @@
                 thread::sleep(Duration::from_millis(5));
             }
             match tokens[0] {
-                "exec" => self.execute(at, tokens[1], tokens[2], &body, &mut stream)?,
-                "ensure" => self.load(at, tokens[1], tokens[2], &mut stream)?,
+                "exec" => self.execute((process, at), tokens[1], tokens[2], &body, &mut stream)?,
+                "ensure" => self.load((process, at), tokens[1], tokens[2], &mut stream)?,
                 "load" | "health" => self.report(tokens[1], &mut stream)?,
                 "drop" | "release" => {}
                 other => panic!("the worker received an unknown command {other:?}"),
@@ -159,7 +179,7 @@
 
     fn execute(
         &self,
-        at: Instant,
+        arrival: (usize, Instant),
         id: &str,
         fields: &str,
         body: &[u8],
@@ -172,7 +192,7 @@
         let is_missing = !is_loaded || (reset_percent..reset_percent + miss_percent).contains(&drawn);
         let ran = !is_draining && !is_missing;
         let max_ms = field(fields, "max").parse().expect("`max` is a number of milliseconds");
-        self.record(at, Command::Exec { id: id.into(), max_ms, ran });
+        self.record(arrival, Command::Exec { id: id.into(), max_ms, ran });
         if !ran {
             let status = if is_draining { "AGAIN" } else { "NOENT" };
             return answer(stream, id, status, "-", b"");
@@ -184,12 +204,15 @@
             let _ = socket.shutdown(std::net::Shutdown::Both);
             return None;
         }
+        if self.state.is_failing.load(Ordering::SeqCst) {
+            return answer(stream, id, "EIO", "-", b"");
+        }
         answer(stream, id, "ACK", "-", body)
     }
 
-    fn load(&self, at: Instant, tag: &str, fields: &str, stream: &mut TcpStream) -> Option<()> {
+    fn load(&self, arrival: (usize, Instant), tag: &str, fields: &str, stream: &mut TcpStream) -> Option<()> {
         if field(fields, "copies") != "0" {
-            self.record(at, Command::Ensure);
+            self.record(arrival, Command::Ensure);
         }
         if self.state.is_draining.load(Ordering::SeqCst) {
             return answer(stream, tag, "AGAIN", "copies=0", b"");
@@ -205,8 +228,9 @@
         answer(stream, tag, status, "report=queue:0", b"")
     }
 
-    fn record(&self, at: Instant, command: Command) {
-        self.state.received.lock().unwrap().push(Received { at, command });
+    /// Records a command that a process, given by its number, has received.
+    fn record(&self, (process, at): (usize, Instant), command: Command) {
+        self.state.received.lock().unwrap().push(Received { at, command, process });
     }
 }
 
--- a/src/api/actions.rs
+++ b/src/api/actions.rs
@@ -13,6 +13,9 @@
         worker: WorkerId,
         /// Limit of the attempt's duration; `None` leaves the client's deadline as the only limit.
         timeout: Option<Micros>,
+        /// If set, the attempt may reach only a process that is known to run since this time at the latest;
+        /// otherwise it ends as [`Outcome::NotSent`](super::Outcome::NotSent).
+        process_since: Option<Micros>,
     },
     /// Refuse a request; repeating it is safe.
     Refuse {
--- a/src/api/events.rs
+++ b/src/api/events.rs
@@ -33,6 +33,16 @@
     }
 }
 
+/// What the connections to a worker's address show of the process there, which may have replaced another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessInfo {
+    /// Since when the process is known to run without interruption.
+    pub since: Micros,
+    /// Whether connections to the address ended before that without this router closing them, as they do when
+    /// a process ends.
+    pub may_be_new: bool,
+}
+
 /// State of a worker in the worker list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WorkerState {
@@ -134,6 +144,8 @@
     pub load_failed: bool,
     /// Load report that the response carried.
     pub report: Option<Report>,
+    /// The process that the attempt was sent to; `None` if nothing is known of it.
+    pub process: Option<ProcessInfo>,
 }
 
 /// Input of the balancer.
@@ -157,11 +169,16 @@
     },
     /// The worker list was updated.
     WorkersListed(Listing),
-    /// The worker list is complete as of now. As long as no such event has arrived, the list never expires.
+    /// The worker list was confirmed to be complete. As long as no such event has arrived, the list never
+    /// expires, and each worker counts as the process that the list names.
     WorkerListConfirmed {
-        /// How long the list may be relied on without another confirmation.
+        /// Time as of which the list is complete.
+        as_of: Micros,
+        /// How long from now the list may be relied on without another confirmation.
         lease: Micros,
     },
+    /// The worker list may be out of date from now on, until it is confirmed again.
+    WorkerListExpired,
     /// A probe completed.
     ProbeCompleted {
         /// The worker probed.
@@ -172,6 +189,8 @@
         latency: Micros,
         /// Load report that the response carried.
         report: Option<Report>,
+        /// The process that responded; `None` if nothing is known of it.
+        process: Option<ProcessInfo>,
     },
     /// A load request completed.
     LoadCompleted {
--- a/src/balancer/completion.rs
+++ b/src/balancer/completion.rs
@@ -15,8 +15,10 @@
         let attempt = open.attempts.get_mut(answer.attempt);
         let Some(attempt) = attempt.filter(|attempt| attempt.outcome.is_none()) else { return };
         attempt.outcome = Some(answer.outcome);
+        attempt.process_since = answer.process.map(|process| process.since);
         let attempt = attempt.clone();
         self.remove_from_flight(&attempt);
+        self.record_process(attempt.worker, answer.process);
         self.learn_from_attempt(function, &answer, &attempt);
         if answer.outcome == Outcome::Ok {
             self.count_success(class, has_hint, &answer, &attempt);
--- a/src/balancer/dispatch.rs
+++ b/src/balancer/dispatch.rs
@@ -31,6 +31,11 @@
     /// `None` while it is in flight.
     pub(super) outcome: Option<Outcome>,
     pub(super) is_cancelled: bool,
+    /// Since when the process that it was sent to is known to run; `None` while it is in flight.
+    pub(super) process_since: Option<Micros>,
+    /// When the list was last confirmed with the worker as it was at the time of the attempt; `None` while the
+    /// list has it unchanged.
+    pub(super) last_listed: Option<Micros>,
 }
 
 impl Attempt {
@@ -211,6 +216,7 @@
         if !self.can_send(open, worker_id, 1) || !self.is_confirmed_ready(worker) {
             return;
         }
+        let process_since = self.required_process_since(open);
         let (work_secs, function_id) = (self.class_work(open), open.request.function);
         let no_replica = Replica::default();
         let function = self.placement.functions.get(&function_id);
@@ -238,7 +244,9 @@
             assumed_loaded,
             outcome: None,
             is_cancelled: false,
+            process_since: None,
+            last_listed: None,
         });
-        out.push(Action::Send { id, worker: worker_id, timeout: None });
+        out.push(Action::Send { id, worker: worker_id, timeout: None, process_since });
     }
 }
--- a/src/balancer/list_lease.rs
+++ b/src/balancer/list_lease.rs
@@ -4,12 +4,18 @@
 //! is then sent only to a worker that has just shown, by a health check or a served call, that it accepts new
 //! work. Workers whose response shows that they accept none, or whose connections broke, are suspended until
 //! the list is confirmed again (leases: Gray and Cheriton, SOSP 1989).
+//!
+//! A health check shows that the process at a worker's address accepts work, not that it is the one that the
+//! list names: another worker, of another cell and just started, may have taken over the address. A process
+//! is identified only if it has been running since before the list was last confirmed. What the list says of
+//! a worker's cell, zone and start applies to identified processes only.
 
+use super::dispatch::Attempt;
 use super::membership::Worker;
 use super::probing::PROBE_WAIT;
 use super::statistics::{after, since};
 use super::Balancer;
-use crate::api::{Action, Micros, Outcome, RequestId, WorkerId};
+use crate::api::{Action, Micros, Outcome, ProcessInfo, RequestId, WorkerId};
 use std::collections::BTreeSet;
 
 /// A worker's own confirmation is valid for the drain grace divided by this; the rest is reserved for the
@@ -21,6 +27,8 @@
 pub(super) struct ListLease {
     /// When it expires; `None` as long as the list was never confirmed, which means that it does not expire.
     expires_at: Option<Micros>,
+    /// Time as of which it was last confirmed to be complete; `None` if it never was.
+    confirmed_as_of: Option<Micros>,
     /// Workers that are sent nothing until the list is confirmed again.
     suspended: BTreeSet<WorkerId>,
 }
@@ -30,15 +38,76 @@
     pub(super) fn is_suspended(&self, worker: WorkerId) -> bool {
         self.suspended.contains(&worker)
     }
+
+    /// Time as of which the list was last confirmed to be complete; `None` if it never was.
+    pub(super) fn confirmed_as_of(&self) -> Option<Micros> {
+        self.confirmed_as_of
+    }
+
+    /// When the lease expires; `None` if it does not.
+    pub(super) fn expires_at(&self) -> Option<Micros> {
+        self.expires_at
+    }
+
+    /// Whether a process that runs since `process_since` is the one that the list named when it was confirmed
+    /// as of `confirmed_as_of`.
+    fn is_older(process_since: Option<Micros>, confirmed_as_of: Micros) -> bool {
+        process_since.is_some_and(|since| since <= confirmed_as_of)
+    }
 }
 
 impl Balancer {
-    /// Renews the lease for the duration `lease` and ends all suspensions, as the list is complete as of now.
-    pub(super) fn confirm_list(&mut self, lease: Micros) {
+    /// Renews the lease for the duration `lease` and ends all suspensions, as the list was confirmed.
+    pub(super) fn confirm_list(&mut self, as_of: Micros, lease: Micros) {
+        if !self.list_is_current() {
+            self.slow_start.invalidate();
+        }
         self.list_lease.expires_at = Some(after(self.now, lease));
+        self.list_lease.confirmed_as_of = self.list_lease.confirmed_as_of.max(Some(as_of));
         self.list_lease.suspended.clear();
     }
 
+    /// Ends the lease at once, as the list may be out of date.
+    pub(super) fn expire_list(&mut self) {
+        self.list_lease.expires_at = Some(self.now);
+        self.slow_start.invalidate();
+    }
+
+    /// Whether the worker's process is the one that the list names. While the list is current, it is.
+    pub(super) fn is_identified(&self, worker: &Worker) -> bool {
+        let Some(confirmed_as_of) = self.list_lease.confirmed_as_of else { return true };
+        let process_since = worker.process.map(|process| process.since);
+        self.list_is_current() || ListLease::is_older(process_since, confirmed_as_of)
+    }
+
+    /// Whether the attempt went to the process that the list named for its worker, so that the cell and zone
+    /// recorded for it are those where it could have run.
+    pub(super) fn went_to_listed_process(&self, attempt: &Attempt) -> bool {
+        let Some(confirmed_as_of) = self.list_lease.confirmed_as_of else { return true };
+        let last_listed = attempt.last_listed.unwrap_or(confirmed_as_of);
+        let is_still_listed = attempt.last_listed.is_none() && self.list_is_current();
+        is_still_listed || ListLease::is_older(attempt.process_since, last_listed)
+    }
+
+    /// When the worker's process started, at the latest; `None` if that is long ago. If it may have replaced
+    /// the one that the list names, it may have started just before its first connection.
+    pub(super) fn process_started_at(&self, worker: &Worker) -> Option<Micros> {
+        let new_process = worker.process.filter(|process| process.may_be_new && !self.is_identified(worker));
+        worker.started_at.max(new_process.map(|process| process.since))
+    }
+
+    /// Records the process that responded for a worker.
+    pub(super) fn record_process(&mut self, worker: WorkerId, process: Option<ProcessInfo>) {
+        let is_current = self.list_is_current();
+        let Some(worker) = self.membership.workers.get_mut(&worker) else { return };
+        if process.is_some() && worker.process != process {
+            worker.process = process;
+            if !is_current {
+                self.slow_start.invalidate();
+            }
+        }
+    }
+
     /// Whether the lease is valid, so that the list alone decides which workers accept work.
     pub(super) fn list_is_current(&self) -> bool {
         self.list_lease.expires_at.is_none_or(|at| self.now < at)
--- a/src/balancer/membership.rs
+++ b/src/balancer/membership.rs
@@ -50,6 +50,8 @@
     /// When a response of any kind was last received from it.
     pub(super) last_contact: Option<Micros>,
     pub(super) reported_queue: Option<QueueReport>,
+    /// The process that responded last; `None` if nothing is known of it.
+    pub(super) process: Option<ProcessInfo>,
     /// Send time of the latest probe or call whose response showed that the worker accepts new work.
     pub(super) verified_at: Option<Micros>,
     /// When the probe in flight was sent; `None` if there is none.
@@ -179,16 +181,23 @@
         let unlisted = self.membership.workers.iter().filter(|(id, _)| !listed.contains(id));
         let removed: Vec<(WorkerId, Option<f64>)> =
             unlisted.map(|(id, worker)| (*id, self.ring_weight(worker))).collect();
-        removed.iter().for_each(|(id, _)| self.membership.remove(*id));
+        for (id, _) in &removed {
+            self.end_listing(*id);
+            self.membership.remove(*id);
+        }
         changed.extend(removed);
     }
 
     fn apply_entry(&mut self, entry: WorkerEntry) {
         let id = entry.id;
         if entry.state == WorkerState::Gone {
+            self.end_listing(id);
             self.membership.remove(id);
             return;
         }
+        if self.membership.workers.get(&id).is_some_and(|worker| names_other_process(&worker.entry, &entry)) {
+            self.end_listing(id);
+        }
         let cell_before = self.membership.workers.get(&id).map(|worker| worker.entry.cell);
         self.membership.set_cell(id, entry.cell, cell_before);
         let class_count = self.settings.classes.len();
@@ -207,6 +216,15 @@
         worker.entry = entry;
     }
 
+    /// Records for the attempts at a worker that the list no longer names the process it named until now.
+    fn end_listing(&mut self, id: WorkerId) {
+        let Some(confirmed_as_of) = self.list_lease.confirmed_as_of() else { return };
+        let attempts = self.requests.open.values_mut().flat_map(|open| &mut open.attempts);
+        for attempt in attempts.filter(|attempt| attempt.worker == id) {
+            attempt.last_listed.get_or_insert(confirmed_as_of);
+        }
+    }
+
     /// Recounts the attempts in flight at each worker, as workers may have been added or restarted.
     fn recount_in_flight(&mut self) {
         self.membership.workers.values_mut().for_each(|worker| worker.in_flight = 0);
@@ -246,3 +264,8 @@
         }
     }
 }
+
+/// Whether two entries of one worker name different processes, or place its process differently.
+fn names_other_process(before: &WorkerEntry, after: &WorkerEntry) -> bool {
+    after.up_since > before.up_since || after.cell != before.cell || after.zone != before.zone
+}
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -115,8 +115,10 @@
             Event::Streaming { id, .. } => self.begin_streaming(id),
             Event::ClientDisconnected { id } => self.disconnect(id, out),
             Event::WorkersListed(listing) => self.update_membership(listing),
-            Event::WorkerListConfirmed { lease } => self.confirm_list(lease),
-            Event::ProbeCompleted { worker, outcome, report, .. } => {
+            Event::WorkerListConfirmed { as_of, lease } => self.confirm_list(as_of, lease),
+            Event::WorkerListExpired => self.expire_list(),
+            Event::ProbeCompleted { worker, outcome, report, process, .. } => {
+                self.record_process(worker, process);
                 self.complete_probe(worker, outcome, report, out);
             }
             Event::LoadCompleted { worker, function, outcome, copies, latency } => {
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -64,7 +64,7 @@
     pub(super) fn retry_or_finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.requests.open.get(&id).filter(|open| !open.is_closed) else { return };
         let is_exhausted = open.attempts.len() >= self.settings.limits.max_attempts;
-        let is_possible = self.effect_allows_any(open, |_, _| true);
+        let is_possible = self.effect_could_allow_any(open);
         let tokens = match open.attempts.last().and_then(|attempt| attempt.outcome) {
             None | Some(Outcome::Miss) => 0.0,
             Some(Outcome::Full | Outcome::TimedOut | Outcome::Cancelled) => RETRY_TOKENS_PER_RETRY,
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -229,20 +229,34 @@
         open: &OpenRequest,
         accepts: impl Fn(WorkerId, &Worker) -> bool,
     ) -> bool {
-        let allows =
-            |id: &WorkerId, worker: &Worker| accepts(*id, worker) && self.effect_allows(open, worker);
+        self.any_worker_allows(open, accepts, |worker| self.effect_allows(open, worker))
+    }
+
+    /// Whether a further attempt may become safe at some worker, once the list confirms the processes that it
+    /// names.
+    pub(super) fn effect_could_allow_any(&self, open: &OpenRequest) -> bool {
+        self.any_worker_allows(open, |_, _| true, |worker| self.effect_could_allow(open, worker))
+    }
+
+    /// Whether `allows` holds for one of the workers that `accepts` selects. `allows` must be a rule on
+    /// repeated effects.
+    fn any_worker_allows(
+        &self,
+        open: &OpenRequest,
+        accepts: impl Fn(WorkerId, &Worker) -> bool,
+        allows: impl Fn(&Worker) -> bool,
+    ) -> bool {
         if let Some(cell) = self.bound_cell(open) {
             let peers = self.membership.cells.get(&cell).into_iter().flatten();
-            return peers
-                .filter_map(|id| Some((id, self.membership.workers.get(id)?)))
-                .any(|(id, w)| allows(id, w));
+            let mut workers = peers.filter_map(|id| Some((id, self.membership.workers.get(id)?)));
+            return workers.any(|(id, worker)| accepts(*id, worker) && allows(worker));
         }
         // Without a key the result is the same for all workers.
         let is_keyed = matches!(self.class(open).effect, Effect::IdempotentWithKey { .. });
         let mut workers = self.membership.workers.iter().filter(|(id, worker)| accepts(**id, worker));
         match is_keyed {
-            true => workers.any(|(_, worker)| self.effect_allows(open, worker)),
-            false => workers.next().is_some_and(|(_, worker)| self.effect_allows(open, worker)),
+            true => workers.any(|(_, worker)| allows(worker)),
+            false => workers.next().is_some_and(|(_, worker)| allows(worker)),
         }
     }
 
@@ -264,6 +278,13 @@
 
     /// Whether an attempt at the worker is safe, as it cannot repeat an effect of earlier attempts.
     pub(super) fn effect_allows(&self, open: &OpenRequest, worker: &Worker) -> bool {
+        let is_bound = self.is_bound_to_group(open);
+        self.effect_could_allow(open, worker)
+            && (!is_bound || self.is_identified(worker) && self.went_to_listed_processes(open))
+    }
+
+    /// Whether an attempt at the worker would be safe if all processes were those that the list names.
+    fn effect_could_allow(&self, open: &OpenRequest, worker: &Worker) -> bool {
         let mut possible_runs = open.attempts.iter().filter(|attempt| attempt.could_have_run());
         match self.class(open).effect {
             Effect::Idempotent => true,
@@ -280,6 +301,27 @@
         }
     }
 
+    /// Whether further attempts are limited to the zone or cell of an earlier one that could have run. Which
+    /// processes belong to it, only the list tells.
+    fn is_bound_to_group(&self, open: &OpenRequest) -> bool {
+        let effect = self.class(open).effect;
+        matches!(effect, Effect::IdempotentWithKey { group: Group::Zone | Group::Cell, .. })
+            && open.attempts.iter().any(Attempt::could_have_run)
+    }
+
+    /// Whether all attempts that could have run went to the processes that the list named.
+    fn went_to_listed_processes(&self, open: &OpenRequest) -> bool {
+        let mut possible_runs = open.attempts.iter().filter(|attempt| attempt.could_have_run());
+        possible_runs.all(|attempt| self.went_to_listed_process(attempt))
+    }
+
+    /// Since when the process that the next attempt reaches has to be running: since before the list was last
+    /// confirmed, if the attempt must not reach a process of another group and the list is out of date.
+    pub(super) fn required_process_since(&self, open: &OpenRequest) -> Option<Micros> {
+        let is_required = self.is_bound_to_group(open) && !self.list_is_current();
+        self.list_lease.confirmed_as_of().filter(|_| is_required)
+    }
+
     /// Number of requests by which the worker would exceed its bounded load; it is busy if this is above 0.
     fn requests_over_limit(&self, worker: &Worker, total_weight: f64) -> f64 {
         let fair_share =
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -31,7 +31,8 @@
     weight: f64,
     /// Increase per microsecond.
     slope: f64,
-    /// When the next worker starts or completes its warm-up; `None` if there is no such worker.
+    /// When the next worker starts or completes its warm-up, or the lease on the list expires; `None` if there
+    /// is no such time.
     valid_until: Option<Micros>,
 }
 
@@ -66,11 +67,13 @@
 
     fn sum_effective_weight(&self) -> EffectiveWeight {
         let rules = &self.settings.rules;
-        let mut sum = EffectiveWeight { summed_at: self.now, ..EffectiveWeight::default() };
+        // Once the lease on the list expires, other start times may apply.
+        let valid_until = self.list_lease.expires_at().filter(|at| self.now < *at);
+        let mut sum = EffectiveWeight { summed_at: self.now, valid_until, ..EffectiveWeight::default() };
         for worker in self.membership.workers.values() {
             let weight = self.weight(worker);
             sum.weight += weight * self.slow_start_factor(worker);
-            let Some(started_at) = worker.started_at else { continue };
+            let Some(started_at) = self.process_started_at(worker) else { continue };
             let warm_at = after(started_at, rules.warm_up_time);
             if self.now >= warm_at {
                 continue;
@@ -88,7 +91,7 @@
     /// Lower bound of the fraction of its capacity that a worker has, from 0 to 1; it grows linearly during
     /// the warm-up.
     pub(super) fn slow_start_factor(&self, worker: &Worker) -> f64 {
-        let Some(started_at) = worker.started_at else { return 1.0 };
+        let Some(started_at) = self.process_started_at(worker) else { return 1.0 };
         let (rules, age) = (&self.settings.rules, since(self.now, started_at).0.max(0) as f64);
         let progress =
             if rules.warm_up_time.0 > 0 { (age / rules.warm_up_time.0 as f64).min(1.0) } else { 1.0 };
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -85,6 +85,7 @@
             queue_depth: None,
             load_failed: false,
             report: None,
+            process: None,
         }))
     }
 }
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -13,14 +13,18 @@
 impl Router {
     /// A router with workers 1 to 4 and an expired lease.
     fn expired() -> Self {
-        let class = Class { effect: Effect::Idempotent, ..Class::default() };
+        let entry = |id| WorkerEntry { id: WorkerId(id), ..WorkerEntry::default() };
+        Router::expired_with(Effect::Idempotent, (1..=4).map(entry).collect())
+    }
+
+    /// A router with one class of calls, these workers and an expired lease.
+    fn expired_with(effect: Effect, entries: Vec<WorkerEntry>) -> Self {
+        let class = Class { effect, ..Class::default() };
         let mut settings =
             Settings { classes: vec![class], reports: LoadReportSource::Probes, ..Settings::default() };
         settings.rules.drain_grace = Micros(DRAIN_GRACE);
         let mut router = Router { balancer: Balancer::new(settings, 1), now: 1_000_000 };
-        let entry = |id| WorkerEntry { id: WorkerId(id), ..WorkerEntry::default() };
-        let listing = Listing { scope: Scope::Full, entries: (1..=4).map(entry).collect() };
-        router.handle(Event::WorkersListed(listing));
+        router.handle(Event::WorkersListed(Listing { scope: Scope::Full, entries }));
         router.confirm();
         router.now += LEASE;
         router
@@ -33,7 +37,7 @@
     }
 
     fn confirm(&mut self) {
-        self.handle(Event::WorkerListConfirmed { lease: Micros(LEASE) });
+        self.handle(Event::WorkerListConfirmed { as_of: Micros(self.now), lease: Micros(LEASE) });
     }
 
     fn request(&mut self, id: u64) -> Vec<Action> {
@@ -43,7 +47,7 @@
 
     fn complete_probe(&mut self, worker: WorkerId, outcome: Outcome) -> Vec<Action> {
         let latency = Micros(1_000);
-        self.handle(Event::ProbeCompleted { worker, outcome, latency, report: None })
+        self.handle(Event::ProbeCompleted { worker, outcome, latency, report: None, process: None })
     }
 
     fn answer(&mut self, id: u64, worker: WorkerId, outcome: Outcome) -> Vec<Action> {
@@ -57,6 +61,7 @@
             queue_depth: None,
             load_failed: false,
             report: None,
+            process: None,
         }))
     }
 }
--- a/tests/routers.rs
+++ b/tests/routers.rs
@@ -32,6 +32,7 @@
                     queue_depth: None,
                     load_failed: false,
                     report: None,
+                    process: None,
                 });
             }
             seen.push(format!("{action:?}"));
@@ -133,7 +134,7 @@
                         let report = Some(Report { queue, ..Report::default() });
                         balancer.handle(
                             now,
-                            Event::ProbeCompleted { worker, outcome, latency, report },
+                            Event::ProbeCompleted { worker, outcome, latency, report, process: None },
                             &mut out,
                         );
                     }
@@ -152,6 +153,7 @@
                             queue_depth,
                             load_failed: false,
                             report,
+                            process: None,
                         };
                         balancer.handle(now, Event::Answer(answer), &mut out);
                     }
@@ -219,6 +221,7 @@
                         queue_depth,
                         load_failed,
                         report,
+                        process: None,
                     };
                     (duration, Event::Answer(answer))
                 }
@@ -228,7 +231,13 @@
                     let outcome = if is_silent(worker) { Outcome::TimedOut } else { Outcome::Ok };
                     (
                         duration,
-                        Event::ProbeCompleted { worker, outcome, latency: Micros(duration), report: None },
+                        Event::ProbeCompleted {
+                            worker,
+                            outcome,
+                            latency: Micros(duration),
+                            report: None,
+                            process: None,
+                        },
                     )
                 }
                 Action::Load { worker, function, copies } => {
@@ -267,8 +276,13 @@
     let start = 100_000_000;
     let entries = (1..=2).map(|id| WorkerEntry { id: WorkerId(id), ..WorkerEntry::default() }).collect();
     balancer.handle(Micros(start), Event::WorkersListed(Listing { scope: Scope::Full, entries }), &mut out);
-    let probed =
-        |worker| Event::ProbeCompleted { worker, outcome: Outcome::Ok, latency: Micros(1_000), report: None };
+    let probed = |worker| Event::ProbeCompleted {
+        worker,
+        outcome: Outcome::Ok,
+        latency: Micros(1_000),
+        report: None,
+        process: None,
+    };
     if had_contact {
         (1..=2).for_each(|w| balancer.handle(Micros(start), probed(WorkerId(w)), &mut out));
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -248,6 +248,7 @@
             queue_depth: None,
             load_failed: false,
             report: Some(Report { queue: Some(1.0), inflight: None, util: Some(0.5) }),
+            process: None,
         }))
     }
 
@@ -349,7 +350,13 @@
             10 if !self.checker.probes.is_empty() => {
                 let worker = WorkerId(self.checker.probes.remove(0));
                 let (outcome, latency) = (OUTCOMES[variant % 6], Micros(1_000));
-                self.handle_event(Event::ProbeCompleted { worker, outcome, latency, report: None })
+                self.handle_event(Event::ProbeCompleted {
+                    worker,
+                    outcome,
+                    latency,
+                    report: None,
+                    process: None,
+                })
             }
             11 => {
                 // A client disconnects; also events with an arbitrary token and an unknown worker and
@@ -416,7 +423,7 @@
             .insert(1, CheckedRequest { class, deadline: 3_000_000, attempts: vec![], is_closed: false });
         c
     };
-    let send = |w| Action::Send { id: RequestId(1), worker: WorkerId(w), timeout: None };
+    let send = |w| Action::Send { id: RequestId(1), worker: WorkerId(w), timeout: None, process_since: None };
     let refuse = || Action::Refuse { id: RequestId(1), retry_after: None };
     let load = |f| Action::Load { worker: WorkerId(1), function: FunctionId(f), copies: 1 };
     let broken_rule = |class, outcome: Option<Outcome>, actions: &[Action]| {
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -92,6 +92,7 @@
                     queue_depth: None,
                     load_failed: false,
                     report: None,
+                    process: None,
                 };
                 self.deliver(latency, n, Event::Answer(answer));
             }
