A repeat that an earlier process may have run is failed, never refused

Cause: the engine starts no run for a marked repeat with an unknown key, but made every reason a refusal.

Change: such a repeat fails, and its key enters the table as that of a call that may have run, so that it does not run when sent again without the mark either. Any other reason that declines it (stopping, key of another payload, version) fails it too. A key whose answer has expired fails as well. Without a table of keys, as on the platform, nothing changes.

Two tests of the gateway expected "refused" for a call that may have run, against the rule ("a refusal tells the client that trying again is harmless"); they now expect "failed", the reason, and no run, also for the key sent once more.

--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -28,10 +28,9 @@
         /// Version or digest of the function that ran; `None` if the worker did not report it.
         ran: Option<Arc<str>>,
     },
-    /// This submission started no run, and a retry is safe. [`Reason::UnknownRepeat`] does not exclude that
-    /// an earlier submission with the same key started one.
+    /// The call never ran, and a retry is safe.
     Refused(Reason),
-    /// The call ended without a result and may have run.
+    /// The call ended without a result and may have run, here or at an earlier process of the gateway.
     Failed(Reason),
 }
 
@@ -71,7 +70,8 @@
     KeyMissing,
     /// The key was used before for another function or payload.
     KeyReused,
-    /// The call is a repeat, but the first submission is not, or no longer, in the duplicate table.
+    /// The call is a repeat, but the first submission is not, or no longer, in the duplicate table; it may
+    /// have run.
     UnknownRepeat,
     /// The duplicate table has no room for another key.
     KeyTableFull,
--- a/crates/engine/src/duplicates.rs
+++ b/crates/engine/src/duplicates.rs
@@ -154,6 +154,13 @@
         self.entries.insert(key, Entry { fingerprint, state, expires_at, retention });
     }
 
+    /// Inserts a key whose call an earlier process may have run. Its answer must be stored next, for
+    /// `retention`.
+    pub(crate) fn insert_unknown(&mut self, key: KeyDigest, fingerprint: Fingerprint, retention: Micros) {
+        let (state, expires_at) = (EntryState::Expired, Micros(i64::MAX));
+        self.entries.insert(key, Entry { fingerprint, state, expires_at, retention });
+    }
+
     /// Stores the answer of a running key; returns the time at which [`DuplicateTable::expire`] is due.
     pub(crate) fn record_answer(&mut self, now: Micros, key: KeyDigest, answer: Answer) -> Option<Micros> {
         let entry = self.entries.get_mut(&key)?;
--- a/crates/engine/src/engine/calls.rs
+++ b/crates/engine/src/engine/calls.rs
@@ -36,6 +36,9 @@
     Join(RequestId),
     /// Return the stored answer.
     Replay(Answer),
+    /// Start no run: an earlier process may have run the call. The key is inserted into the duplicate table
+    /// as that of a call whose outcome is unknown.
+    Unknown(CallKey),
 }
 
 /// A call that passed admission.
@@ -56,13 +59,25 @@
         self.advance_clock(now);
         self.statistics.calls += 1;
         let ticket = call.ticket;
+        let may_have_run = self.may_have_run_before(&call);
         if let Err(reason) = self.accept(call, out) {
-            let verdict = Verdict::Refused(reason);
-            let answer = Answer { verdict, attempts: 0, recorded: false, version: None };
-            self.deliver(ticket, answer, out);
+            let verdict = match reason {
+                Reason::UnknownRepeat => Verdict::Failed(reason),
+                _ if may_have_run => Verdict::Failed(reason),
+                _ => Verdict::Refused(reason),
+            };
+            self.deliver(ticket, answer_without_run(verdict), out);
         }
     }
 
+    /// Whether the call may have run at an earlier submission of which this engine has no record, so that no
+    /// answer may say that it never ran.
+    fn may_have_run_before(&self, call: &Call) -> bool {
+        let has_record = self.settings.duplicates.is_some();
+        let rules = self.class_rules(call.class).filter(|rules| has_record && rules.has_side_effects);
+        rules.is_some_and(|rules| self.may_have_been_accepted_before(call.repeat, rules.retention))
+    }
+
     fn accept(&mut self, call: Call, out: &mut Vec<Output>) -> Result<(), Reason> {
         let rules = self.class_rules(call.class).ok_or(Reason::NoCapacity)?;
         let key = match self.check_duplicate(&call, rules)? {
@@ -77,6 +92,14 @@
                 self.deliver(call.ticket, answer, out);
                 return Ok(());
             }
+            DuplicateDecision::Unknown(key) => {
+                self.statistics.repeats += 1;
+                let answer = answer_without_run(Verdict::Failed(Reason::UnknownRepeat));
+                self.keys.insert_unknown(key.digest, key.fingerprint, rules.retention);
+                self.store_answer(key.digest, &answer);
+                self.deliver(call.ticket, answer, out);
+                return Ok(());
+            }
         };
         let budget = self.admit(&call, rules)?;
         let version = call.version.clone()?;
@@ -132,7 +155,10 @@
         rules: ClassRules,
     ) -> Result<DuplicateDecision, Reason> {
         if rules.has_side_effects && self.may_have_been_accepted_before(repeat, rules.retention) {
-            return Err(Reason::UnknownRepeat);
+            return match self.keys.is_full() {
+                true => Err(Reason::UnknownRepeat),
+                false => Ok(DuplicateDecision::Unknown(key)),
+            };
         }
         match (self.keys.is_full(), rules.has_side_effects) {
             (false, _) => Ok(DuplicateDecision::Run(Some(key))),
@@ -250,6 +276,11 @@
     }
 }
 
+/// The answer to a call that started no run.
+fn answer_without_run(verdict: Verdict) -> Answer {
+    Answer { verdict, attempts: 0, recorded: false, version: None }
+}
+
 /// The part of a call that is sent to workers.
 fn run_body(call: Call, version: Option<Version>, rules: ClassRules) -> RunBody {
     let function = version.as_ref().map_or(call.function, |version| version.function.clone());
--- a/crates/engine/src/engine/completion.rs
+++ b/crates/engine/src/engine/completion.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    fn store_answer(&mut self, key: KeyDigest, answer: &Answer) {
+    pub(super) fn store_answer(&mut self, key: KeyDigest, answer: &Answer) {
         if let Some(expires_at) = self.keys.record_answer(self.now, key, answer.clone()) {
             self.timers.set(expires_at, Timer::KeyExpiry(key));
         }
--- a/crates/engine/tests/engine/repeats.rs
+++ b/crates/engine/tests/engine/repeats.rs
@@ -19,7 +19,7 @@
 }
 
 #[test]
-fn a_repeat_gets_the_stored_answer_until_it_expires_and_then_a_refusal() {
+fn a_repeat_gets_the_stored_answer_until_it_expires_and_then_a_failure() {
     let mut harness = Harness::new();
     harness.call(1, UNSAFE, Some("k"), Repeat::Unmarked);
     harness.end_oldest(Outcome::Ok);
@@ -30,6 +30,7 @@
     harness.advance_by(200_000);
     let expired = harness.call(1, UNSAFE, Some("k"), Repeat::Unmarked);
     assert_eq!(harness.reason(expired), Some(Reason::UnknownRepeat));
+    assert_eq!(harness.verdicts(expired), ["failed"]);
     assert_eq!(harness.sent.len(), 1, "the repeats started no second run");
     harness.advance_by(20_000_000);
     assert_eq!(harness.engine.keys(), 0, "expired keys are removed from the table");
@@ -45,6 +46,10 @@
         (harness.reason(uncovered), harness.reason(old)),
         (Some(Reason::UnknownRepeat), Some(Reason::UnknownRepeat))
     );
+    assert_eq!((harness.verdicts(uncovered), harness.verdicts(old)), (vec!["failed"], vec!["failed"]));
+    // The key now counts as that of a call that may have run, however the call is sent again.
+    let again = harness.call(2, UNSAFE, Some("a"), Repeat::Unmarked);
+    assert_eq!(harness.verdicts(again), ["failed"]);
     assert!(harness.sent.is_empty());
     harness.call(1, UNSAFE, Some("c"), Repeat::Marked { covered_since: Some(Micros(9_000_000)) });
     assert_eq!(harness.sent.len(), 1);
@@ -111,6 +116,40 @@
     assert_eq!(harness.reason(Ticket(900)), Some(Reason::KeyReused));
 }
 
+/// Guards against a second run after a refusal for any reason: a refusal says that the call never ran, which
+/// is not known of a repeat that an earlier process may have accepted.
+#[test]
+fn a_repeat_that_may_have_run_before_is_never_refused() {
+    let marked = Repeat::Marked { covered_since: None };
+    let mut harness = Harness::new();
+    harness.call(1, UNSAFE, Some("k"), Repeat::Unmarked);
+    let other_payload = |ticket: u64, repeat| Call {
+        key: Some(b"k".as_slice().into()),
+        payload: Arc::from(&b"another amount"[..]),
+        repeat,
+        ..new_call(Ticket(ticket), UNSAFE)
+    };
+    harness.engine.call(harness.now, other_payload(900, marked), &mut harness.out);
+    harness.engine.call(harness.now, other_payload(901, Repeat::Unmarked), &mut harness.out);
+    harness.drain_outputs();
+    assert_eq!(
+        (harness.verdicts(Ticket(900)), harness.reason(Ticket(900))),
+        (vec!["failed"], Some(Reason::KeyReused))
+    );
+    assert_eq!(harness.verdicts(Ticket(901)), ["refused"]);
+    harness.engine.stop(harness.now, Micros(harness.now.0 + 1_000_000));
+    let stopping = harness.call(1, UNSAFE, Some("l"), marked);
+    assert_eq!(harness.verdicts(stopping), ["failed"]);
+    let unmarked = harness.call(1, UNSAFE, Some("m"), Repeat::Unmarked);
+    assert_eq!(
+        (harness.verdicts(unmarked), harness.reason(unmarked)),
+        (vec!["refused"], Some(Reason::Stopping))
+    );
+    // Without side effects a second run does no harm.
+    let harmless = harness.call(1, SAFE, Some("n"), marked);
+    assert_eq!(harness.verdicts(harmless), ["refused"]);
+}
+
 /// On a platform whose workers drop duplicates, the engine has no duplicate table: each call starts a run, a
 /// non-idempotent one needs no key, keys are forwarded, and the balancer cancels a call whose client
 /// disconnected.
--- a/crates/gateway/tests/repeats.rs
+++ b/crates/gateway/tests/repeats.rs
@@ -51,29 +51,61 @@
     assert_eq!(worker.calls(), 1);
 }
 
+/// Guards against a second charge under another key, because a refusal says that nothing ran.
 #[test]
-fn a_repeat_after_the_retention_time_is_refused_and_not_run() {
+fn a_repeat_after_the_retention_time_is_failed_and_not_run() {
     let worker = Worker::start(|_, _| served("paid"));
     let gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
     let mut client = Client::connect(gateway.address(), "a", false);
     assert_eq!(client.call("brief/card", 1, Some("k"), "c1").outcome, "served");
     assert!(client.is_quiet(900));
     let late = client.call("brief/card", 2, Some("k"), "c1");
-    assert_eq!(late.outcome, "refused");
+    assert_eq!(late.outcome, "failed");
     assert!(late.reason.unwrap().contains("repeat"));
     assert_eq!(worker.calls(), 1);
 }
 
+/// Guards against a second charge after a restart: the gateway cannot know whether an earlier process ran the
+/// first one, so the answer must not say that sending it again is safe.
 #[test]
-fn a_publish_marked_as_duplicate_is_refused_by_a_gateway_without_its_record() {
+fn a_publish_marked_as_duplicate_is_failed_by_a_gateway_without_its_record() {
     let worker = Worker::start(|_, _| served("paid"));
     let gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
     let mut client = Client::connect(gateway.address(), "a", true);
     client.publish("charge/card", 1, Some("k"), "c1", true);
-    assert_eq!(client.answer().outcome, "refused");
+    let answer = client.answer();
+    assert_eq!(answer.outcome, "failed");
+    assert!(answer.reason.unwrap().contains("repeat"));
+    // Sent once more under the same key, the charge does not run either.
+    assert_eq!(client.call("charge/card", 2, Some("k"), "c1").outcome, "failed");
     assert_eq!(worker.calls(), 0);
 }
 
+/// Guards against a charge that runs twice because a restarted gateway answers its redelivery as refused
+/// (review/1).
+#[test]
+fn a_charge_that_a_broker_redelivers_to_a_restarted_gateway_is_failed_and_runs_once() {
+    let broker = Process::start(&["broker"], None);
+    let worker = slow_worker(300);
+    let site =
+        format!("{SITE}\n(bridge (broker \"{}\") (client-id \"bridge\") (back-off-ms 20))", broker.address);
+    let mut gateway = Gateway::start(&site, &[("w", worker.address, "")]);
+    until("the bridge to connect", || gateway.log().contains("the broker accepted the connection"));
+    let mut app = Client::connect(broker.address, "app", true);
+    app.subscribe("replies/me");
+    app.publish("charge/card", 7, Some("k"), "c1", false);
+    until("the charge to reach its worker", || worker.calls() == 1);
+    gateway.process.signal("KILL");
+    gateway.process.wait();
+    let gateway = Gateway::start(&site, &[("w", worker.address, "")]);
+    let answer = app.answer_or(|| gateway.log());
+    assert_eq!((answer.call.as_str(), answer.outcome.as_str()), ("c1", "failed"));
+    // A client that sends the charge again all the same gets the recorded answer.
+    let again = app.call("charge/card", 8, Some("k"), "c1");
+    assert_eq!((again.outcome.as_str(), again.recorded), ("failed", true));
+    assert_eq!(worker.calls(), 1);
+}
+
 #[test]
 fn a_charge_without_a_key_is_refused_with_a_reason() {
     let worker = Worker::start(|_, _| served("paid"));
