Redeliveries count as never accepted only once the peer has sent a new publish

Callers would see: a charge that an earlier process of the gateway had run runs again, where (1) the link to the broker is cut a second time after the restart, before all was redelivered, (2) a client did not get the CONNACK of its first connection after the restart and takes the new session for its old one, (3) a client marks its repeat on a session that was resumed once. And a redelivery without a route in new settings, or beyond the quota, got a reason code that says it was never accepted.

Cause: covered_since, from which on the engine takes an unknown key for one that was never accepted, counted from the previous connection of this process; peers may hold publishes from before it.

Change: RedeliveryRecord (crates/mqtt/src/redelivery.rs), for bridge and front alike: a session is covered once a publish without DUP has arrived, as peers redeliver first (MQTT 5.0, 4.4 and 4.6). What a client marks itself is never covered. Uncovered redeliveries that make no call are acknowledged and failed, or the connection is closed beyond the quota.

The test that expected a covered redelivery on a session in which the client had sent nothing new asserted the fault; its successor checks both cases.

--- a/crates/mqtt/src/bridge.rs
+++ b/crates/mqtt/src/bridge.rs
@@ -11,6 +11,7 @@
 mod deliveries;
 
 use crate::publish::{OutboundPublish, ReplyAddress};
+use crate::redelivery::RedeliveryRecord;
 use crate::routes::Routes;
 use crate::ticket::TicketSource;
 use deliveries::Deliveries;
@@ -130,10 +131,7 @@
     unacknowledged: BTreeMap<u16, OutboundPublish>,
     /// The broker's receive maximum: the number of unacknowledged answers that it accepts.
     send_maximum: usize,
-    /// When the current connection, or without one the previous connection, was accepted.
-    connected_at: Micros,
-    /// When the connection before the current one was accepted; `None` if its session was not resumed.
-    covered_since: Option<Micros>,
+    redeliveries: RedeliveryRecord,
     is_resumed: bool,
     /// Whether received publishes are ignored, so that the broker keeps them.
     stopped_accepting: bool,
@@ -156,8 +154,7 @@
             outbox: VecDeque::new(),
             unacknowledged: BTreeMap::new(),
             send_maximum: usize::from(u16::MAX),
-            connected_at: Micros(0),
-            covered_since: None,
+            redeliveries: RedeliveryRecord::of_earlier_session(),
             is_resumed: false,
             stopped_accepting: false,
             settings,
--- a/crates/mqtt/src/bridge/connection.rs
+++ b/crates/mqtt/src/bridge/connection.rs
@@ -2,6 +2,7 @@
 
 use super::{Bridge, BridgeOutput, BridgeSettings, LibraryTimer, Stage};
 use crate::first_packet::{first_packet, Expected, FirstPacket};
+use crate::redelivery::RedeliveryRecord;
 use crate::{after, after_millis};
 use mqtt_protocol_core::mqtt::common::Cursor;
 use mqtt_protocol_core::mqtt::connection::{Connection, ConnectionOptions, Event};
@@ -216,9 +217,8 @@
         self.stage = Stage::Connected;
         self.failures = 0;
         self.is_resumed = is_resumed;
-        self.covered_since = is_resumed.then_some(self.connected_at);
-        self.connected_at = now;
         if !is_resumed {
+            self.redeliveries = RedeliveryRecord::of_new_session();
             // Packet ids of the lost session are invalid. The library dropped unacknowledged answers with the
             // session, so they are queued again here.
             self.deliveries.session_lost();
@@ -228,6 +228,7 @@
             }
             self.subscribe(now, out);
         }
+        self.redeliveries.connected(now);
         self.send_outbox(now, out);
     }
 
--- a/crates/mqtt/src/bridge/deliveries.rs
+++ b/crates/mqtt/src/bridge/deliveries.rs
@@ -7,7 +7,7 @@
 use crate::request::{CallRequest, Declined};
 use mqtt_protocol_core::mqtt::result_code::MqttError;
 use slatevalve::Micros;
-use slatevalve_engine::{Answer, Reason, Ticket, Verdict};
+use slatevalve_engine::{Answer, Reason, Ticket};
 use std::collections::{BTreeMap, VecDeque};
 use tracing::{info, warn};
 
@@ -95,6 +95,7 @@
         if self.stopped_accepting {
             return;
         }
+        self.redeliveries.received(&publish);
         if let Some(id) = publish.packet_id {
             if self.deliveries.receive(id, &publish, self.is_resumed) {
                 return self.acknowledge(now, out);
@@ -111,7 +112,7 @@
                 }
             }
         };
-        self.refuse_call(now, &publish, reason, out);
+        self.decline_call(now, &publish, reason, out);
     }
 
     fn start_call(&mut self, publish: InboundPublish, mut request: CallRequest, out: &mut Vec<BridgeOutput>) {
@@ -120,12 +121,13 @@
         let client = self.ticket_source.client_named(address.response_topic.as_deref().unwrap_or_default());
         self.deliveries.open(&publish, ticket);
         self.pending.insert(ticket, PendingReply { packet_id: publish.packet_id, address });
-        let call = request.call(ticket, client, publish.payload, self.covered_since);
+        let repeat = publish.repeat(self.redeliveries.covered_since());
+        let call = request.call(ticket, client, publish.payload, repeat);
         out.push(BridgeOutput::Call(Box::new(call)));
     }
 
     /// Answers a publish that makes no call, if it has a response topic.
-    fn refuse_call(
+    fn decline_call(
         &mut self,
         now: Micros,
         publish: &InboundPublish,
@@ -136,8 +138,8 @@
         self.deliveries.open(publish, ticket);
         let reply = PendingReply { packet_id: publish.packet_id, address: publish.reply_address() };
         self.pending.insert(ticket, reply);
-        let answer =
-            Answer { verdict: Verdict::Refused(reason), attempts: 0, recorded: false, version: None };
+        let verdict = publish.declined(reason, self.redeliveries.covered_since());
+        let answer = Answer { verdict, attempts: 0, recorded: false, version: None };
         self.answer(now, ticket, &answer, out);
     }
 
--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -10,7 +10,7 @@
 use mqtt_protocol_core::mqtt::packet::Qos;
 use mqtt_protocol_core::mqtt::result_code::{DisconnectReasonCode, MqttError};
 use slatevalve::Micros;
-use slatevalve_engine::{Answer, ClientRef, Reason, Verdict};
+use slatevalve_engine::{Answer, ClientRef, Reason, Repeat};
 use tracing::{info, warn};
 
 impl Front {
@@ -22,39 +22,67 @@
         publish: InboundPublish,
         out: &mut Vec<FrontOutput>,
     ) {
-        let Some(session) = self.sessions.get(&client) else { return };
+        let Some(session) = self.sessions.get_mut(&client) else { return };
         let version = session.version;
+        session.redeliveries.received(&publish);
         if publish.retain && version == Version::V5 {
             // CONNACK announced that retained messages are not supported (section 3.2.2.3.5).
             return self.disconnect(now, id, DisconnectReasonCode::RetainNotSupported, out);
         }
+        // A publish that is sent again because its acknowledgement was lost already has a call or an answer.
+        if session.has_accepted(&publish) {
+            return self.acknowledge(now, id, version, &publish, None, out);
+        }
         let request = match session.open_calls_and_answers() < self.settings.session_quota {
             true => CallRequest::read(&self.settings.routes, Some(&session.client_id), &publish),
             false => Err(Rejection::Quota.into()),
         };
+        let covered_since = session.redeliveries.covered_since();
+        let request = match request {
+            Err(Declined::Rejected(rejection))
+                if may_be_accepted_before(&publish, covered_since, rejection) =>
+            {
+                // No reason code: it would say that the publish was never accepted.
+                if rejection == Rejection::Quota {
+                    return self.disconnect(now, id, DisconnectReasonCode::QuotaExceeded, out);
+                }
+                Err(Declined::Refused(Reason::NoRoute))
+            }
+            request => request,
+        };
         let rejection = request.as_ref().err().and_then(|declined| declined.rejection());
-        if let Some(packet) = packets::acknowledge(version, &publish, rejection).transpose() {
-            self.send_required(now, id, packet, out);
-        }
-        // A publish that is sent again because its acknowledgement was lost already has a call or an answer.
-        if rejection.is_none()
-            && self.sessions.get_mut(&client).is_some_and(|session| session.record_accepted(&publish))
-        {
-            return;
+        if rejection.is_none() {
+            session.record_accepted(&publish);
         }
+        self.acknowledge(now, id, version, &publish, rejection, out);
         match request {
             Ok(request) => self.start_call(client, publish, request, out),
-            Err(Declined::Refused(reason)) => self.refuse_call(now, client, &publish, reason, out),
+            Err(Declined::Refused(reason)) => self.decline_call(now, client, &publish, reason, out),
             Err(Declined::Rejected(rejection)) => {
                 info!(link = id.0, topic = %publish.topic, why = %rejection, "publish rejected");
                 // Version 3.1.1 has no reason codes, so only an answer can report the rejection.
                 if version == Version::V3 && rejection != Rejection::Quota {
-                    self.refuse_call(now, client, &publish, Reason::NoRoute, out);
+                    self.decline_call(now, client, &publish, Reason::NoRoute, out);
                 }
             }
         }
     }
 
+    /// Sends the first acknowledgement of a publish.
+    fn acknowledge(
+        &mut self,
+        now: Micros,
+        id: LinkId,
+        version: Version,
+        publish: &InboundPublish,
+        rejection: Option<Rejection>,
+        out: &mut Vec<FrontOutput>,
+    ) {
+        if let Some(packet) = packets::acknowledge(version, publish, rejection).transpose() {
+            self.send_required(now, id, packet, out);
+        }
+    }
+
     fn start_call(
         &mut self,
         client: ClientRef,
@@ -68,12 +96,13 @@
         let reply = PendingReply { address, qos: publish.qos, call_name: call_name(&publish) };
         session.pending.insert(ticket, reply);
         self.tickets.insert(ticket, client);
-        let call = request.call(ticket, client, publish.payload, session.covered_since);
+        let repeat = publish.repeat(session.redeliveries.covered_since());
+        let call = request.call(ticket, client, publish.payload, repeat);
         out.push(FrontOutput::Call(Box::new(call)));
     }
 
     /// Answers a publish that makes no call.
-    fn refuse_call(
+    fn decline_call(
         &mut self,
         now: Micros,
         client: ClientRef,
@@ -84,8 +113,8 @@
         let Some(session) = self.sessions.get_mut(&client) else { return };
         let address = publish.reply_address();
         let reply = PendingReply { address, qos: publish.qos, call_name: call_name(publish) };
-        let answer =
-            Answer { verdict: Verdict::Refused(reason), attempts: 0, recorded: false, version: None };
+        let verdict = publish.declined(reason, session.redeliveries.covered_since());
+        let answer = Answer { verdict, attempts: 0, recorded: false, version: None };
         let topic = session.reply_topic(&reply, answer.verdict.as_str());
         let documents = self.settings.documents.as_deref();
         let correlation = reply.address.correlation;
@@ -154,6 +183,16 @@
     }
 }
 
+/// Whether an earlier process, with other settings, may have accepted a publish that is rejected now.
+fn may_be_accepted_before(
+    publish: &InboundPublish,
+    covered_since: Option<Micros>,
+    rejection: Rejection,
+) -> bool {
+    let is_uncovered = publish.repeat(covered_since) == Repeat::Marked { covered_since: None };
+    is_uncovered && rejection.depends_on_gateway()
+}
+
 /// Identifies the call in a generated reply topic: the packet id of its publish, 0 for QoS 0.
 fn call_name(publish: &InboundPublish) -> String {
     publish.packet_id.unwrap_or(0).to_string()
--- a/crates/mqtt/src/front/handshake.rs
+++ b/crates/mqtt/src/front/handshake.rs
@@ -114,9 +114,9 @@
         }
         self.disconnect_predecessor(now, &client_id, out);
         let resumed = self.resumable_session(&client_id, request, out);
-        let client = resumed.unwrap_or_else(|| self.create_session(now, &client_id, request.version));
+        let client = resumed.unwrap_or_else(|| self.create_session(&client_id, request.version));
         let expiry = request.expiry.min(self.settings.max_session_expiry);
-        self.attach(now, id, client, resumed.is_some(), expiry);
+        self.attach(now, id, client, expiry);
         let accepted = Accepted {
             session_present: resumed.is_some(),
             assigned_id: is_assigned.then_some(client_id.as_str()),
@@ -159,26 +159,25 @@
         None
     }
 
-    fn create_session(&mut self, now: Micros, client_id: &str, version: Version) -> ClientRef {
+    fn create_session(&mut self, client_id: &str, version: Version) -> ClientRef {
         let client = self.ticket_source.client();
-        self.sessions.insert(client, Session::new(client, client_id.into(), version, now));
+        self.sessions.insert(client, Session::new(client, client_id.into(), version));
         self.clients_by_id.insert(client_id.into(), client);
         client
     }
 
     /// Attaches a session to a connection.
-    fn attach(&mut self, now: Micros, id: LinkId, client: ClientRef, is_resumed: bool, expiry: Micros) {
+    fn attach(&mut self, now: Micros, id: LinkId, client: ClientRef, expiry: Micros) {
         let Some(session) = self.sessions.get_mut(&client) else { return };
-        session.covered_since = is_resumed.then_some(session.opened_at);
         session.connection = Some(id);
         session.expiry = expiry;
         session.expires_at = None;
-        session.opened_at = now;
+        let opened_at = self.connections.get(&id).map_or(now, |connection| connection.opened_at);
+        session.redeliveries.connected(opened_at);
         let stored = std::mem::take(&mut session.stored);
         let received_qos2 = session.received_qos2.clone();
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.stage = Stage::Open(client);
-            session.opened_at = connection.opened_at;
             connection.mqtt.restore_packets(stored);
             connection.mqtt.restore_qos2_publish_handled(received_qos2.into_iter().collect());
             connection.deadline =
--- a/crates/mqtt/src/lib.rs
+++ b/crates/mqtt/src/lib.rs
@@ -14,6 +14,7 @@
 mod front;
 mod packets;
 mod publish;
+mod redelivery;
 mod rejection;
 mod request;
 mod routes;
--- a/crates/mqtt/src/publish.rs
+++ b/crates/mqtt/src/publish.rs
@@ -1,8 +1,10 @@
 //! PUBLISH packets of both protocol versions, received with calls or sent with answers.
 
+use crate::request::REPEAT_PROPERTY;
 use mqtt_protocol_core::mqtt::packet::{v3_1_1, v5_0, CorrelationData, Packet, Property, Qos, UserProperty};
 use mqtt_protocol_core::mqtt::result_code::MqttError;
-use slatevalve_engine::{Answer, Verdict};
+use slatevalve::Micros;
+use slatevalve_engine::{Answer, Reason, Repeat, Verdict};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
@@ -66,6 +68,30 @@
         hasher.finish()
     }
 
+    /// Whether the publish may have been received before, by this process or an earlier one. `covered_since`
+    /// holds for redeliveries of the session: what the client itself repeats, it may have sent at any time.
+    pub(crate) fn repeat(&self, covered_since: Option<Micros>) -> Repeat {
+        match self.is_marked_by_client() {
+            true => Repeat::Marked { covered_since: None },
+            false if self.dup => Repeat::Marked { covered_since },
+            false => Repeat::Unmarked,
+        }
+    }
+
+    fn is_marked_by_client(&self) -> bool {
+        let is_mark = |property: &Property| matches!(property, Property::UserProperty(p) if p.key() == REPEAT_PROPERTY && p.val() == "true");
+        self.properties.iter().any(is_mark)
+    }
+
+    /// The verdict on a publish that makes no call for `reason`. If an earlier process may have accepted it,
+    /// nothing is known of what became of it there.
+    pub(crate) fn declined(&self, reason: Reason, covered_since: Option<Micros>) -> Verdict {
+        match self.repeat(covered_since) {
+            Repeat::Marked { covered_since: None } => Verdict::Failed(reason),
+            _ => Verdict::Refused(reason),
+        }
+    }
+
     /// Reads the response topic and correlation data.
     pub(crate) fn reply_address(&self) -> ReplyAddress {
         let mut address = ReplyAddress::default();
--- a/crates/mqtt/src/rejection.rs
+++ b/crates/mqtt/src/rejection.rs
@@ -32,6 +32,15 @@
         }
     }
 
+    /// Whether another process of the gateway may have accepted the publish, as the reason lies in the
+    /// settings or state of the gateway and not in the publish alone.
+    pub(crate) fn depends_on_gateway(self) -> bool {
+        match self {
+            Rejection::NoRoute | Rejection::Name | Rejection::Quota => true,
+            Rejection::ResponseTopic | Rejection::Property => false,
+        }
+    }
+
     pub(crate) fn puback_code(self) -> PubackReasonCode {
         match self {
             Rejection::NoRoute | Rejection::Name | Rejection::ResponseTopic => {
--- a/crates/mqtt/src/request.rs
+++ b/crates/mqtt/src/request.rs
@@ -35,8 +35,6 @@
     pub(crate) key: Option<Arc<[u8]>>,
     /// `None` if the publish has neither a budget nor a message expiry.
     pub(crate) budget: Option<Micros>,
-    /// Whether the client marked the call as a repeat or its publish has the DUP flag.
-    pub(crate) repeat: bool,
     pub(crate) reply_address: ReplyAddress,
 }
 
@@ -71,14 +69,8 @@
 }
 
 impl CallRequest {
-    /// Builds the call for the engine; for `covered_since` see [`Repeat::Marked`].
-    pub(crate) fn call(
-        self,
-        ticket: Ticket,
-        client: ClientRef,
-        payload: Arc<[u8]>,
-        covered_since: Option<Micros>,
-    ) -> Call {
+    /// Builds the call for the engine.
+    pub(crate) fn call(self, ticket: Ticket, client: ClientRef, payload: Arc<[u8]>, repeat: Repeat) -> Call {
         Call {
             ticket,
             client,
@@ -92,7 +84,7 @@
             payload,
             budget: self.budget.unwrap_or(Micros(i64::MAX)),
             age: Micros(0),
-            repeat: if self.repeat { Repeat::Marked { covered_since } } else { Repeat::Unmarked },
+            repeat,
         }
     }
 
@@ -130,7 +122,6 @@
             function: function.into(),
             key: key.map(Into::into),
             budget: properties.budget.or(properties.expiry),
-            repeat: publish.dup || properties.is_repeat,
             reply_address,
         })
     }
@@ -143,7 +134,6 @@
     /// Takes precedence over `expiry`, which has a resolution of one second.
     budget: Option<Micros>,
     expiry: Option<Micros>,
-    is_repeat: bool,
 }
 
 impl CallProperties {
@@ -172,7 +162,6 @@
                 let micros = millis.checked_mul(1_000).filter(|micros| *micros >= 0);
                 self.budget = Some(Micros(micros.ok_or(Rejection::Property)?));
             }
-            REPEAT_PROPERTY => self.is_repeat |= value == "true",
             _ => {}
         }
         Ok(())
--- a/crates/mqtt/src/session.rs
+++ b/crates/mqtt/src/session.rs
@@ -1,6 +1,7 @@
 //! The state of a client's session, which outlives its connections (section 4.1).
 
 use crate::publish::{InboundPublish, OutboundPublish, ReplyAddress, Version};
+use crate::redelivery::RedeliveryRecord;
 use crate::LinkId;
 use mqtt_protocol_core::mqtt::packet::{Qos, StorePacket};
 use slatevalve::Micros;
@@ -31,11 +32,7 @@
     pub(crate) expiry: Micros,
     /// Set while the session has no connection.
     pub(crate) expires_at: Option<Micros>,
-    /// When the current connection, or without one the previous connection, was opened.
-    pub(crate) opened_at: Micros,
-    /// Time from which this gateway has a record of every publish accepted in this session; see
-    /// [`slatevalve_engine::Repeat::Marked`].
-    pub(crate) covered_since: Option<Micros>,
+    pub(crate) redeliveries: RedeliveryRecord,
     /// Fingerprints of the accepted publishes by packet id. They identify a publish that is sent again
     /// because its acknowledgement was lost, even if it has no key.
     accepted: HashMap<u16, u64>,
@@ -52,7 +49,7 @@
 }
 
 impl Session {
-    pub(crate) fn new(client: ClientRef, client_id: String, version: Version, now: Micros) -> Self {
+    pub(crate) fn new(client: ClientRef, client_id: String, version: Version) -> Self {
         Session {
             client,
             client_id,
@@ -60,8 +57,8 @@
             connection: None,
             expiry: Micros(0),
             expires_at: None,
-            opened_at: now,
-            covered_since: None,
+            // The client may not have received the CONNACK that tells that the session is a new one.
+            redeliveries: RedeliveryRecord::of_earlier_session(),
             accepted: HashMap::new(),
             stored: Vec::new(),
             received_qos2: Vec::new(),
@@ -71,18 +68,19 @@
         }
     }
 
-    /// Records an accepted publish and returns whether it is a retransmission of one accepted before.
-    pub(crate) fn record_accepted(&mut self, publish: &InboundPublish) -> bool {
-        let Some(id) = publish.packet_id else { return false };
-        let fingerprint = publish.fingerprint();
-        if publish.dup && self.covered_since.is_some() && self.accepted.get(&id) == Some(&fingerprint) {
-            return true;
-        }
+    /// Whether a publish is a retransmission of one accepted before.
+    pub(crate) fn has_accepted(&self, publish: &InboundPublish) -> bool {
+        let fingerprint = publish.packet_id.and_then(|id| self.accepted.get(&id));
+        publish.dup && fingerprint == Some(&publish.fingerprint())
+    }
+
+    /// Records an accepted publish.
+    pub(crate) fn record_accepted(&mut self, publish: &InboundPublish) {
+        let Some(id) = publish.packet_id else { return };
         // Beyond the limit, repeats are detected by their keys only, in classes that have keys.
         if self.accepted.len() < MAX_FINGERPRINTS || self.accepted.contains_key(&id) {
-            self.accepted.insert(id, fingerprint);
+            self.accepted.insert(id, publish.fingerprint());
         }
-        false
     }
 
     /// Number of open calls and queued answers, which the session's quota limits.
--- a/crates/mqtt/tests/bridge.rs
+++ b/crates/mqtt/tests/bridge.rs
@@ -6,7 +6,7 @@
 use mqtt_protocol_core::mqtt::result_code::*;
 use mqtt_protocol_core::mqtt::{role, Version};
 use slatevalve::{ClassId, Micros};
-use slatevalve_engine::{Answer, Call, Verdict};
+use slatevalve_engine::{Answer, Call, Repeat, Verdict};
 use slatevalve_mqtt::*;
 
 struct Bench {
@@ -119,11 +119,15 @@
 
     /// Delivers a publish from the broker, without its library so that the test sets packet id and DUP flag.
     fn deliver(&mut self, id: u16, key: &str, dup: bool) {
+        self.deliver_to("charge/card", id, key, dup);
+    }
+
+    fn deliver_to(&mut self, topic: &str, id: u16, key: &str, dup: bool) {
         let properties = vec![
             ResponseTopic::new("replies/app").unwrap().into(),
             UserProperty::new("key", key).unwrap().into(),
         ];
-        let builder = v5_0::Publish::builder().topic_name("charge/card").unwrap().qos(Qos::AtLeastOnce);
+        let builder = v5_0::Publish::builder().topic_name(topic).unwrap().qos(Qos::AtLeastOnce);
         let publish = builder.packet_id(id).dup(dup).props(properties).payload("p").build().unwrap();
         let bytes = publish.to_continuous_buffer();
         self.drive(|b, now, out| b.received(now, &bytes, out));
@@ -136,6 +140,22 @@
         self.drive(|b, now, out| b.answer(now, ticket, &answer, out));
     }
 
+    /// Outcomes of the answers that the broker received since the last call.
+    fn take_outcomes(&mut self) -> Vec<String> {
+        let outcome = |p: &v5_0::Publish| {
+            p.props().iter().find_map(|property| match property {
+                Property::UserProperty(p) if p.key() == "outcome" => Some(p.val().to_string()),
+                _ => None,
+            })
+        };
+        let received = std::mem::take(&mut self.received);
+        let publishes = received.iter().filter_map(|packet| match packet {
+            Packet::V5_0Publish(publish) => Some(publish),
+            _ => None,
+        });
+        publishes.filter_map(outcome).collect()
+    }
+
     fn lose_connection(&mut self) {
         self.is_link_down = true;
         self.drive(|b, now, _| b.closed(now));
@@ -233,3 +253,34 @@
     b.connect(false, vec![]);
     assert!(b.bridge.is_connected());
 }
+
+/// Guards against a charge that runs twice after a restart: the connection to the broker is cut before all
+/// publishes that an earlier process received were redelivered.
+#[test]
+fn redeliveries_of_a_session_from_an_earlier_process_are_covered_once_a_new_publish_arrived() {
+    let mut b = Bench::new();
+    b.connect(true, vec![]);
+    b.deliver(1, "a", true);
+    b.lose_connection();
+    b.connect(true, vec![]);
+    b.deliver(2, "b", true);
+    assert_eq!(b.calls[1].repeat, Repeat::Marked { covered_since: None }, "it was not redelivered before");
+    b.deliver(3, "c", false);
+    assert_eq!(b.calls[2].repeat, Repeat::Unmarked);
+    let covered_since = Some(b.now);
+    b.lose_connection();
+    b.connect(true, vec![]);
+    b.deliver(4, "d", true);
+    assert_eq!(b.calls[3].repeat, Repeat::Marked { covered_since });
+}
+
+/// Guards against a refusal of a redelivered publish that an earlier process, with other routes, accepted.
+#[test]
+fn a_redelivery_without_a_route_is_failed_and_a_new_publish_is_refused() {
+    let mut b = Bench::new();
+    b.connect(true, vec![]);
+    b.deliver_to("no/route", 1, "a", true);
+    assert_eq!(b.take_outcomes(), ["failed"]);
+    b.deliver_to("no/route", 2, "b", false);
+    assert_eq!(b.take_outcomes(), ["refused"]);
+}
--- a/crates/mqtt/tests/front/main.rs
+++ b/crates/mqtt/tests/front/main.rs
@@ -117,19 +117,73 @@
     assert_eq!((b.outcomes(1).len(), b.outcomes(2)), (0, vec!["served".to_string()]));
 }
 
+/// Guards against a redelivery that counts as never accepted although an earlier process may have run it: the
+/// client may not know that its session is a new one, as the CONNACK may have been lost.
 #[test]
-fn a_repeated_publish_is_marked_and_covered_only_on_a_resumed_session() {
+fn a_redelivery_is_covered_only_once_the_client_has_sent_a_new_publish_in_the_session() {
+    for has_sent_new in [false, true] {
+        let mut b = Bench::new(settings());
+        b.connect(1, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+        let opened = b.now;
+        b.publish(1, v5_publish("charge/card", Qos::AtLeastOnce, 1, vec![key("k")]).set_dup(true));
+        assert_eq!(b.calls[0].repeat, Repeat::Marked { covered_since: None });
+        if has_sent_new {
+            b.publish(1, v5_publish("charge/card", Qos::AtLeastOnce, 2, vec![key("l")]));
+        }
+        b.disconnect(1);
+        b.advance_by(5);
+        b.connect(2, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+        b.publish(2, v5_publish("charge/card", Qos::AtLeastOnce, 3, vec![key("m")]).set_dup(true));
+        let redelivered = b.calls.last().unwrap();
+        let covered_since = has_sent_new.then_some(opened);
+        assert_eq!(redelivered.repeat, Repeat::Marked { covered_since }, "{has_sent_new}");
+        assert_eq!(b.calls[0].client, redelivered.client);
+    }
+}
+
+/// Guards against a repeat by the client itself that counts as never accepted: what it repeats, it may have
+/// sent to an earlier process.
+#[test]
+fn a_repeat_that_the_client_marks_is_never_covered() {
     let mut b = Bench::new(settings());
     b.connect(1, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
-    let opened = b.now;
-    b.publish(1, v5_publish("charge/card", Qos::AtLeastOnce, 1, vec![key("k")]).set_dup(true));
-    assert_eq!(b.calls[0].repeat, Repeat::Marked { covered_since: None });
+    b.publish(1, v5_publish("charge/card", Qos::AtLeastOnce, 1, vec![key("k")]));
     b.disconnect(1);
-    b.advance_by(5);
     b.connect(2, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
-    b.publish(2, v5_publish("charge/card", Qos::AtLeastOnce, 2, vec![key("k")]).set_dup(true));
-    assert_eq!(b.calls[1].repeat, Repeat::Marked { covered_since: Some(opened) });
-    assert_eq!(b.calls[0].client, b.calls[1].client);
+    let mark = UserProperty::new("repeat", "true").unwrap().into();
+    b.publish(2, v5_publish("charge/card", Qos::AtLeastOnce, 2, vec![key("l"), mark]).set_dup(true));
+    assert_eq!(b.calls[1].repeat, Repeat::Marked { covered_since: None });
+}
+
+/// Guards against refusals and reason codes for a redelivery that an earlier process, with other routes or
+/// other open calls, may have accepted.
+#[test]
+fn a_redelivery_that_makes_no_call_is_never_refused() {
+    for qos in [Qos::AtLeastOnce, Qos::ExactlyOnce] {
+        let mut b = Bench::new(settings());
+        b.connect(1, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+        b.publish(1, v5_publish("no/route", qos, 1, vec![]).set_dup(true));
+        let received = b.take_received(1);
+        let is_accepted = |packet: &Packet| match packet {
+            Packet::V5_0Puback(p) => p.reason_code().is_none_or(|code| code.is_success()),
+            Packet::V5_0Pubrec(p) => p.reason_code().is_none_or(|code| code.is_success()),
+            _ => false,
+        };
+        assert!(received.iter().any(is_accepted), "{received:?}");
+        b.received.insert(LinkId(1), received);
+        assert_eq!(b.outcomes(1), ["failed"]);
+        // Up to the quota, further publishes have calls; beyond it, a redelivery gets no reason code.
+        for id in 2..=5 {
+            b.publish(1, v5_publish("quote/fare", qos, id, vec![]));
+        }
+        b.take_received(1);
+        b.publish(1, v5_publish("charge/card", qos, 6, vec![key("k")]).set_dup(true));
+        let received = b.take_received(1);
+        assert!(
+            matches!(&received[..], [Packet::V5_0Disconnect(p)] if p.reason_code() == Some(DisconnectReasonCode::QuotaExceeded)),
+            "{received:?}"
+        );
+    }
 }
 
 #[test]
