Assigned client ids are unique over restarts and differ from those of sessions

Cause: Front::assign_client_id counted from 1 in each process and did not look whether a session had the id.

Change: the id holds 64 random bits, drawn at the start of the gateway (FrontSettings::instance), and ids of sessions are passed over. The random part of a router's incarnation is drawn by the same code (random_id.rs) now.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod members;
 pub mod platform;
 pub mod plugins;
+mod random_id;
 mod remembered_file;
 pub mod server;
 pub mod settings;
--- a/crates/gateway/src/server/config_versioning/mod.rs
+++ b/crates/gateway/src/server/config_versioning/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Clock;
 use crate::documents::DocumentRollout;
+use crate::random_id::{id_text, random_u64};
 use crate::remembered_file::RememberedFile;
 use crate::settings::{DocumentRegistrySettings, Site, VersionedSettings};
 use incarnation::IncarnationFile;
@@ -79,9 +80,8 @@
     ) -> io::Result<Self> {
         let DocumentRegistrySettings { client, addresses, prefix, incarnation_file, remembered_file, name } =
             settings;
-        let mut seed = [0; 8];
-        getrandom::fill(&mut seed).map_err(|e| io::Error::other(e.to_string()))?;
-        let incarnation: String = seed.iter().map(|byte| format!("{byte:02x}")).collect();
+        let seed = random_u64()?;
+        let incarnation = id_text(seed);
         let incarnation_file =
             incarnation_file.map(|path| IncarnationFile::begin(&path, &incarnation)).transpose()?;
         let previous_incarnations =
@@ -104,7 +104,7 @@
             lease_read_requested: false,
             rejected_step: None,
             send_permission: SendPermission::Nothing,
-            takeover_timer: TakeoverTimer::new(u64::from_be_bytes(seed)),
+            takeover_timer: TakeoverTimer::new(seed),
             rollout: DocumentRollout::new(keys.clone()),
             keys,
             lease_released: false,
--- a/crates/gateway/src/server/error.rs
+++ b/crates/gateway/src/server/error.rs
@@ -17,6 +17,8 @@
     /// A file cannot be read or written: a recording of the worker list, or the file with this process's
     /// identity in the registry.
     Record(PathBuf, io::Error),
+    /// No identifier of this process could be drawn.
+    Identity(io::Error),
     /// The plug-in folder cannot be read.
     Plugins(FolderError),
     /// The poller or a signal handler failed.
@@ -29,6 +31,7 @@
             GatewayError::Listen(address, e) => write!(f, "cannot listen on {address}: {e}"),
             GatewayError::Admin(path, e) => write!(f, "cannot open the admin socket {}: {e}", path.display()),
             GatewayError::Record(path, e) => write!(f, "{}: {e}", path.display()),
+            GatewayError::Identity(e) => write!(f, "cannot draw an identifier of this process: {e}"),
             GatewayError::Plugins(e) => write!(f, "plug-ins: {e}"),
             GatewayError::Loop(e) => write!(f, "event loop failed: {e}"),
         }
@@ -39,7 +42,7 @@
     fn source(&self) -> Option<&(dyn Error + 'static)> {
         match self {
             GatewayError::Listen(_, e) | GatewayError::Admin(_, e) | GatewayError::Record(_, e) => Some(e),
-            GatewayError::Loop(e) => Some(e),
+            GatewayError::Identity(e) | GatewayError::Loop(e) => Some(e),
             GatewayError::Plugins(e) => Some(e),
         }
     }
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -27,6 +27,7 @@
 use crate::event_loop::{self, ClientConnections, Listener, WorkerSide};
 use crate::loop_timer::{LoopIteration, LoopTimer};
 use crate::members::{Recorder, Source, WorkerStartTimes};
+use crate::random_id::{id_text, random_u64};
 use crate::settings::Site;
 use admin::Admin;
 use bridge::BridgeLink;
@@ -35,7 +36,7 @@
 use pool::{Pool, RequestEnd};
 use slatevalve::{Micros, Scope, WorkerId};
 use slatevalve_engine::{Engine, Output};
-use slatevalve_mqtt::{Bridge, BridgeOutput, Front, FrontOutput, LinkId};
+use slatevalve_mqtt::{Bridge, BridgeOutput, Front, FrontOutput, FrontSettings, LinkId};
 use slatevalve_reactor::Reactor;
 use slatevalve_worker_protocol::{HttpProtocol, Limits};
 use std::collections::{BTreeSet, HashMap};
@@ -100,6 +101,7 @@
         event_loop::subscribe_to_signals(&mut reactor).map_err(GatewayError::Loop)?;
         let listener = Listener::open(&mut reactor, site.listen, ACCEPT_PAUSE)
             .map_err(|error| GatewayError::Listen(site.listen, error))?;
+        let instance = random_u64().map_err(GatewayError::Identity)?;
         let admin = open_admin(&site, &mut reactor)?;
         let plugins = open_plugins(&site, &mut reactor, clock)?;
         let (source, recorder) = members::open(&site, clock.start_unix_ms())?;
@@ -109,7 +111,7 @@
             settings_file,
             reactor,
             engine: Engine::new(site.engine.clone()),
-            front: Front::new(site.front.clone()),
+            front: Front::new(FrontSettings { instance: id_text(instance), ..site.front.clone() }),
             bridge: bridge.map(|(broker, settings)| BridgeLink::new(Bridge::new(settings), broker)),
             plugins,
             admin,
--- a/crates/gateway/src/settings/mqtt.rs
+++ b/crates/gateway/src/settings/mqtt.rs
@@ -31,6 +31,7 @@
             number: FRONT_NUMBER,
             routes,
             documents: None,
+            instance: String::new(),
             max_packet: whole(&mut form, "max-packet", base.max_packet, MAX_PACKET_BYTES)?,
             receive_maximum: whole(&mut form, "receive-maximum", base.receive_maximum, MAX_TWO_BYTES)?,
             topic_alias_maximum: whole(&mut form, "topic-aliases", base.topic_alias_maximum, MAX_TWO_BYTES)?,
--- a/crates/gateway/tests/repeats.rs
+++ b/crates/gateway/tests/repeats.rs
@@ -158,3 +158,24 @@
     assert!(app.is_quiet(600), "a redelivered call was answered again");
     assert_eq!(worker.calls(), 2);
 }
+
+/// Guards against answers that go to another client, because a restarted gateway assigns a client id that an
+/// earlier process has assigned (review/3).
+#[test]
+fn a_client_id_that_an_earlier_process_assigned_is_not_assigned_again() {
+    let worker = slow_worker(300);
+    let mut gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
+    let client = Client::connect(gateway.address(), "", true);
+    let id = client.assigned_id().expect("the gateway assigns a client id");
+    gateway.process.signal("KILL");
+    gateway.process.wait();
+    let gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
+    let mut client = Client::connect(gateway.address(), &id, true);
+    client.publish("charge/card", 1, Some("k"), "c1", false);
+    until("the charge to reach its worker", || worker.calls() == 1);
+    let mut other = Client::connect(gateway.address(), "", true);
+    assert_ne!(other.assigned_id().as_deref(), Some(id.as_str()));
+    assert!(!other.session_present);
+    assert_eq!(client.answer().outcome, "served");
+    assert!(other.is_quiet(300), "another client got the answer");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -436,6 +436,18 @@
         client
     }
 
+    /// The client id that the server assigned, for a client that connected with an empty one.
+    pub(crate) fn assigned_id(&self) -> Option<String> {
+        let connack = self.packets.iter().find_map(|packet| match packet {
+            Packet::V5_0Connack(connack) => Some(connack),
+            _ => None,
+        });
+        connack?.props().iter().find_map(|property| match property {
+            Property::AssignedClientIdentifier(id) => Some(id.val().to_string()),
+            _ => None,
+        })
+    }
+
     fn send(&mut self, packet: Packet) {
         let events = self.mqtt.send(packet);
         self.handle_events(events);
--- a/crates/mqtt/src/front.rs
+++ b/crates/mqtt/src/front.rs
@@ -51,6 +51,9 @@
     /// Numbers of the settings documents that define routes and classes, for the answers' `settings`
     /// property; `None` without versioned settings.
     pub documents: Option<String>,
+    /// Part of the client ids that the front assigns. It must differ from that of every other process, also of
+    /// earlier ones: clients come back with the ids that they were assigned.
+    pub instance: String,
     /// Maximum size of a received packet, in bytes.
     pub max_packet: u32,
     /// Maximum number of unacknowledged publishes of one client.
@@ -75,6 +78,7 @@
             number: 1,
             routes: Routes::default(),
             documents: None,
+            instance: String::new(),
             max_packet: 1024 * 1024,
             receive_maximum: 256,
             topic_alias_maximum: 16,
--- a/crates/mqtt/src/front/handshake.rs
+++ b/crates/mqtt/src/front/handshake.rs
@@ -128,9 +128,15 @@
         self.send_outbox(now, client, out);
     }
 
+    /// Assigns a client id that no session has (section 3.1.3.1).
     fn assign_client_id(&mut self) -> String {
-        self.assigned_ids += 1;
-        format!("slatevalve-{}", self.assigned_ids)
+        loop {
+            self.assigned_ids += 1;
+            let client_id = format!("slatevalve-{}-{}", self.settings.instance, self.assigned_ids);
+            if !self.clients_by_id.contains_key(&client_id) {
+                return client_id;
+            }
+        }
     }
 
     /// Closes the client's existing connection, because the new one takes over its session (section 3.1.4).
--- a/crates/mqtt/tests/front/main.rs
+++ b/crates/mqtt/tests/front/main.rs
@@ -141,6 +141,33 @@
     }
 }
 
+/// The client id that a client was assigned by the CONNACK, the first packet that it received.
+fn assigned_id(b: &mut Bench, link: u64) -> Option<String> {
+    let received = b.take_received(link);
+    let Some(Packet::V5_0Connack(connack)) = received.first() else { panic!("{received:?}") };
+    connack.props().iter().find_map(|property| match property {
+        Property::AssignedClientIdentifier(id) => Some(id.val().to_string()),
+        _ => None,
+    })
+}
+
+/// Guards against a session, with its answers, that is handed to another client: ids differ between processes
+/// and from those of all sessions (review/3).
+#[test]
+fn assigned_client_ids_differ_between_processes_and_from_those_of_sessions() {
+    let front = |instance: &str| Bench::new(FrontSettings { instance: instance.into(), ..settings() });
+    let (mut earlier, mut b) = (front("a"), front("b"));
+    earlier.connect(1, Version::V5_0, v5_connect("", true, vec![expiry(30)]));
+    let taken = assigned_id(&mut earlier, 1).unwrap();
+    b.connect(1, Version::V5_0, v5_connect(&taken, false, vec![expiry(30)]));
+    // The id that would be assigned next is in use.
+    b.connect(2, Version::V5_0, v5_connect("slatevalve-b-1", false, vec![expiry(30)]));
+    b.connect(3, Version::V5_0, v5_connect("", false, vec![expiry(30)]));
+    let assigned = assigned_id(&mut b, 3).unwrap();
+    assert!(![taken.as_str(), "slatevalve-b-1"].contains(&assigned.as_str()), "{assigned}");
+    assert!(b.closed.is_empty(), "no session was taken over");
+}
+
 /// Guards against a repeat by the client itself that counts as never accepted: what it repeats, it may have
 /// sent to an earlier process.
 #[test]
