Relay: lease ids differ between processes, so that none of before hits another router

Callers would see: after a restart of a relay, the keep-alive of a router that has not noticed it renews the lease of whichever router registered first since, so that it counts as registered though it is not; its revocation at a stop removes the other one.

Cause: the ids were derived from the relay's name alone and counted from 1 in each process (crates/relay/src/entries.rs said so).

Change: a random number of the process goes into them (RelaySettings::instance).

--- a/crates/gateway/src/commands/relay.rs
+++ b/crates/gateway/src/commands/relay.rs
@@ -3,6 +3,7 @@
 use super::login::LoginArguments;
 use super::session::resolve;
 use super::{print_ready, CommandResult};
+use crate::random_id::random_u64;
 use clap::Args;
 use slatevalve_pacing::derive_seed;
 use slatevalve_registry::{ClientSettings, Login, RegistrationSettings, WatchScope, WatchSettings};
@@ -91,7 +92,8 @@
         seed: derive_seed(1, &name),
     };
     let limits = Limits { peers: connections, ..Limits::default() };
-    run_relay(RelaySettings { name, listen, client, addresses, limits }, |address| {
+    let instance = random_u64()?;
+    run_relay(RelaySettings { name, instance, listen, client, addresses, limits }, |address| {
         // The reader of the output may have exited; the relay runs nevertheless.
         let _ = print_ready(address);
     })?;
--- a/crates/relay/src/entries.rs
+++ b/crates/relay/src/entries.rs
@@ -10,8 +10,7 @@
 /// A newly granted lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GrantedLease {
-    /// The id. Relays with different names grant different ids; a restarted relay begins with the same ids
-    /// again.
+    /// The id. Relays with different names, and different processes of one relay, grant different ids.
     pub id: i64,
     /// The granted time to live in seconds, which may differ from the requested one.
     pub ttl_s: i64,
@@ -34,10 +33,11 @@
 }
 
 impl Entries {
-    /// Creates an empty set for at most `capacity` leases. Relays with different names grant different ids,
-    /// so that a lease of another relay is recognized as unknown.
-    pub fn new(name: &str, capacity: usize) -> Self {
-        let id_prefix = (slatevalve_pacing::derive_seed(0, name) >> 24) as i64;
+    /// Creates an empty set for at most `capacity` leases. Relays with different names, and processes with
+    /// different random numbers `instance`, grant different ids, so that a lease of another relay or of an
+    /// earlier process is recognized as unknown.
+    pub fn new(name: &str, instance: u64, capacity: usize) -> Self {
+        let id_prefix = (slatevalve_pacing::derive_seed(instance, name) >> 24) as i64;
         Entries { leases: BTreeMap::new(), next_id: (id_prefix << 20) | 1, capacity }
     }
 
--- a/crates/relay/src/relay/mod.rs
+++ b/crates/relay/src/relay/mod.rs
@@ -72,13 +72,14 @@
 }
 
 impl Relay {
-    /// Creates a relay for the keys below a prefix; the name determines the ids of its leases. It rejects all
-    /// requests until the first [`Relay::update`] with a current state.
-    pub fn new(limits: Limits, name: &str, prefix: &str) -> Self {
+    /// Creates a relay for the keys below a prefix. The name and `instance`, a random number of the process,
+    /// determine the ids of its leases. It rejects all requests until the first [`Relay::update`] with a
+    /// current state.
+    pub fn new(limits: Limits, name: &str, instance: u64, prefix: &str) -> Self {
         Relay {
             prefix: prefix.into(),
             cache: WatchCache::new(limits.events),
-            entries: Entries::new(name, limits.peers),
+            entries: Entries::new(name, instance, limits.peers),
             connections: BTreeMap::new(),
             is_serving: false,
             counted_routers: 0,
--- a/crates/relay/src/run/mod.rs
+++ b/crates/relay/src/run/mod.rs
@@ -14,6 +14,8 @@
 pub struct RelaySettings {
     /// The relay's name, unique among the relays of a site; part of its key in the registry.
     pub name: String,
+    /// A random number, different in each process.
+    pub instance: u64,
     /// The address to listen on; port 0 lets the kernel choose.
     pub listen: SocketAddr,
     /// Settings of the registry's client; [`run_relay`] sets `own` to the relay's entry.
--- a/crates/relay/src/run/server.rs
+++ b/crates/relay/src/run/server.rs
@@ -107,7 +107,7 @@
         let (_, address) = listening.map_err(|error| RelayError::Listen(settings.listen, error))?;
         let mut client = settings.client;
         client.own = Some((format!("{}{RELAYS}{}", client.prefix, settings.name), record(0)));
-        let relay = Relay::new(settings.limits, &settings.name, &client.prefix);
+        let relay = Relay::new(settings.limits, &settings.name, settings.instance, &client.prefix);
         let mut link = Link::new(client, settings.addresses);
         // Relays are few, so their delays can be short.
         link.client_mut().set_clients(1);
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -33,7 +33,7 @@
         );
         watch_state
             .handle_watch(0, WatchResponse { header: header(5), created: true, ..WatchResponse::default() });
-        let mut world = World { relay: Relay::new(LIMITS, "one", "/s/"), watch_state, now_us: 0 };
+        let mut world = World { relay: Relay::new(LIMITS, "one", 1, "/s/"), watch_state, now_us: 0 };
         assert!(world.update().is_empty() && world.relay.is_serving());
         world
     }
