Test registry: lease ids and tokens differ from those of an earlier process

Callers would see: after `slatevalve kv` was replaced by an empty one, a router's keep-alive renews another router's lease, so that it does not notice that its own entry is gone; a token of before is valid once another login was given the same one.

Cause: lease ids counted from 1001 and tokens from 1 in each store.

Change: lease ids count from the time of the store's creation, and tokens contain it.

--- a/crates/registry/tests/fleet.rs
+++ b/crates/registry/tests/fleet.rs
@@ -94,7 +94,7 @@
             wakes: vec![0; routers],
             connections: BTreeMap::new(),
             last_connection: 0,
-            store: KvStore::new(7, None),
+            store: KvStore::new(7, None, 1),
             waiting: VecDeque::new(),
             free_us: 0,
             per_second,
--- a/crates/registry/tests/follow.rs
+++ b/crates/registry/tests/follow.rs
@@ -73,7 +73,7 @@
     fn with(settings: ClientSettings, login: bool) -> Self {
         let credentials = login.then(|| ("u".to_string(), "p".to_string()));
         let mut world = World {
-            store: KvStore::new(7, credentials),
+            store: KvStore::new(7, credentials, 1),
             client: Client::new(settings.clone()),
             settings,
             pipes: [(Channel::Watch, Pipe::default()), (Channel::Short, Pipe::default())].into(),
--- a/crates/test-servers/src/kv/server.rs
+++ b/crates/test-servers/src/kv/server.rs
@@ -70,7 +70,7 @@
 }
 
 fn initial_store(plan: &KvPlan) -> KvStore {
-    let mut store = KvStore::new(CLUSTER_ID, plan.login.clone());
+    let mut store = KvStore::new(CLUSTER_ID, plan.login.clone(), unix_micros());
     for (key, value) in &plan.keys {
         let put = PutRequest { key: Bytes::of(key), value: Bytes::of(value), lease: 0 };
         // A put can fail only because of its lease, and this one has none.
--- a/crates/test-servers/src/kv/store.rs
+++ b/crates/test-servers/src/kv/store.rs
@@ -8,7 +8,6 @@
 /// The gRPC status code for a failed login.
 const INVALID_ARGUMENT: i64 = 3;
 const MEMBER_ID: i64 = 1;
-const FIRST_LEASE: i64 = 1_001;
 const MICROS_PER_SECOND: i64 = 1_000_000;
 const COMPACTED: Refusal = (code::OUT_OF_RANGE, "etcdserver: mvcc: required revision has been compacted");
 const LEASE_NOT_FOUND: Refusal = (code::NOT_FOUND, "etcdserver: requested lease not found");
@@ -46,6 +45,8 @@
     next_lease: i64,
     login: Option<(String, String)>,
     tokens: BTreeSet<String>,
+    /// Time of the store's creation, part of its tokens.
+    created_us: i64,
     last_token: u64,
 }
 
@@ -57,9 +58,11 @@
 }
 
 impl KvStore {
-    /// Creates an empty store; with a login (name and password), requests need a token.
+    /// Creates an empty store; with a login (name and password), requests need a token. Ids of leases count
+    /// from the time of the creation, and tokens contain it: a store that replaces this one later hands out
+    /// others.
     #[must_use]
-    pub fn new(cluster_id: i64, login: Option<(String, String)>) -> Self {
+    pub fn new(cluster_id: i64, login: Option<(String, String)>, now_us: i64) -> Self {
         KvStore {
             cluster_id,
             revision: 1,
@@ -68,9 +71,10 @@
             history: VecDeque::new(),
             compacted: 0,
             leases: BTreeMap::new(),
-            next_lease: FIRST_LEASE,
+            next_lease: now_us.max(1),
             login,
             tokens: BTreeSet::new(),
+            created_us: now_us,
             last_token: 0,
         }
     }
@@ -110,7 +114,7 @@
             return Err((INVALID_ARGUMENT, message));
         }
         self.last_token += 1;
-        let token = format!("token.{}", self.last_token);
+        let token = format!("token.{}.{}", self.created_us, self.last_token);
         self.tokens.insert(token.clone());
         Ok(AuthResponse { header: self.header(), token })
     }
@@ -373,3 +377,6 @@
         self.cluster_id += i64::from(other_cluster);
     }
 }
+
+#[cfg(test)]
+mod tests;
