Plug-in registry: upload ids differ between processes

Callers would see: a push that began before a restart of `slatevalve registry` appends its chunks, where they carry no range, to the upload that another push has begun since under the same id; neither matches its digest.

Cause: upload sessions counted from 1 in each process; they do not survive it, their ids did.

Change: the ids hold a random number of the process (Registry::open takes it). The token is drawn by the same code as other random identifiers (random_id.rs); its form, 32 hexadecimal digits, is unchanged.

--- a/crates/gateway/src/commands/registry.rs
+++ b/crates/gateway/src/commands/registry.rs
@@ -2,6 +2,7 @@
 
 use super::login::LoginArguments;
 use super::{print_ready, CommandResult};
+use crate::random_id::{id_text, random_u64};
 use clap::Args;
 use slatevalve_blobs::{BlobStore, Disk};
 use slatevalve_oci::{Access, Registry};
@@ -36,7 +37,7 @@
     let folder = arguments.folder.unwrap_or_default();
     if arguments.gc {
         let store = BlobStore::new(Disk::new(&folder)?);
-        let removed = Registry::open(store, Access::Open, "")?.collect()?;
+        let removed = Registry::open(store, Access::Open, "", 0)?.collect()?;
         println!("{removed} blobs removed");
         return Ok(ExitCode::SUCCESS);
     }
@@ -53,9 +54,8 @@
             }
         }
     };
-    let mut random = [0; 16];
-    getrandom::fill(&mut random).map_err(|e| format!("cannot get random bytes for the token: {e}"))?;
-    plan.token = random.iter().map(|b| format!("{b:02x}")).collect();
+    plan.token = [id_text(random_u64()?), id_text(random_u64()?)].concat();
+    plan.instance = random_u64()?;
     run_registry(plan, |address| {
         // The registry also works after the reader of its output has exited.
         let _ = print_ready(address);
--- a/crates/oci/src/server.rs
+++ b/crates/oci/src/server.rs
@@ -50,7 +50,9 @@
     access: Access,
     repositories: BTreeMap<String, Repository>,
     uploads: BTreeMap<String, Upload>,
-    /// Number of the upload session opened last; ids count up from 1 in each process.
+    /// Part of the ids of upload sessions that differs between processes.
+    instance: String,
+    /// Number of the upload session opened last, from 1 in each process.
     last_upload: u64,
     /// The one token that the registry issues; tokens are never revoked.
     token: String,
@@ -58,11 +60,17 @@
 
 impl<F: Files> Registry<F> {
     /// Opens a registry on a folder, which may be in any state that a crash left. `token` is the bearer token
-    /// that the registry issues; where access is restricted it must not be guessable.
+    /// that the registry issues; where access is restricted it must not be guessable. `instance` must differ
+    /// from that of earlier processes, so that no push continues in another one's upload session.
     ///
     /// # Errors
     /// When the folder cannot be read, or its document of repositories cannot be parsed.
-    pub fn open(mut store: BlobStore<F>, access: Access, token: &str) -> Result<Self, RegistryError> {
+    pub fn open(
+        mut store: BlobStore<F>,
+        access: Access,
+        token: &str,
+        instance: u64,
+    ) -> Result<Self, RegistryError> {
         // Upload sessions do not survive the process that opened them.
         store.discard_all_staged()?;
         let repositories = match store.document(DOCUMENT) {
@@ -70,8 +78,9 @@
             Err(BlobError::Missing) => BTreeMap::new(),
             Err(e) => return Err(e.into()),
         };
+        let instance = format!("{instance:016x}");
         let uploads = BTreeMap::new();
-        Ok(Registry { store, access, repositories, uploads, last_upload: 0, token: token.into() })
+        Ok(Registry { store, access, repositories, uploads, instance, last_upload: 0, token: token.into() })
     }
 
     /// Serves a request; returns the encoded response.
--- a/crates/oci/src/server/blobs.rs
+++ b/crates/oci/src/server/blobs.rs
@@ -71,7 +71,7 @@
             return Err(response.with_header("Retry-After", UPLOADS_RETRY_AFTER_S));
         }
         self.last_upload += 1;
-        let id = format!("upload-{}", self.last_upload);
+        let id = format!("upload-{}-{}", self.instance, self.last_upload);
         self.store.append_staged(&id, &[])?;
         self.uploads.insert(id.clone(), Upload { repository: repository.into(), size: 0 });
         Ok(upload_response(202, repository, &id, 0))
--- a/crates/oci/tests/pulls.rs
+++ b/crates/oci/tests/pulls.rs
@@ -54,7 +54,7 @@
 }
 
 fn registry() -> Registry<MemoryFiles> {
-    Registry::open(BlobStore::new(MemoryFiles::default()), Access::Open, "t").unwrap()
+    Registry::open(BlobStore::new(MemoryFiles::default()), Access::Open, "t", 1).unwrap()
 }
 
 fn location() -> Location {
@@ -439,7 +439,8 @@
         [Access::Basic(credentials.clone()), Access::Token(credentials.clone(), "http://r:5000".into())]
     {
         let by_token = matches!(access, Access::Token(..));
-        let mut registry = Registry::open(BlobStore::new(MemoryFiles::default()), access, "secret").unwrap();
+        let mut registry =
+            Registry::open(BlobStore::new(MemoryFiles::default()), access, "secret", 1).unwrap();
         let policy = Policy::default;
         let mut push =
             Push::new(0, location(), Some(credentials.clone()), policy(), 1, 600, &package()).unwrap();
@@ -488,14 +489,37 @@
     assert!(pulled.signatures.is_empty());
 }
 
+/// Sends a request as text and returns the registry's response as text.
+fn send(registry: &mut Registry<MemoryFiles>, text: &str) -> String {
+    let message =
+        MessageReader::new(Side::Request, Limits::default()).feed(text.as_bytes()).unwrap().unwrap();
+    String::from_utf8_lossy(&registry.answer(&message)).into_owned()
+}
+
+/// Guards against a push from before a restart that appends its chunks to the upload of another one.
+#[test]
+fn an_upload_session_of_an_earlier_process_is_unknown_after_a_restart() {
+    let open = |instance| {
+        Registry::open(BlobStore::new(MemoryFiles::default()), Access::Open, "t", instance).unwrap()
+    };
+    let start = |registry: &mut Registry<MemoryFiles>| {
+        let opened = send(registry, "POST /v2/fare/blobs/uploads/ HTTP/1.1\r\n\r\n");
+        let location = opened.lines().find_map(|line| line.strip_prefix("Location: "));
+        location.expect("the response names the upload session").to_string()
+    };
+    let (earlier, mut restarted) = (start(&mut open(1)), open(2));
+    let other = start(&mut restarted);
+    let append = |location: &str| format!("PATCH {location} HTTP/1.1\r\nContent-Length: 3\r\n\r\nfoo");
+    assert!(send(&mut restarted, &append(&earlier)).starts_with("HTTP/1.1 404"));
+    assert!(
+        send(&mut restarted, &append(&other)).contains("Range: 0-2"),
+        "the other push has its 3 bytes only"
+    );
+}
+
 #[test]
 fn garbage_collection_keeps_tagged_content_and_invalid_requests_are_rejected() {
     let mut registry = pushed();
-    let send = |registry: &mut Registry<MemoryFiles>, text: &str| {
-        let message =
-            MessageReader::new(Side::Request, Limits::default()).feed(text.as_bytes()).unwrap().unwrap();
-        String::from_utf8_lossy(&registry.answer(&message)).into_owned()
-    };
     let opened = send(&mut registry, "POST /v2/fare/blobs/uploads/ HTTP/1.1\r\n\r\n");
     assert!(
         opened.starts_with("HTTP/1.1 202") && opened.contains("Location: /v2/fare/blobs/uploads/upload-")
--- a/crates/test-servers/src/registry/mod.rs
+++ b/crates/test-servers/src/registry/mod.rs
@@ -81,7 +81,7 @@
     };
     let store = BlobStore::new(Disk::new(&plan.folder)?);
     let mut server = Server {
-        registry: Registry::open(store, access, &plan.token).map_err(io::Error::other)?,
+        registry: Registry::open(store, access, &plan.token, plan.instance).map_err(io::Error::other)?,
         reactor,
         peers: HashMap::new(),
         faults: plan.faults.into_iter().map(|fault| CountedFault { fault, count: 0 }).collect(),
--- a/crates/test-servers/src/registry/plan.rs
+++ b/crates/test-servers/src/registry/plan.rs
@@ -51,6 +51,9 @@
     pub tokens: bool,
     /// The token that is issued; must be hard to guess.
     pub token: String,
+    /// Number of the process, which must differ from that of earlier ones; part of the ids of uploads.
+    #[serde(skip)]
+    pub instance: u64,
     /// The faults; the first that matches a request applies.
     pub faults: Vec<RegistryFault>,
     /// The trace file, with one JSON object a line for each request; none for no trace.
@@ -65,6 +68,7 @@
             user: None,
             tokens: false,
             token: String::new(),
+            instance: 0,
             faults: Vec::new(),
             trace: None,
         }
