Request ids at workers differ between the processes of a gateway

Operators of workers would see: two calls with one X-Request-Id, as each process of a gateway numbers its calls from 1; in the traces of test workers, which name a call by gateway and id, two calls of a gateway that was killed look like one that ran twice.

Cause: the id was the engine's number of the call.

Change: it is preceded by the random identity of the process, which the gateway logs at its start. On the platform, where ids are the clients' own, nothing changes.

--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -43,6 +43,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
+use tracing::info;
 
 /// Maximum of unsent bytes per connection; a peer that reads too slowly is disconnected when it is reached.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
@@ -101,7 +102,8 @@
         event_loop::subscribe_to_signals(&mut reactor).map_err(GatewayError::Loop)?;
         let listener = Listener::open(&mut reactor, site.listen, ACCEPT_PAUSE)
             .map_err(|error| GatewayError::Listen(site.listen, error))?;
-        let instance = random_u64().map_err(GatewayError::Identity)?;
+        let instance = id_text(random_u64().map_err(GatewayError::Identity)?);
+        info!(%instance, "identity of this process");
         let admin = open_admin(&site, &mut reactor)?;
         let plugins = open_plugins(&site, &mut reactor, clock)?;
         let (source, recorder) = members::open(&site, clock.start_unix_ms())?;
@@ -111,7 +113,7 @@
             settings_file,
             reactor,
             engine: Engine::new(site.engine.clone()),
-            front: Front::new(FrontSettings { instance: id_text(instance), ..site.front.clone() }),
+            front: Front::new(FrontSettings { instance: instance.clone(), ..site.front.clone() }),
             bridge: bridge.map(|(broker, settings)| BridgeLink::new(Bridge::new(settings), broker)),
             plugins,
             admin,
@@ -120,7 +122,7 @@
             recorder,
             names: HashMap::new(),
             start_times: WorkerStartTimes::default(),
-            pool: new_pool(&site),
+            pool: new_pool(&site, &instance),
             listener,
             clients: ClientConnections::new(LinkId),
             workers_listed: BTreeSet::new(),
@@ -264,8 +266,10 @@
     PluginHost::open(settings, site, clock, waker).map(Some).map_err(GatewayError::Plugins)
 }
 
-fn new_pool(site: &Site) -> Pool {
+fn new_pool(site: &Site, instance: &str) -> Pool {
     let limits = Limits { body: site.max_response, ..Limits::default() };
     let protocol = HttpProtocol { gateway: site.name.clone(), limits };
-    Pool::new(site.pool, Box::new(protocol), site.engine.balancer.loading.load_timeout)
+    let mut pool = Pool::new(site.pool, Box::new(protocol), site.engine.balancer.loading.load_timeout);
+    pool.set_request_id_prefix(format!("{instance}-"));
+    pool
 }
--- a/crates/gateway/src/server/pool/mod.rs
+++ b/crates/gateway/src/server/pool/mod.rs
@@ -85,6 +85,8 @@
     load_timeout: Micros,
     /// Versions of the settings documents in effect; attempts carry them to the worker.
     document_versions: Vec<u64>,
+    /// Prefix of the request ids of calls whose client gave none.
+    request_id_prefix: String,
     peers: BTreeMap<WorkerId, Peer>,
     connections: HashMap<Id, Connection>,
     /// Location of each attempt that is queued or in flight.
@@ -104,6 +106,7 @@
             protocol,
             load_timeout,
             document_versions: Vec::new(),
+            request_id_prefix: String::new(),
             peers: BTreeMap::new(),
             connections: HashMap::new(),
             attempts: HashMap::new(),
@@ -116,6 +119,12 @@
         self.document_versions = documents.to_vec();
     }
 
+    /// Sets the prefix of the request ids of calls whose client gave none. It must differ between processes:
+    /// each of them numbers its calls from 1.
+    pub(crate) fn set_request_id_prefix(&mut self, prefix: String) {
+        self.request_id_prefix = prefix;
+    }
+
     /// Numbers of workers, connections, attempts and timers, for tests of the bounds.
     pub(crate) fn sizes(&self) -> [usize; 4] {
         [self.peers.len(), self.connections.len(), self.attempts.len(), self.timers.len()]
--- a/crates/gateway/src/server/pool/outputs.rs
+++ b/crates/gateway/src/server/pool/outputs.rs
@@ -57,6 +57,7 @@
         None
     }
 
+    /// Builds the request of an attempt. Its request id is the client's own if the client provided one.
     fn attempt_request(
         &self,
         now: Micros,
@@ -74,7 +75,19 @@
             time_left_us = time_remaining.0,
             "attempt submitted"
         );
-        let call = worker_call(classes, &self.document_versions, attempt, body, time_remaining);
+        let client_id = body.request_id.as_deref();
+        let own_id = || format!("{}{}", self.request_id_prefix, attempt.request.0);
+        let call = Call {
+            function: body.function.to_string(),
+            version: None,
+            payload: body.payload.to_vec(),
+            key: body.key.as_ref().map(|k| k.to_vec()),
+            request_id: client_id.map_or_else(own_id, String::from),
+            attempt: attempt.attempt,
+            time_remaining_ms: (time_remaining.0 / MICROS_PER_MILLISECOND).max(0) as u64,
+            class: classes.get(body.class.0).cloned().unwrap_or_default(),
+            settings: self.document_versions.clone(),
+        };
         OutgoingRequest::to_any(worker, Purpose::Attempt(attempt), WorkerRequest::Infer(call))
     }
 
@@ -165,25 +178,3 @@
         }
     }
 }
-
-/// Builds the call for the worker protocol. Its request id is the client's own if the client provided one.
-fn worker_call(
-    classes: &[String],
-    document_versions: &[u64],
-    attempt: AttemptRef,
-    body: &RunBody,
-    time_remaining: Micros,
-) -> Call {
-    let client_id = body.request_id.as_deref();
-    Call {
-        function: body.function.to_string(),
-        version: None,
-        payload: body.payload.to_vec(),
-        key: body.key.as_ref().map(|k| k.to_vec()),
-        request_id: client_id.map_or_else(|| attempt.request.0.to_string(), String::from),
-        attempt: attempt.attempt,
-        time_remaining_ms: (time_remaining.0 / MICROS_PER_MILLISECOND).max(0) as u64,
-        class: classes.get(body.class.0).cloned().unwrap_or_default(),
-        settings: document_versions.to_vec(),
-    }
-}
--- a/crates/gateway/tests/repeats.rs
+++ b/crates/gateway/tests/repeats.rs
@@ -179,3 +179,18 @@
     assert_eq!(client.answer().outcome, "served");
     assert!(other.is_quiet(300), "another client got the answer");
 }
+
+/// Guards against workers that see two calls with one id, because a restarted gateway numbers its calls anew.
+#[test]
+fn request_ids_at_workers_differ_between_processes_of_a_gateway() {
+    let worker = Worker::start(|_, _| served("paid"));
+    for key in ["k", "l"] {
+        let gateway = Gateway::start(SITE, &[("w", worker.address, "")]);
+        let mut client = Client::connect(gateway.address(), "a", false);
+        assert_eq!(client.call("charge/card", 1, Some(key), "c1").outcome, "served");
+        gateway.process.signal("KILL");
+    }
+    let ids = worker.request_ids();
+    assert_eq!(ids.len(), 2);
+    assert_ne!(ids[0], ids[1]);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -386,6 +386,11 @@
         calls.iter().map(|(_, c)| String::from_utf8_lossy(&c.payload).into_owned()).collect()
     }
 
+    /// Request ids of the received calls, in order of arrival.
+    pub(crate) fn request_ids(&self) -> Vec<String> {
+        self.calls.lock().unwrap().iter().map(|(_, call)| call.request_id.clone()).collect()
+    }
+
     /// Number of received calls and load requests.
     pub(crate) fn calls_and_loads(&self) -> usize {
         self.calls() + self.load_requests.lock().unwrap().len()
