Test broker: a client without an id is assigned one, different in each process

Users of `slatevalve broker` would see: all clients without an id shared one session, and took it over from each other.

Cause: the broker took the empty id as that of a session.

Change: it assigns an id that holds the time of its start and is that of no session, and names it in CONNACK (MQTT 5.0, 3.1.3.1).

Result: the_test_broker_assigns_each_client_without_an_id_another_one_in_each_process failed before (no id) and passes; whole suite without known reds passed.

--- a/crates/gateway/tests/repeats.rs
+++ b/crates/gateway/tests/repeats.rs
@@ -194,3 +194,16 @@
     assert_eq!(ids.len(), 2);
     assert_ne!(ids[0], ids[1]);
 }
+
+/// Guards against two clients without an id that share one session of the test broker.
+#[test]
+fn the_test_broker_assigns_each_client_without_an_id_another_one_in_each_process() {
+    let broker = Process::start(&["broker"], None);
+    let clients = [0, 1].map(|_| Client::connect(broker.address, "", true));
+    assert!(clients.iter().all(|client| !client.session_present));
+    let other = Process::start(&["broker"], None);
+    let later = Client::connect(other.address, "", true);
+    let ids =
+        [&clients[0], &clients[1], &later].map(|client| client.assigned_id().expect("an id is assigned"));
+    assert!(ids[0] != ids[1] && !ids[..2].contains(&ids[2]), "{ids:?}");
+}
--- a/crates/test-servers/src/broker/mod.rs
+++ b/crates/test-servers/src/broker/mod.rs
@@ -11,7 +11,9 @@
 use crate::listen::listening_reactor;
 use mqtt_protocol_core::mqtt::common::Cursor;
 use mqtt_protocol_core::mqtt::connection::{Connection, Event};
-use mqtt_protocol_core::mqtt::packet::{v5_0, GenericPacketTrait, Packet, Property, Qos};
+use mqtt_protocol_core::mqtt::packet::{
+    v5_0, AssignedClientIdentifier, GenericPacketTrait, Packet, Property, Qos,
+};
 use mqtt_protocol_core::mqtt::result_code::{
     ConnectReasonCode, MqttError, SubackReasonCode, UnsubackReasonCode,
 };
@@ -61,6 +63,11 @@
     sessions: BTreeMap<String, Session>,
     /// The number of messages delivered to each shared subscription, for round-robin selection of the client.
     round_robin: HashMap<SharedSubscription, usize>,
+    /// Number of client ids that were assigned to clients without one.
+    assigned_ids: u64,
+    /// When the broker started; part of the client ids that it assigns, so that they differ from those that an
+    /// earlier process assigned.
+    started_us: i64,
     /// Pending faults, ordered by time.
     faults: Vec<BrokerFault>,
     ignored: Vec<IgnoredAcknowledgements>,
@@ -80,6 +87,8 @@
         connections: HashMap::new(),
         sessions: BTreeMap::new(),
         round_robin: HashMap::new(),
+        assigned_ids: 0,
+        started_us: unix_micros(),
         faults,
         ignored: Vec::new(),
     };
@@ -209,7 +218,8 @@
     }
 
     fn handle_connect(&mut self, id: Id, connect: &v5_0::Connect) {
-        let client = connect.client_id().to_string();
+        let is_assigned = connect.client_id().is_empty();
+        let client = if is_assigned { self.assign_client_id() } else { connect.client_id().to_string() };
         if let Some(previous) = self.sessions.get(&client).and_then(|session| session.connection) {
             self.reactor.close(previous);
             self.disconnect(previous);
@@ -233,11 +243,24 @@
             connection.client = Some(client.clone());
         }
         let connack = v5_0::Connack::builder().reason_code(ConnectReasonCode::Success);
-        self.send(id, connack.session_present(is_resumed).build());
+        let assigned = AssignedClientIdentifier::new(client.as_str()).ok().filter(|_| is_assigned);
+        let properties: Vec<Property> = assigned.map(Property::from).into_iter().collect();
+        self.send(id, connack.session_present(is_resumed).props(properties).build());
         self.redeliver(id, &client);
         self.deliver_queued(&client);
     }
 
+    /// Assigns a client id that no session has (section 3.1.3.1).
+    fn assign_client_id(&mut self) -> String {
+        loop {
+            self.assigned_ids += 1;
+            let client_id = format!("broker-{}-{}", self.started_us, self.assigned_ids);
+            if !self.sessions.contains_key(&client_id) {
+                return client_id;
+            }
+        }
+    }
+
     /// Resends the messages in flight of a resumed session, marked as duplicates.
     fn redeliver(&mut self, connection: Id, client: &str) {
         let Some(session) = self.sessions.get(client) else { return };
