A repeat of a keyed call leaves before workers forget its key, or not at all

Cause: the time was checked at the decision alone; nothing bounded when the bytes leave.

Change: Action::Send carries send_before, the end of the key's time less the margin that decisions keep; the pool takes back what has not begun to leave by then, so that it ends as not sent.

--- a/crates/engine/src/engine/actions.rs
+++ b/crates/engine/src/engine/actions.rs
@@ -4,7 +4,7 @@
 use super::{Engine, Timer};
 use crate::answer::{Reason, Verdict};
 use crate::attempt::AttemptRef;
-use crate::output::Output;
+use crate::output::{Output, SendLimits};
 use slatevalve::{Action, Answer as AttemptAnswer, Event, FunctionId, Micros, Outcome, RequestId, WorkerId};
 use std::collections::VecDeque;
 
@@ -26,8 +26,8 @@
     /// Executes one action. If it cannot be executed, returns the event that reports this to the balancer.
     fn execute(&mut self, action: Action, out: &mut Vec<Output>) -> Option<Event> {
         match action {
-            Action::Send { id, worker, timeout: _, process_since } => {
-                return self.send(id, worker, process_since, out);
+            Action::Send { id, worker, timeout: _, process_since, send_before } => {
+                return self.send(id, worker, SendLimits { process_since, send_before }, out);
             }
             // Answers have no field for `retry_after`; the balancer sets it only if the settings allow it.
             Action::Refuse { id, retry_after: _ } => self.refuse(id, out),
@@ -46,7 +46,7 @@
         &mut self,
         id: RequestId,
         worker: WorkerId,
-        process_since: Option<Micros>,
+        limits: SendLimits,
         out: &mut Vec<Output>,
     ) -> Option<Event> {
         let (now, is_suspended) = (self.now, self.is_suspended(id));
@@ -64,7 +64,7 @@
         self.statistics.attempts += 1;
         let time_remaining = Micros(call.deadline.0.saturating_sub(now.0));
         let body = call.body.clone();
-        out.push(Output::Send { attempt, worker, process_since, body, time_remaining });
+        out.push(Output::Send { attempt, worker, limits, body, time_remaining });
         None
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -28,7 +28,7 @@
 pub use duplicates::DuplicateLimits;
 pub use engine::{Engine, Statistics};
 pub use names::{function_id, worker_id};
-pub use output::Output;
+pub use output::{Output, SendLimits};
 pub use settings::{ClassPolicy, EngineSettings, FunctionTraits};
 pub use timers::Timers;
 pub use version::Version;
--- a/crates/engine/src/output.rs
+++ b/crates/engine/src/output.rs
@@ -7,6 +7,15 @@
 use slatevalve::{FunctionId, Micros, WorkerId};
 use std::sync::Arc;
 
+/// Conditions under which a request may be sent to a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SendLimits {
+    /// If set, it may reach only a process that is known to run since this time at the latest.
+    pub process_since: Option<Micros>,
+    /// If set, its first byte must be written before this time.
+    pub send_before: Option<Micros>,
+}
+
 /// A command for the event loop, the connection pool or a front end.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
@@ -16,9 +25,8 @@
         attempt: AttemptRef,
         /// Recipient of the request.
         worker: WorkerId,
-        /// If set, the attempt may reach only a process that is known to run since this time at the latest;
-        /// otherwise it ends as not sent.
-        process_since: Option<Micros>,
+        /// Conditions under which the attempt may be sent; otherwise it ends as not sent.
+        limits: SendLimits,
         /// Content of the request, shared by all attempts of the call.
         body: Arc<RunBody>,
         /// Time until the deadline of the call, at the time of this output.
--- a/crates/gateway/src/server/pool/outputs.rs
+++ b/crates/gateway/src/server/pool/outputs.rs
@@ -23,9 +23,9 @@
         out: &mut Vec<Output>,
     ) -> Option<Output> {
         let end = match output {
-            Output::Send { attempt, worker, process_since, body, time_remaining } => {
+            Output::Send { attempt, worker, limits, body, time_remaining } => {
                 let request = self.attempt_request(now, worker, attempt, &body, time_remaining, classes);
-                let request = OutgoingRequest { process_since, ..request };
+                let request = OutgoingRequest { limits, ..request };
                 self.submit(now, reactor, request)
             }
             Output::Load { worker, function, name, copies } => {
--- a/crates/gateway/src/server/pool/requests.rs
+++ b/crates/gateway/src/server/pool/requests.rs
@@ -3,7 +3,7 @@
 use super::timers::{after, Timer};
 use super::{Pool, Purpose, RequestEnd};
 use slatevalve::{Micros, Outcome, WorkerId};
-use slatevalve_engine::AttemptRef;
+use slatevalve_engine::{AttemptRef, SendLimits};
 use slatevalve_reactor::{Id, Reactor};
 use slatevalve_worker_protocol::reply::ParsedReply;
 use slatevalve_worker_protocol::{Tag, WorkerRequest};
@@ -14,15 +14,14 @@
 pub(super) struct OutgoingRequest {
     pub(super) worker: WorkerId,
     pub(super) purpose: Purpose,
-    /// If set, the request may reach only a process that is known to run since this time at the latest.
-    pub(super) process_since: Option<Micros>,
+    pub(super) limits: SendLimits,
     pub(super) message: WorkerRequest,
 }
 
 impl OutgoingRequest {
-    /// A request that may reach any process at the worker's address.
+    /// A request that may reach any process at the worker's address at any time.
     pub(super) fn to_any(worker: WorkerId, purpose: Purpose, message: WorkerRequest) -> Self {
-        OutgoingRequest { worker, purpose, process_since: None, message }
+        OutgoingRequest { worker, purpose, limits: SendLimits::default(), message }
     }
 }
 
@@ -65,14 +64,17 @@
         reactor: &mut Reactor,
         request: OutgoingRequest,
     ) -> Option<RequestEnd> {
-        let OutgoingRequest { worker, purpose, process_since, message } = request;
-        let connection = match process_since {
+        let OutgoingRequest { worker, purpose, limits, message } = request;
+        let connection = match limits.process_since {
             Some(limit) => self.acquire_to_process(now, reactor, worker, purpose, limit),
             None => self.acquire(now, reactor, worker, purpose),
         };
         match connection {
             Ok(id) => {
-                self.enqueue(now, reactor, id, purpose, message);
+                let key = self.enqueue(now, reactor, id, purpose, message)?;
+                if let Some(at) = limits.send_before {
+                    self.timers.set(at, Timer::Unsent(key));
+                }
                 None
             }
             Err(outcome) => Some(RequestEnd {
@@ -94,9 +96,9 @@
         id: Id,
         purpose: Purpose,
         message: WorkerRequest,
-    ) {
+    ) -> Option<RequestKey> {
         let deadline = self.timeout(purpose).map(|timeout| after(now, timeout));
-        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let connection = self.connections.get_mut(&id)?;
         let host = self.peers.get(&connection.worker).map_or("", |p| &p.host);
         let tag = Tag(connection.next_tag);
         connection.next_tag += 1;
@@ -117,6 +119,7 @@
         let request = PendingRequest { purpose, message, submitted_at: now, bytes: range, deadline };
         connection.requests.insert(tag, request);
         reactor.write(id, &bytes);
+        Some(RequestKey { connection: id, tag })
     }
 
     /// The timeout of a request; `None` for attempts, whose deadlines are tracked by the engine.
@@ -262,7 +265,12 @@
 
     /// Removes a request of which no byte has been written, as if it had never been submitted; returns `None`
     /// for any other request. The other requests of the connection are not affected.
-    fn discard_unsent(&mut self, now: Micros, reactor: &mut Reactor, key: RequestKey) -> Option<RequestEnd> {
+    pub(super) fn discard_unsent(
+        &mut self,
+        now: Micros,
+        reactor: &mut Reactor,
+        key: RequestKey,
+    ) -> Option<RequestEnd> {
         let connection = self.connections.get_mut(&key.connection)?;
         let discarded = connection.requests.get(&key.tag)?.bytes.clone();
         if !reactor.discard_unsent(key.connection, discarded.start, discarded.end) {
--- a/crates/gateway/src/server/pool/tests.rs
+++ b/crates/gateway/src/server/pool/tests.rs
@@ -5,6 +5,7 @@
 use super::requests::OutgoingRequest;
 use super::*;
 use slatevalve::{Outcome, RequestId};
+use slatevalve_engine::SendLimits;
 use slatevalve_platform::workers::LineProtocol;
 use slatevalve_reactor::{Reactor, ReactorEvent};
 use slatevalve_worker_protocol::{Call, WorkerRequest};
@@ -71,7 +72,8 @@
     /// connection leads to one.
     fn probe(&mut self, limit: Option<Micros>) -> Option<Outcome> {
         let probe = OutgoingRequest::to_any(WORKER, Purpose::Probe, WorkerRequest::Ready);
-        let probe = OutgoingRequest { process_since: limit, ..probe };
+        let probe =
+            OutgoingRequest { limits: SendLimits { process_since: limit, ..SendLimits::default() }, ..probe };
         self.pool.submit(self.now, &mut self.reactor, probe).map(|end| end.reply.outcome)
     }
 
@@ -411,3 +413,31 @@
         assert_eq!(fixture.poll_process(), ProcessInfo { since: Micros(100), may_be_new: true });
     }
 }
+
+/// Guards against a booking that runs twice because a slow connection delays its repeat until workers have
+/// forgotten its key.
+#[test]
+fn a_request_whose_connection_is_late_is_not_sent_after_its_time() {
+    let limits = SendLimits { send_before: Some(Micros(50)), ..SendLimits::default() };
+    let probe = || OutgoingRequest::to_any(WORKER, Purpose::Probe, WorkerRequest::Ready);
+    for is_late in [true, false] {
+        let mut fixture = PoolFixture::new(8);
+        let request = OutgoingRequest { limits, ..probe() };
+        assert!(fixture.pool.submit(fixture.now, &mut fixture.reactor, request).is_none());
+        let mut peer = fixture.peer();
+        if !is_late {
+            fixture.poll_until_written();
+        }
+        let ends = fixture.pool.advance(Micros(50), &mut fixture.reactor);
+        assert_eq!(PoolFixture::outcomes(ends), if is_late { vec![Outcome::NotSent] } else { vec![] });
+        // Only what was written in time reaches the worker.
+        if is_late {
+            assert!(fixture.pool.submit(Micros(60), &mut fixture.reactor, probe()).is_none());
+            fixture.poll();
+            fixture.poll();
+        }
+        let mut line = [0; 9];
+        peer.read_exact(&mut line).expect("read a health check within the timeout");
+        assert_eq!(&line, if is_late { b"load t1\r\n" } else { b"load t0\r\n" });
+    }
+}
--- a/crates/gateway/src/server/pool/timers.rs
+++ b/crates/gateway/src/server/pool/timers.rs
@@ -14,6 +14,8 @@
     Connection(Id),
     /// The timeout of a request.
     Request(RequestKey),
+    /// The time before which a request must begin to be written.
+    Unsent(RequestKey),
 }
 
 /// The time `duration` after `now`, saturating.
@@ -38,6 +40,7 @@
             match timer {
                 Timer::Connection(id) => ends.extend(self.expire_connection(now, reactor, id)),
                 Timer::Request(key) => ends.extend(self.expire_request(now, reactor, key)),
+                Timer::Unsent(key) => ends.extend(self.expire_unsent(now, reactor, key)),
             }
         }
         ends
@@ -61,6 +64,12 @@
         ends
     }
 
+    fn expire_unsent(&mut self, now: Micros, reactor: &mut Reactor, key: RequestKey) -> Option<RequestEnd> {
+        let end = self.discard_unsent(now, reactor, key);
+        self.release(now, reactor, key.connection);
+        end
+    }
+
     fn expire_request(&mut self, now: Micros, reactor: &mut Reactor, key: RequestKey) -> Option<RequestEnd> {
         let connection = self.connections.get(&key.connection)?;
         connection.requests.get(&key.tag).filter(|r| has_expired(r.deadline, now))?;
--- a/src/api/actions.rs
+++ b/src/api/actions.rs
@@ -16,6 +16,9 @@
         /// If set, the attempt may reach only a process that is known to run since this time at the latest;
         /// otherwise it ends as [`Outcome::NotSent`](super::Outcome::NotSent).
         process_since: Option<Micros>,
+        /// If set, the attempt must begin to leave the router before this time; otherwise it ends as
+        /// [`Outcome::NotSent`](super::Outcome::NotSent).
+        send_before: Option<Micros>,
     },
     /// Refuse a request; repeating it is safe.
     Refuse {
--- a/src/balancer/dispatch.rs
+++ b/src/balancer/dispatch.rs
@@ -217,6 +217,7 @@
             return;
         }
         let process_since = self.required_process_since(open);
+        let send_before = self.key_expires_at(open);
         let (work_secs, function_id) = (self.class_work(open), open.request.function);
         let no_replica = Replica::default();
         let function = self.placement.functions.get(&function_id);
@@ -247,6 +248,6 @@
             process_since: None,
             last_listed: None,
         });
-        out.push(Action::Send { id, worker: worker_id, timeout: None, process_since });
+        out.push(Action::Send { id, worker: worker_id, timeout: None, process_since, send_before });
     }
 }
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -301,6 +301,15 @@
         }
     }
 
+    /// When workers may no longer recognize a repeat by its key; `None` if no earlier attempt could have run,
+    /// or if repeats do no harm.
+    pub(super) fn key_expires_at(&self, open: &OpenRequest) -> Option<Micros> {
+        let Effect::IdempotentWithKey { memory, .. } = self.class(open).effect else { return None };
+        let possible_runs = open.attempts.iter().filter(|attempt| attempt.could_have_run());
+        let first_sent_at = possible_runs.map(|attempt| attempt.key_sent_at).min()?;
+        Some(Micros(after(first_sent_at, memory).0.saturating_sub(KEY_EXPIRY_MARGIN.0)))
+    }
+
     /// Whether further attempts are limited to the zone or cell of an earlier one that could have run. Which
     /// processes belong to it, only the list tells.
     fn is_bound_to_group(&self, open: &OpenRequest) -> bool {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -423,7 +423,13 @@
             .insert(1, CheckedRequest { class, deadline: 3_000_000, attempts: vec![], is_closed: false });
         c
     };
-    let send = |w| Action::Send { id: RequestId(1), worker: WorkerId(w), timeout: None, process_since: None };
+    let send = |w| Action::Send {
+        id: RequestId(1),
+        worker: WorkerId(w),
+        timeout: None,
+        process_since: None,
+        send_before: None,
+    };
     let refuse = || Action::Refuse { id: RequestId(1), retry_after: None };
     let load = |f| Action::Load { worker: WorkerId(1), function: FunctionId(f), copies: 1 };
     let broken_rule = |class, outcome: Option<Outcome>, actions: &[Action]| {
