Expired list: a worker that rejects calls is used only as long as it serves others

Cause: READY of a health check counted as a proof that the worker takes work, also right after it had answered AGAIN. Evidence: the record has a probe answered READY before each late call, and AGAIN to every call since the drain.

Change: while the list is out of date, a worker that has rejected a call is sent to only within half the grace after the send of a call that it served later; one that has rejected a load request gets none. A confirmation of the list ends both.

--- a/crates/gateway/tests/platform/list_outage.rs
+++ b/crates/gateway/tests/platform/list_outage.rs
@@ -83,6 +83,43 @@
     drain_during_outage(Service::Silent);
 }
 
+/// Guards against calls to a worker that drains during an outage of the log while its health checks say that it
+/// is ready, as they show only that its process runs (review/5).
+#[test]
+fn nothing_reaches_a_draining_worker_whose_health_checks_are_shallow() {
+    const GRACE: Duration = Duration::from_millis(2_000);
+    const TOLERANCE: Duration = Duration::from_millis(50);
+    const DRAINED_AFTER: Duration = Duration::from_millis(7_200);
+    let workers: Vec<FleetWorker> = (0..4).map(|seed| FleetWorker::start(Behaviour::GOOD, seed)).collect();
+    workers.iter().for_each(FleetWorker::use_shallow_health_checks);
+    let names: Vec<String> = (0..4).map(|number| format!("s-{number}")).collect();
+    let list: Vec<_> =
+        names.iter().zip(&workers).map(|(name, worker)| (name.as_str(), worker.address)).collect();
+    let log = ChangeLog::start(&list);
+    let mut settings = config(&log);
+    settings["settings"]["rules"]["drain_grace"] = (GRACE.as_millis() as f64).into();
+    let router = Router::start_with(&settings);
+    wait_until_ready(&router);
+    let address = router.process.address;
+    send_paced(address, &plan(1, Duration::from_secs(1)), Duration::ZERO);
+    until("the router to poll the log", || log.pending_polls() > 0);
+    log.set_service(Service::Silent);
+    let outage = Instant::now();
+    let calls =
+        thread::spawn(move || send_paced(address, &plan(1_000, DRAINED_AFTER + GRACE + WATCHED), TIMEOUT));
+    thread::sleep(DRAINED_AFTER);
+    let drained = workers.iter().max_by_key(|worker| worker.received().len()).unwrap();
+    drained.drain();
+    let last = Instant::now() + GRACE + TOLERANCE;
+    assert!(outage.elapsed() > DELIVERED_AFTER);
+    let records = calls.join().unwrap();
+    let late = drained.received().into_iter().filter(|received| received.at > last).count();
+    assert_eq!(late, 0, "requests to a draining worker");
+    let served =
+        records.iter().filter(|record| matches!(record.answer, Some((_, Outcome::Served(_))))).count();
+    assert!(served * 2 >= records.len(), "only {served} of {} calls served", records.len());
+}
+
 /// Guards against a router that never waits long enough for a slow log: each answer arrives after the
 /// router's first timeout.
 #[test]
--- a/crates/gateway/tests/platform/test_servers/fleet_worker.rs
+++ b/crates/gateway/tests/platform/test_servers/fleet_worker.rs
@@ -58,6 +58,7 @@
     is_draining: AtomicBool,
     is_hanging: AtomicBool,
     is_failing: AtomicBool,
+    has_shallow_health_checks: AtomicBool,
     /// Number of the process that accepts connections.
     process: AtomicUsize,
     received: Mutex<Vec<Received>>,
@@ -82,6 +83,7 @@
             is_draining: AtomicBool::new(false),
             is_hanging: AtomicBool::new(false),
             is_failing: AtomicBool::new(false),
+            has_shallow_health_checks: AtomicBool::new(false),
             process: AtomicUsize::new(0),
             received: Mutex::default(),
             loaded: Mutex::default(),
@@ -105,6 +107,11 @@
         self.state.is_draining.store(true, Ordering::SeqCst);
     }
 
+    /// From now on health checks say that the worker is ready as long as its process runs.
+    pub(crate) fn use_shallow_health_checks(&self) {
+        self.state.has_shallow_health_checks.store(true, Ordering::SeqCst);
+    }
+
     /// While the worker hangs, each connection stops after the command that it has read, without an answer.
     pub(crate) fn set_hanging(&self, is_hanging: bool) {
         self.state.is_hanging.store(is_hanging, Ordering::SeqCst);
@@ -224,7 +231,8 @@
 
     fn report(&self, tag: &str, stream: &mut TcpStream) -> Option<()> {
         let is_draining = self.state.is_draining.load(Ordering::SeqCst);
-        let status = if is_draining { "AILING" } else { "READY" };
+        let is_shallow = self.state.has_shallow_health_checks.load(Ordering::SeqCst);
+        let status = if is_draining && !is_shallow { "AILING" } else { "READY" };
         answer(stream, tag, status, "report=queue:0", b"")
     }
 
--- a/src/balancer/completion.rs
+++ b/src/balancer/completion.rs
@@ -19,6 +19,9 @@
         let attempt = attempt.clone();
         self.remove_from_flight(&attempt);
         self.record_process(attempt.worker, answer.process);
+        if answer.outcome == Outcome::Full {
+            self.record_rejection(attempt.worker);
+        }
         self.learn_from_attempt(function, &answer, &attempt);
         if answer.outcome == Outcome::Ok {
             self.count_success(class, has_hint, &answer, &attempt);
--- a/src/balancer/list_lease.rs
+++ b/src/balancer/list_lease.rs
@@ -5,6 +5,9 @@
 //! work. Workers whose response shows that they accept none, or whose connections broke, are suspended until
 //! the list is confirmed again (leases: Gray and Cheriton, SOSP 1989).
 //!
+//! A health check may show no more than that the process runs. So once a worker has rejected a call, which a
+//! draining one does, only served calls show that it accepts work.
+//!
 //! A health check shows that the process at a worker's address accepts work, not that it is the one that the
 //! list names: another worker, of another cell and just started, may have taken over the address. A process
 //! is identified only if it has been running since before the list was last confirmed. What the list says of
@@ -35,10 +38,15 @@
 
 impl ListLease {
     /// Whether a worker is sent nothing until the list is confirmed again.
-    pub(super) fn is_suspended(&self, worker: WorkerId) -> bool {
+    fn is_suspended(&self, worker: WorkerId) -> bool {
         self.suspended.contains(&worker)
     }
 
+    /// Whether something happened since the lease has expired.
+    fn is_since_expiry(&self, at: Micros) -> bool {
+        self.expires_at.is_some_and(|expires_at| at >= expires_at)
+    }
+
     /// Time as of which the list was last confirmed to be complete; `None` if it never was.
     pub(super) fn confirmed_as_of(&self) -> Option<Micros> {
         self.confirmed_as_of
@@ -116,9 +124,43 @@
     /// Whether a worker may be sent new work: it is ready in the list, and either the list is current or the
     /// worker has recently confirmed its readiness itself.
     pub(super) fn is_confirmed_ready(&self, worker: &Worker) -> bool {
+        let verified_at = match self.has_rejected_calls(worker) {
+            true => worker.served_at,
+            false => worker.verified_at,
+        };
+        worker.is_ready() && (self.list_is_current() || self.is_recent_verification(verified_at))
+    }
+
+    fn is_recent_verification(&self, verified_at: Option<Micros>) -> bool {
         let lifetime = Micros(self.settings.rules.drain_grace.0 / VERIFICATION_GRACE_DIVISOR);
-        let is_verified = || worker.verified_at.is_some_and(|at| since(self.now, at) <= lifetime);
-        worker.is_ready() && (self.list_is_current() || is_verified())
+        verified_at.is_some_and(|at| since(self.now, at) <= lifetime)
+    }
+
+    /// Whether a worker has rejected a call since the lease expired, and served none that was sent later.
+    fn has_rejected_calls(&self, worker: &Worker) -> bool {
+        worker
+            .rejected_at
+            .is_some_and(|at| self.list_lease.is_since_expiry(at) && worker.served_at < Some(at))
+    }
+
+    /// Records that a worker has rejected a call.
+    pub(super) fn record_rejection(&mut self, worker: WorkerId) {
+        if let Some(worker) = self.membership.workers.get_mut(&worker) {
+            worker.rejected_at = Some(self.now);
+        }
+    }
+
+    /// Whether a worker may be draining while the list is out of date, so that it is sent nothing: its
+    /// connections broke, it said so itself, or it rejects calls.
+    pub(super) fn may_be_draining(&self, id: WorkerId, worker: &Worker) -> bool {
+        let rejects = self.has_rejected_calls(worker) && !self.is_recent_verification(worker.served_at);
+        self.list_lease.is_suspended(id) || rejects
+    }
+
+    /// Whether a worker has rejected a load request since the lease expired: for lack of room, or as it
+    /// drains.
+    pub(super) fn has_rejected_loads(&self, worker: &Worker) -> bool {
+        worker.load_rejected_at.is_some_and(|at| self.list_lease.is_since_expiry(at))
     }
 
     /// Suspends a worker while the list is out of date, if the outcome shows that it accepts no new work or
--- a/src/balancer/membership.rs
+++ b/src/balancer/membership.rs
@@ -54,6 +54,11 @@
     pub(super) process: Option<ProcessInfo>,
     /// Send time of the latest probe or call whose response showed that the worker accepts new work.
     pub(super) verified_at: Option<Micros>,
+    /// Send time of the latest call that it served.
+    pub(super) served_at: Option<Micros>,
+    /// When it last rejected a call, and a load request.
+    pub(super) rejected_at: Option<Micros>,
+    pub(super) load_rejected_at: Option<Micros>,
     /// When the probe in flight was sent; `None` if there is none.
     pub(super) probe_sent_at: Option<Micros>,
     /// Requests waiting for the probe in flight.
--- a/src/balancer/outlier.rs
+++ b/src/balancer/outlier.rs
@@ -105,6 +105,7 @@
         let Some(worker) = self.membership.workers.get_mut(&worker) else { return };
         (worker.last_success, worker.last_contact) = (self.now, Some(self.now));
         worker.verified_at = worker.verified_at.max(Some(sent_at));
+        worker.served_at = worker.served_at.max(Some(sent_at));
         worker.connection_failures.record_success(self.now, sent_at);
         if let Some(record) = worker.class_failures.get_mut(class) {
             record.record_success(self.now, sent_at);
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -2,6 +2,7 @@
 //! requests.
 
 use super::dispatch::{Attempt, OpenRequest};
+use super::membership::Worker;
 use super::outlier::OVERLOAD_EJECTION_BASE;
 use super::statistics::*;
 use super::{Balancer, TICK_INTERVAL};
@@ -260,8 +261,9 @@
         copies: u32,
         out: &mut Vec<Action>,
     ) -> bool {
-        let is_ready =
-            self.membership.workers.get(&worker).is_some_and(|worker| self.is_confirmed_ready(worker));
+        let accepts_loads =
+            |worker: &Worker| self.is_confirmed_ready(worker) && !self.has_rejected_loads(worker);
+        let is_ready = self.membership.workers.get(&worker).is_some_and(accepts_loads);
         let Some(function) = self.placement.functions.get_mut(&id) else { return false };
         let replica = function.replicas.entry(worker).or_default();
         let is_pending = self.placement.pending_loads.contains(&(worker, id));
@@ -440,6 +442,9 @@
                 }
             }
             Outcome::Full => {
+                if let Some(worker) = self.membership.workers.get_mut(&worker) {
+                    worker.load_rejected_at = Some(self.now);
+                }
                 replica.copies = copies;
                 let delay = multiplied(NO_ROOM_DELAY_BASE, 1 << replica.no_room_count);
                 replica.no_load_before = after(self.now, delay);
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -271,7 +271,7 @@
         let is_due = open.is_undecided() && self.now < open.deadline && can_attempt;
         is_due
             && worker.is_ready()
-            && !self.list_lease.is_suspended(id)
+            && !self.may_be_draining(id, worker)
             && self.effect_allows(open, worker)
             && self.slow_start_allows(open, worker, reach)
     }
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -108,6 +108,62 @@
     assert_eq!((used_worker(&actions), probed(&actions).is_some()), (None, true));
 }
 
+/// Guards against calls to a worker that drains while its health checks say that it is ready, as they show
+/// only that its process runs (review/5).
+#[test]
+fn a_worker_that_rejects_calls_is_sent_no_more_once_its_last_served_call_is_older_than_the_grace() {
+    let mut router = Router::expired();
+    let send = |router: &mut Router, id: u64| -> Option<WorkerId> {
+        let (budget, function) = (Micros(3_000_000), FunctionId(id));
+        let request = Request { id: RequestId(id), function, budget, ..Request::default() };
+        let mut actions = router.handle(Event::Request(request));
+        for _ in 0..20 {
+            let sent = actions.iter().find_map(|action| match action {
+                Action::Send { id: sent, worker, .. } if sent.0 == id => Some(*worker),
+                _ => None,
+            });
+            if sent.is_some() {
+                return sent;
+            }
+            // Each health check says that the worker is ready.
+            actions = match probed(&actions) {
+                Some(worker) => router.complete_probe(worker, Outcome::Ok),
+                None => router.handle(Event::Wake { token: id + 1 }),
+            };
+            router.now += 1_000;
+        }
+        None
+    };
+    let draining = send(&mut router, 1).expect("an attempt");
+    let actions = router.answer(1, draining, Outcome::Full);
+    let other = probed(&actions).expect("a probe of another worker");
+    router.complete_probe(other, Outcome::Ok);
+    router.now += DRAIN_GRACE;
+    let mut others_used = 0;
+    for id in 2..40 {
+        router.now += 100_000;
+        let Some(used) = send(&mut router, id) else { continue };
+        assert_ne!(used, draining, "request {id}");
+        router.answer(id, used, Outcome::Ok);
+        others_used += 1;
+    }
+    assert!(others_used > 30, "only {others_used} of 38 requests were sent to the other workers");
+    router.confirm();
+    let used_again = (100..200).any(|id| {
+        router.now += 1_000_000;
+        router.confirm();
+        let request = Request {
+            id: RequestId(id),
+            function: FunctionId(id),
+            budget: Micros(3_000_000),
+            ..Request::default()
+        };
+        let actions = router.handle(Event::Request(request));
+        [probed(&actions), used_worker(&actions)].contains(&Some(draining))
+    });
+    assert!(used_again, "the worker is not used again after the list was confirmed");
+}
+
 /// Guards against work sent to another process that took over the address of a worker whose end was not
 /// noticed.
 #[test]
