--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod hash_ring;
 mod list_lease;
+mod loading;
 mod membership;
 mod outlier;
 mod placement;
