A start list names no processes until the change log has confirmed it

Callers would see: a router that starts during an outage of the change log, in whose configuration the list is older than the replacement of a worker, repeats a booking in the wrong cell within its first half second.

Cause: the list of the configuration was taken as confirmed at the start.

Change: Event::WorkerListAssumed gives it its lease of 0.5 s, but no process counts as the one that it names: no connection is older. A call bound to a cell or zone that could have run waits for the first answer of the log (0.2 s) or fails.

Result: a_call_that_ran_is_repeated_by_an_assumed_list_only_once_the_list_is_confirmed fails without it (sent at once) and passes; tests of the module passed.

--- a/crates/engine/src/engine/fleet.rs
+++ b/crates/engine/src/engine/fleet.rs
@@ -27,6 +27,12 @@
         self.dispatch(Event::WorkerListConfirmed { as_of, lease }, out);
     }
 
+    /// Handles a worker list of unknown age, which may be acted on for `lease`.
+    pub fn worker_list_assumed(&mut self, now: Micros, lease: Micros, out: &mut Vec<Output>) {
+        self.advance_clock(now);
+        self.dispatch(Event::WorkerListAssumed { lease }, out);
+    }
+
     /// Handles that the worker list may be out of date.
     pub fn worker_list_expired(&mut self, now: Micros, out: &mut Vec<Output>) {
         self.advance_clock(now);
--- a/crates/gateway/src/platform/startup.rs
+++ b/crates/gateway/src/platform/startup.rs
@@ -3,7 +3,7 @@
 use super::iteration_log::IterationLog;
 use super::shutdown::Shutdown;
 use super::{PlatformError, Router};
-use crate::clock::Clock;
+use crate::clock::{after, Clock};
 use crate::event_loop::{self, ClientConnections, Listener};
 use crate::loop_timer::LoopTimer;
 use crate::server::pool::Pool;
@@ -123,8 +123,8 @@
         for change in known.changes {
             self.apply_change(now, change);
         }
-        // No connection is older than the start, so none leads to a process that this list names for sure.
-        self.confirm_list(now, now, lease);
+        self.list_expires_at = after(now, lease);
+        self.engine.worker_list_assumed(now, lease, &mut self.to_engine);
         self.drain_outputs(now);
     }
 }
--- a/src/api/events.rs
+++ b/src/api/events.rs
@@ -177,6 +177,12 @@
         /// How long from now the list may be relied on without another confirmation.
         lease: Micros,
     },
+    /// The worker list comes from a source of unknown age, such as the configuration at the start. It may be
+    /// relied on for a short time, but not for which process is at a worker's address.
+    WorkerListAssumed {
+        /// How long from now the list may be relied on.
+        lease: Micros,
+    },
     /// The worker list may be out of date from now on, until it is confirmed again.
     WorkerListExpired,
     /// A probe completed.
--- a/src/balancer/list_lease.rs
+++ b/src/balancer/list_lease.rs
@@ -32,6 +32,8 @@
     expires_at: Option<Micros>,
     /// Time as of which it was last confirmed to be complete; `None` if it never was.
     confirmed_as_of: Option<Micros>,
+    /// Whether the list is in use without ever having been confirmed.
+    is_assumed: bool,
     /// Workers that are sent nothing until the list is confirmed again.
     suspended: BTreeSet<WorkerId>,
 }
@@ -67,25 +69,34 @@
 impl Balancer {
     /// Renews the lease for the duration `lease` and ends all suspensions, as the list was confirmed.
     pub(super) fn confirm_list(&mut self, as_of: Micros, lease: Micros) {
-        if !self.list_is_current() {
+        if !self.list_names_processes() {
             self.slow_start.invalidate();
         }
         self.list_lease.expires_at = Some(after(self.now, lease));
         self.list_lease.confirmed_as_of = self.list_lease.confirmed_as_of.max(Some(as_of));
+        self.list_lease.is_assumed = false;
         self.list_lease.suspended.clear();
     }
 
+    /// Begins a lease on a list of unknown age. Every process counts as one that the list does not name, as all
+    /// connections are younger.
+    pub(super) fn assume_list(&mut self, lease: Micros) {
+        self.list_lease.expires_at = Some(after(self.now, lease));
+        self.list_lease.confirmed_as_of = Some(self.now);
+        self.list_lease.is_assumed = true;
+    }
+
     /// Ends the lease at once, as the list may be out of date.
     pub(super) fn expire_list(&mut self) {
         self.list_lease.expires_at = Some(self.now);
         self.slow_start.invalidate();
     }
 
-    /// Whether the worker's process is the one that the list names. While the list is current, it is.
+    /// Whether the worker's process is the one that the list names. While a confirmed list is current, it is.
     pub(super) fn is_identified(&self, worker: &Worker) -> bool {
         let Some(confirmed_as_of) = self.list_lease.confirmed_as_of else { return true };
         let process_since = worker.process.map(|process| process.since);
-        self.list_is_current() || ListLease::is_older(process_since, confirmed_as_of)
+        self.list_names_processes() || ListLease::is_older(process_since, confirmed_as_of)
     }
 
     /// Whether the attempt went to the process that the list named for its worker, so that the cell and zone
@@ -93,7 +104,7 @@
     pub(super) fn went_to_listed_process(&self, attempt: &Attempt) -> bool {
         let Some(confirmed_as_of) = self.list_lease.confirmed_as_of else { return true };
         let last_listed = attempt.last_listed.unwrap_or(confirmed_as_of);
-        let is_still_listed = attempt.last_listed.is_none() && self.list_is_current();
+        let is_still_listed = attempt.last_listed.is_none() && self.list_names_processes();
         is_still_listed || ListLease::is_older(attempt.process_since, last_listed)
     }
 
@@ -106,11 +117,11 @@
 
     /// Records the process that responded for a worker.
     pub(super) fn record_process(&mut self, worker: WorkerId, process: Option<ProcessInfo>) {
-        let is_current = self.list_is_current();
+        let names_processes = self.list_names_processes();
         let Some(worker) = self.membership.workers.get_mut(&worker) else { return };
         if process.is_some() && worker.process != process {
             worker.process = process;
-            if !is_current {
+            if !names_processes {
                 self.slow_start.invalidate();
             }
         }
@@ -121,6 +132,11 @@
         self.list_lease.expires_at.is_none_or(|at| self.now < at)
     }
 
+    /// Whether the list tells which process is at each worker's address.
+    pub(super) fn list_names_processes(&self) -> bool {
+        self.list_is_current() && !self.list_lease.is_assumed
+    }
+
     /// Whether a worker may be sent new work: it is ready in the list, and either the list is current or the
     /// worker has recently confirmed its readiness itself.
     pub(super) fn is_confirmed_ready(&self, worker: &Worker) -> bool {
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -117,6 +117,7 @@
             Event::ClientDisconnected { id } => self.disconnect(id, out),
             Event::WorkersListed(listing) => self.update_membership(listing),
             Event::WorkerListConfirmed { as_of, lease } => self.confirm_list(as_of, lease),
+            Event::WorkerListAssumed { lease } => self.assume_list(lease),
             Event::WorkerListExpired => self.expire_list(),
             Event::ProbeCompleted { worker, outcome, report, process, .. } => {
                 self.record_process(worker, process);
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -327,7 +327,7 @@
     /// Since when the process that the next attempt reaches has to be running: since before the list was last
     /// confirmed, if the attempt must not reach a process of another group and the list is out of date.
     pub(super) fn required_process_since(&self, open: &OpenRequest) -> Option<Micros> {
-        let is_required = self.is_bound_to_group(open) && !self.list_is_current();
+        let is_required = self.is_bound_to_group(open) && !self.list_names_processes();
         self.list_lease.confirmed_as_of().filter(|_| is_required)
     }
 
--- a/tests/replaced_process.rs
+++ b/tests/replaced_process.rs
@@ -14,6 +14,9 @@
 const REPLACED: Option<ProcessInfo> = Some(ProcessInfo { since: Micros(3_000_000), may_be_new: true });
 /// A process to which a connection was opened after the list was confirmed, without any sign of another one.
 const RECONNECTED: Option<ProcessInfo> = Some(ProcessInfo { since: Micros(3_000_000), may_be_new: false });
+/// Like `RECONNECTED`, after the start of a router at the end of the lease.
+const RECONNECTED_LATER: Option<ProcessInfo> =
+    Some(ProcessInfo { since: Micros(CONFIRMED_AT.0 + LEASE.0 + 1), may_be_new: false });
 const CELL_KEY: Effect = Effect::IdempotentWithKey { group: Group::Cell, memory: Micros(6_000_000) };
 const ZONE_KEY: Effect = Effect::IdempotentWithKey { group: Group::Zone, memory: Micros(6_000_000) };
 const SHARED_KEY: Effect = Effect::IdempotentWithKey { group: Group::All, memory: Micros(6_000_000) };
@@ -79,18 +82,22 @@
 
     /// Answers health checks until the request is decided.
     fn decide(&mut self, actions: Vec<Action>) -> Decision {
-        let mut actions = actions;
-        let give_up_at = self.now.0 + BUDGET.0;
+        self.decide_within(actions, BUDGET).expect("the request is decided within its budget")
+    }
+
+    /// Answers health checks until the request is decided, for at most the time `limit`.
+    fn decide_within(&mut self, mut actions: Vec<Action>, limit: Micros) -> Option<Decision> {
+        let give_up_at = self.now.0 + limit.0;
         while self.now.0 <= give_up_at {
             let mut probed = None;
             for action in actions.drain(..) {
                 match action {
                     Action::Send { worker, process_since, .. } => {
                         self.attempts += 1;
-                        return Decision::Sent(worker, process_since);
+                        return Some(Decision::Sent(worker, process_since));
                     }
-                    Action::Refuse { .. } => return Decision::Refused,
-                    Action::Fail { .. } => return Decision::Failed,
+                    Action::Refuse { .. } => return Some(Decision::Refused),
+                    Action::Fail { .. } => return Some(Decision::Failed),
                     Action::Probe { worker } => probed = Some(worker),
                     _ => {}
                 }
@@ -105,7 +112,7 @@
                 None => self.handle(Event::Wake { token: 0 }),
             };
         }
-        panic!("the request was not decided within its budget");
+        None
     }
 
     fn request(&mut self) -> Decision {
@@ -237,6 +244,20 @@
     assert!(matches!(router.decide(Vec::new()), Decision::Sent(WorkerId(1 | 2), None)));
 }
 
+/// Guards against a second run in the first moments of a router that starts during an outage: the list in its
+/// configuration may be older than the replacement of a worker.
+#[test]
+fn a_call_that_ran_is_repeated_by_an_assumed_list_only_once_the_list_is_confirmed() {
+    let mut router = Router::with_two_cells(CELL_KEY);
+    router.handle(Event::WorkerListAssumed { lease: LEASE });
+    let first = router.request_at_one_of([1, 2]);
+    let actions = router.answer_from(Outcome::Error, RECONNECTED_LATER);
+    assert_eq!(router.decide_within(actions, Micros(200_000)), None, "it waits for the list");
+    router.confirm();
+    let Decision::Sent(second, None) = router.decide(Vec::new()) else { panic!("the call was not repeated") };
+    assert!([first, peer(first)].contains(&second));
+}
+
 /// Guards against limits on calls that any worker recognizes as repeats.
 #[test]
 fn a_call_whose_key_all_workers_share_is_repeated_at_any_process() {
