Attempts that could have run are listed, and the key's start computed, in one place

Change: OpenRequest::possible_runs, could_have_run and key_sent_at serve all of them. Behaviour is unchanged.

--- a/src/balancer/completion.rs
+++ b/src/balancer/completion.rs
@@ -135,7 +135,7 @@
     fn can_refuse(&self, open: &OpenRequest) -> bool {
         match self.class(open).effect {
             Effect::Idempotent | Effect::IdempotentWithKey { group: Group::All, .. } => true,
-            _ => !open.attempts.iter().any(Attempt::could_have_run),
+            _ => !open.could_have_run(),
         }
     }
 }
--- a/src/balancer/dispatch.rs
+++ b/src/balancer/dispatch.rs
@@ -76,6 +76,21 @@
         }
     }
 
+    /// The attempts that could have run.
+    pub(super) fn possible_runs(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().filter(|attempt| attempt.could_have_run())
+    }
+
+    /// Whether an attempt could have run.
+    pub(super) fn could_have_run(&self) -> bool {
+        self.possible_runs().next().is_some()
+    }
+
+    /// When the lifetime of the idempotency key began; `None` if no attempt could have run.
+    pub(super) fn key_sent_at(&self) -> Option<Micros> {
+        self.possible_runs().map(|attempt| attempt.key_sent_at).min()
+    }
+
     /// Number of attempts in flight.
     pub(super) fn in_flight(&self) -> usize {
         self.attempts.iter().filter(|attempt| attempt.outcome.is_none()).count()
@@ -233,8 +248,7 @@
         worker.add_recent_work(self.now, work_secs, self.settings.rules.overload_window);
         let Some(open) = self.requests.open.get_mut(&id) else { return };
         open.wait_until = None;
-        let possible_runs = open.attempts.iter().filter(|attempt| attempt.could_have_run());
-        let key_sent_at = possible_runs.map(|attempt| attempt.key_sent_at).min().unwrap_or(self.now);
+        let key_sent_at = open.key_sent_at().unwrap_or(self.now);
         open.attempts.push(Attempt {
             worker: worker_id,
             zone: worker.entry.zone,
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -65,7 +65,7 @@
     pub(super) in_flight: usize,
     /// When a copy was last observed to be loaded, and to be missing.
     pub(super) last_loaded: Option<Micros>,
-    pub(super) last_missing: Option<Micros>,
+    last_missing: Option<Micros>,
     /// Loaded copies.
     pub(super) copies: u32,
     /// When the pending load request was sent.
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -4,7 +4,7 @@
 //! The first candidate on the ring that is not busy and has the function loaded is chosen. If there is none,
 //! the candidate with the least expected delay is chosen; load times count as delay.
 
-use super::dispatch::{Attempt, OpenRequest};
+use super::dispatch::OpenRequest;
 use super::membership::Worker;
 use super::placement::{Function, Replica};
 use super::probing::{CONTACT_MAX_AGE, PROBE_WAIT};
@@ -180,8 +180,7 @@
     /// the ring.
     fn candidates(&self, open: &OpenRequest, replica_count: usize) -> Vec<WorkerId> {
         let function = open.request.function;
-        let could_have_run = open.attempts.iter().any(Attempt::could_have_run);
-        let mut candidates = match could_have_run {
+        let mut candidates = match open.could_have_run() {
             true => self.widest_candidates(open),
             false => self.ring_candidates(function, replica_count + SPILLOVER_CANDIDATES),
         };
@@ -220,7 +219,7 @@
         let Effect::IdempotentWithKey { group: Group::Cell, .. } = self.class(open).effect else {
             return None;
         };
-        open.attempts.iter().find(|attempt| attempt.could_have_run()).map(|attempt| attempt.cell)
+        open.possible_runs().next().map(|attempt| attempt.cell)
     }
 
     /// Whether an attempt is safe at one of the workers that `accepts` allows, as it cannot repeat an effect.
@@ -278,18 +277,17 @@
 
     /// Whether an attempt at the worker is safe, as it cannot repeat an effect of earlier attempts.
     pub(super) fn effect_allows(&self, open: &OpenRequest, worker: &Worker) -> bool {
-        let is_bound = self.is_bound_to_group(open);
         self.effect_could_allow(open, worker)
-            && (!is_bound || self.is_identified(worker) && self.went_to_listed_processes(open))
+            && (!self.is_bound_to_group(open)
+                || self.is_identified(worker) && self.went_to_listed_processes(open))
     }
 
     /// Whether an attempt at the worker would be safe if all processes were those that the list names.
     fn effect_could_allow(&self, open: &OpenRequest, worker: &Worker) -> bool {
-        let mut possible_runs = open.attempts.iter().filter(|attempt| attempt.could_have_run());
         match self.class(open).effect {
             Effect::Idempotent => true,
-            Effect::NonIdempotent => possible_runs.next().is_none(),
-            Effect::IdempotentWithKey { group, memory } => possible_runs.all(|attempt| {
+            Effect::NonIdempotent => !open.could_have_run(),
+            Effect::IdempotentWithKey { group, memory } => open.possible_runs().all(|attempt| {
                 let shares_keys = match group {
                     Group::All => true,
                     Group::Zone => attempt.zone == worker.entry.zone,
@@ -305,9 +303,7 @@
     /// or if repeats do no harm.
     pub(super) fn key_expires_at(&self, open: &OpenRequest) -> Option<Micros> {
         let Effect::IdempotentWithKey { memory, .. } = self.class(open).effect else { return None };
-        let possible_runs = open.attempts.iter().filter(|attempt| attempt.could_have_run());
-        let first_sent_at = possible_runs.map(|attempt| attempt.key_sent_at).min()?;
-        Some(Micros(after(first_sent_at, memory).0.saturating_sub(KEY_EXPIRY_MARGIN.0)))
+        Some(Micros(after(open.key_sent_at()?, memory).0.saturating_sub(KEY_EXPIRY_MARGIN.0)))
     }
 
     /// Whether further attempts are limited to the zone or cell of an earlier one that could have run. Which
@@ -315,13 +311,12 @@
     fn is_bound_to_group(&self, open: &OpenRequest) -> bool {
         let effect = self.class(open).effect;
         matches!(effect, Effect::IdempotentWithKey { group: Group::Zone | Group::Cell, .. })
-            && open.attempts.iter().any(Attempt::could_have_run)
+            && open.could_have_run()
     }
 
     /// Whether all attempts that could have run went to the processes that the list named.
     fn went_to_listed_processes(&self, open: &OpenRequest) -> bool {
-        let mut possible_runs = open.attempts.iter().filter(|attempt| attempt.could_have_run());
-        possible_runs.all(|attempt| self.went_to_listed_process(attempt))
+        open.possible_runs().all(|attempt| self.went_to_listed_process(attempt))
     }
 
     /// Since when the process that the next attempt reaches has to be running: since before the list was last
