Engine: whether a declined call may have run is asked only once it is declined

Cause: Engine::call looked up the class rules and the mark of every call twice, though the result counts only for declined ones; inserting a key with an unknown outcome was a copy of inserting a running one.

Change: the question moves behind the decline, and both inserts share one. Behaviour is unchanged.

Result: tests and lints of the engine pass.

--- a/crates/engine/src/duplicates.rs
+++ b/crates/engine/src/duplicates.rs
@@ -150,14 +150,18 @@
         id: RequestId,
         retention: Micros,
     ) {
-        let (state, expires_at) = (EntryState::Running(id), Micros(i64::MAX));
-        self.entries.insert(key, Entry { fingerprint, state, expires_at, retention });
+        self.insert(key, fingerprint, EntryState::Running(id), retention);
     }
 
     /// Inserts a key whose call an earlier process may have run. Its answer must be stored next, for
     /// `retention`.
     pub(crate) fn insert_unknown(&mut self, key: KeyDigest, fingerprint: Fingerprint, retention: Micros) {
-        let (state, expires_at) = (EntryState::Expired, Micros(i64::MAX));
+        self.insert(key, fingerprint, EntryState::Expired, retention);
+    }
+
+    /// Inserts a key whose state does not expire by itself.
+    fn insert(&mut self, key: KeyDigest, fingerprint: Fingerprint, state: EntryState, retention: Micros) {
+        let expires_at = Micros(i64::MAX);
         self.entries.insert(key, Entry { fingerprint, state, expires_at, retention });
     }
 
--- a/crates/engine/src/engine/calls.rs
+++ b/crates/engine/src/engine/calls.rs
@@ -58,24 +58,23 @@
     pub fn call(&mut self, now: Micros, call: Call, out: &mut Vec<Output>) {
         self.advance_clock(now);
         self.statistics.calls += 1;
-        let ticket = call.ticket;
-        let may_have_run = self.may_have_run_before(&call);
+        let Call { ticket, class, repeat, .. } = call;
         if let Err(reason) = self.accept(call, out) {
-            let verdict = match reason {
-                Reason::UnknownRepeat => Verdict::Failed(reason),
-                _ if may_have_run => Verdict::Failed(reason),
-                _ => Verdict::Refused(reason),
+            let may_have_run = reason == Reason::UnknownRepeat || self.may_have_run_before(class, repeat);
+            let verdict = match may_have_run {
+                true => Verdict::Failed(reason),
+                false => Verdict::Refused(reason),
             };
             self.deliver(ticket, answer_without_run(verdict), out);
         }
     }
 
-    /// Whether the call may have run at an earlier submission of which this engine has no record, so that no
-    /// answer may say that it never ran.
-    fn may_have_run_before(&self, call: &Call) -> bool {
-        let has_record = self.settings.duplicates.is_some();
-        let rules = self.class_rules(call.class).filter(|rules| has_record && rules.has_side_effects);
-        rules.is_some_and(|rules| self.may_have_been_accepted_before(call.repeat, rules.retention))
+    /// Whether a declined call may have run at an earlier submission of which this engine has no record, so
+    /// that no answer may say that it never ran.
+    fn may_have_run_before(&self, class: ClassId, repeat: Repeat) -> bool {
+        let has_table = self.settings.duplicates.is_some();
+        let rules = self.class_rules(class).filter(|rules| has_table && rules.has_side_effects);
+        rules.is_some_and(|rules| self.may_have_been_accepted_before(repeat, rules.retention))
     }
 
     fn accept(&mut self, call: Call, out: &mut Vec<Output>) -> Result<(), Reason> {
