Pool: one way to select a connection, and no second flag for an established one

Cause: acquire_to_process repeated the start of acquire, and closures that accept everything stood at four calls; `connected` said what process_since says too; each reply copied the list of the worker's connections.

Change: acquire takes the limit on the process; Connection::is_connected is derived; the list is read in place. Behaviour is unchanged.

Result: unit tests and lints of the gateway pass.

--- a/crates/gateway/src/server/pool/connections.rs
+++ b/crates/gateway/src/server/pool/connections.rs
@@ -15,8 +15,6 @@
 pub(super) struct Connection {
     pub(super) worker: WorkerId,
     pub(super) reader: Box<dyn ReplyReader>,
-    /// Whether the connection is established.
-    pub(super) connected: bool,
     /// Since when the process at its other end is known to run; `None` until the connection is established.
     pub(super) process_since: Option<Micros>,
     /// Whether the connection is closed once its requests have completed, instead of being reused.
@@ -47,7 +45,6 @@
         Connection {
             worker,
             reader,
-            connected: false,
             process_since: None,
             retired: false,
             requests: BTreeMap::new(),
@@ -74,67 +71,56 @@
         !self.retired && same_kind && self.requests.len() < max_requests && !self.has_carried(purpose)
     }
 
-    /// Whether the process at the other end is known to run since `limit` at the latest.
-    fn leads_to_process(&self, limit: Micros) -> bool {
-        self.process_since.is_some_and(|since| since <= limit)
+    /// Whether the process at the other end is known to run since `limit` at the latest; any process will do
+    /// if that is `None`.
+    fn leads_to_process(&self, limit: Option<Micros>) -> bool {
+        limit.is_none_or(|limit| self.process_since.is_some_and(|since| since <= limit))
+    }
+
+    /// Whether the connection is established.
+    pub(super) fn is_connected(&self) -> bool {
+        self.process_since.is_some()
     }
 
     fn set_connected(&mut self, now: Micros) {
-        self.connected = true;
         self.process_since.get_or_insert(now);
     }
 }
 
 impl Pool {
     /// Selects a connection for a request: an idle one if available, otherwise a new one, otherwise one with
-    /// requests of the same kind.
+    /// requests of the same kind. If `process_since` is set, the request may reach only a process that is
+    /// known to run since then, and no connection is opened: it could lead to another one.
     ///
     /// # Errors
     /// The outcome of the request if no connection is available: [`Outcome::NotSent`] if the worker is not
-    /// listed or the pool is full, [`Outcome::ConnectFailed`] if the worker's connection limit is reached or
-    /// its address is unreachable.
+    /// listed, the pool is full or no connection leads to the process, [`Outcome::ConnectFailed`] if the
+    /// worker's connection limit is reached or its address is unreachable.
     pub(super) fn acquire(
         &mut self,
         now: Micros,
         reactor: &mut Reactor,
         worker: WorkerId,
         purpose: Purpose,
+        process_since: Option<Micros>,
     ) -> Result<Id, Outcome> {
         self.peers.get(&worker).filter(|p| p.is_listed).ok_or(Outcome::NotSent)?;
-        if let Some(id) = self.take_idle(now, reactor, worker, purpose, |_| true) {
+        if let Some(id) = self.take_idle(now, reactor, worker, purpose, process_since) {
             return Ok(id);
         }
+        if process_since.is_some() {
+            return self.find_shareable(worker, purpose, process_since).ok_or(Outcome::NotSent);
+        }
         let peer = self.peers.get(&worker).ok_or(Outcome::NotSent)?;
         if peer.connections.len() >= self.settings.max_connections_per_worker {
-            return self.find_shareable(worker, purpose, |_| true).ok_or(Outcome::ConnectFailed);
+            return self.find_shareable(worker, purpose, None).ok_or(Outcome::ConnectFailed);
         }
         if self.connections.len() >= self.settings.max_connections && !self.close_longest_idle(reactor) {
-            return self.find_shareable(worker, purpose, |_| true).ok_or(Outcome::NotSent);
+            return self.find_shareable(worker, purpose, None).ok_or(Outcome::NotSent);
         }
         self.open_connection(now, reactor, worker, purpose)
     }
 
-    /// Selects a connection for a request that may reach only a process known to run since `limit`: an idle
-    /// one if available, otherwise one with requests of the same kind. A new one could lead to another
-    /// process.
-    ///
-    /// # Errors
-    /// [`Outcome::NotSent`] if no such connection is available.
-    pub(super) fn acquire_to_process(
-        &mut self,
-        now: Micros,
-        reactor: &mut Reactor,
-        worker: WorkerId,
-        purpose: Purpose,
-        limit: Micros,
-    ) -> Result<Id, Outcome> {
-        self.peers.get(&worker).filter(|p| p.is_listed).ok_or(Outcome::NotSent)?;
-        let is_suitable = |connection: &Connection| connection.leads_to_process(limit);
-        self.take_idle(now, reactor, worker, purpose, is_suitable)
-            .or_else(|| self.find_shareable(worker, purpose, is_suitable))
-            .ok_or(Outcome::NotSent)
-    }
-
     /// Opens a connection; shares an existing one if no descriptor is available or the address is
     /// unreachable.
     fn open_connection(
@@ -146,7 +132,7 @@
     ) -> Result<Id, Outcome> {
         let peer = self.peers.get_mut(&worker).ok_or(Outcome::NotSent)?;
         let Ok(id) = reactor.connect(peer.address) else {
-            return self.find_shareable(worker, purpose, |_| true).ok_or(Outcome::ConnectFailed);
+            return self.find_shareable(worker, purpose, None).ok_or(Outcome::ConnectFailed);
         };
         peer.connections.push(id);
         let deadline = after(now, self.settings.connect_timeout);
@@ -165,13 +151,13 @@
         reactor: &mut Reactor,
         worker: WorkerId,
         purpose: Purpose,
-        is_suitable: impl Fn(&Connection) -> bool,
+        process_since: Option<Micros>,
     ) -> Option<Id> {
         for id in self.peers.get(&worker)?.idle.clone().into_iter().rev() {
             let Some(connection) = self.connections.get(&id) else { continue };
             let has_expired = connection.deadline.is_some_and(|at| at <= now);
-            let has_ended = connection.connected && !reactor.is_reusable(id);
-            let is_selected = !connection.has_carried(purpose) && is_suitable(connection);
+            let has_ended = connection.is_connected() && !reactor.is_reusable(id);
+            let is_selected = !connection.has_carried(purpose) && connection.leads_to_process(process_since);
             if has_ended {
                 self.record_connection_end(now, worker);
             }
@@ -191,12 +177,13 @@
         &self,
         worker: WorkerId,
         purpose: Purpose,
-        is_suitable: impl Fn(&Connection) -> bool,
+        process_since: Option<Micros>,
     ) -> Option<Id> {
         let max_requests = self.protocol.max_streams();
         let ids = self.peers.get(&worker)?.connections.iter();
         ids.filter_map(|id| Some((*id, self.connections.get(id)?)))
-            .filter(|(_, connection)| connection.can_share(purpose, max_requests) && is_suitable(connection))
+            .filter(|(_, connection)| connection.can_share(purpose, max_requests))
+            .filter(|(_, connection)| connection.leads_to_process(process_since))
             .min_by_key(|(id, connection)| (connection.requests.len(), *id))
             .map(|(id, _)| id)
     }
@@ -248,9 +235,10 @@
             return;
         };
         let requested_at = request.submitted_at;
-        for other in self.connections_of(connection.worker) {
-            let Some(other) = self.connections.get_mut(&other) else { continue };
-            if other.leads_to_process(requested_at) {
+        let Some(peer) = self.peers.get(&connection.worker) else { return };
+        for other in &peer.connections {
+            let Some(other) = self.connections.get_mut(other) else { continue };
+            if other.leads_to_process(Some(requested_at)) {
                 other.process_since = other.process_since.min(Some(since));
             }
         }
@@ -259,7 +247,6 @@
     /// Handles a closed connection. `written` is the number of bytes that the kernel accepted on it in total.
     pub(crate) fn closed(&mut self, now: Micros, id: Id, connected: bool, written: u64) -> Vec<RequestEnd> {
         let Some(connection) = self.connections.get_mut(&id) else { return Vec::new() };
-        connection.connected = connected;
         if connected {
             connection.set_connected(now);
         }
@@ -291,7 +278,7 @@
                     peer.idle.push(id);
                 }
                 // A connection that is still connecting keeps its connect timeout.
-                if connection.connected {
+                if connection.is_connected() {
                     connection.deadline = Some(after(now, self.settings.idle_timeout));
                     self.set_connection_timer(id);
                 }
--- a/crates/gateway/src/server/pool/requests.rs
+++ b/crates/gateway/src/server/pool/requests.rs
@@ -65,11 +65,7 @@
         request: OutgoingRequest,
     ) -> Option<RequestEnd> {
         let OutgoingRequest { worker, purpose, limits, message } = request;
-        let connection = match limits.process_since {
-            Some(limit) => self.acquire_to_process(now, reactor, worker, purpose, limit),
-            None => self.acquire(now, reactor, worker, purpose),
-        };
-        match connection {
+        match self.acquire(now, reactor, worker, purpose, limits.process_since) {
             Ok(id) => {
                 let key = self.enqueue(now, reactor, id, purpose, message)?;
                 if let Some(at) = limits.send_before {
@@ -106,7 +102,7 @@
         let start = connection.bytes_submitted;
         connection.bytes_submitted += bytes.len() as u64;
         connection.reader.expect(tag, &message);
-        if connection.connected {
+        if connection.is_connected() {
             connection.deadline = None;
         }
         if let Purpose::Attempt(attempt) = purpose {
@@ -287,7 +283,7 @@
 
     /// Whether the kernel accepted enough of a request for a worker to run it.
     ///
-    /// Uses only the reactor's byte count, not `Connection::connected`: a connection established in this
+    /// Uses only the reactor's byte count, not `Connection::is_connected`: a connection established in this
     /// iteration may have been written to before the pool handles its event.
     pub(super) fn has_possibly_run(&self, request: &PendingRequest, written: u64) -> bool {
         if self.protocol.can_run_partial_request() {
--- a/crates/gateway/src/server/pool/timers.rs
+++ b/crates/gateway/src/server/pool/timers.rs
@@ -57,7 +57,7 @@
         let Some(connection) = self.connections.get(&id).filter(|c| has_expired(c.deadline, now)) else {
             return Vec::new();
         };
-        let outcome = if connection.connected { Outcome::TimedOut } else { Outcome::ConnectFailed };
+        let outcome = if connection.is_connected() { Outcome::TimedOut } else { Outcome::ConnectFailed };
         let outcomes = FailureOutcomes { sent: outcome, unsent: outcome };
         let ends = self.complete_all(now, id, reactor.written(id), outcomes);
         self.close_connection(reactor, id);
