MQTT: one place asks whether an earlier process may have accepted a publish

Cause: the question stood in the verdict on declined publishes and again in the front, and front and bridge built the same answer.

Change: InboundPublish::may_be_accepted_before and declined serve both; the mark by the client is read in a match. Behaviour is unchanged.

--- a/crates/mqtt/src/bridge/deliveries.rs
+++ b/crates/mqtt/src/bridge/deliveries.rs
@@ -7,7 +7,7 @@
 use crate::request::{CallRequest, Declined};
 use mqtt_protocol_core::mqtt::result_code::MqttError;
 use slatevalve::Micros;
-use slatevalve_engine::{Answer, Reason, Ticket};
+use slatevalve_engine::{Reason, Ticket};
 use std::collections::{BTreeMap, VecDeque};
 use tracing::{info, warn};
 
@@ -138,8 +138,7 @@
         self.deliveries.open(publish, ticket);
         let reply = PendingReply { packet_id: publish.packet_id, address: publish.reply_address() };
         self.pending.insert(ticket, reply);
-        let verdict = publish.declined(reason, self.redeliveries.covered_since());
-        let answer = Answer { verdict, attempts: 0, recorded: false, version: None };
+        let answer = publish.declined(reason, self.redeliveries.covered_since());
         self.answer(now, ticket, &answer, out);
     }
 
--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -10,7 +10,7 @@
 use mqtt_protocol_core::mqtt::packet::Qos;
 use mqtt_protocol_core::mqtt::result_code::{DisconnectReasonCode, MqttError};
 use slatevalve::Micros;
-use slatevalve_engine::{Answer, ClientRef, Reason, Repeat};
+use slatevalve_engine::{ClientRef, Reason};
 use tracing::{info, warn};
 
 impl Front {
@@ -40,7 +40,7 @@
         let covered_since = session.redeliveries.covered_since();
         let request = match request {
             Err(Declined::Rejected(rejection))
-                if may_be_accepted_before(&publish, covered_since, rejection) =>
+                if rejection.depends_on_gateway() && publish.may_be_accepted_before(covered_since) =>
             {
                 // No reason code: it would say that the publish was never accepted.
                 if rejection == Rejection::Quota {
@@ -113,8 +113,7 @@
         let Some(session) = self.sessions.get_mut(&client) else { return };
         let address = publish.reply_address();
         let reply = PendingReply { address, qos: publish.qos, call_name: call_name(publish) };
-        let verdict = publish.declined(reason, session.redeliveries.covered_since());
-        let answer = Answer { verdict, attempts: 0, recorded: false, version: None };
+        let answer = publish.declined(reason, session.redeliveries.covered_since());
         let topic = session.reply_topic(&reply, answer.verdict.as_str());
         let documents = self.settings.documents.as_deref();
         let correlation = reply.address.correlation;
@@ -183,16 +182,6 @@
     }
 }
 
-/// Whether an earlier process, with other settings, may have accepted a publish that is rejected now.
-fn may_be_accepted_before(
-    publish: &InboundPublish,
-    covered_since: Option<Micros>,
-    rejection: Rejection,
-) -> bool {
-    let is_uncovered = publish.repeat(covered_since) == Repeat::Marked { covered_since: None };
-    is_uncovered && rejection.depends_on_gateway()
-}
-
 /// Identifies the call in a generated reply topic: the packet id of its publish, 0 for QoS 0.
 fn call_name(publish: &InboundPublish) -> String {
     publish.packet_id.unwrap_or(0).to_string()
--- a/crates/mqtt/src/publish.rs
+++ b/crates/mqtt/src/publish.rs
@@ -79,17 +79,25 @@
     }
 
     fn is_marked_by_client(&self) -> bool {
-        let is_mark = |property: &Property| matches!(property, Property::UserProperty(p) if p.key() == REPEAT_PROPERTY && p.val() == "true");
-        self.properties.iter().any(is_mark)
+        self.properties.iter().any(|property| match property {
+            Property::UserProperty(property) => property.key() == REPEAT_PROPERTY && property.val() == "true",
+            _ => false,
+        })
     }
 
-    /// The verdict on a publish that makes no call for `reason`. If an earlier process may have accepted it,
+    /// Whether an earlier process may have accepted the publish.
+    pub(crate) fn may_be_accepted_before(&self, covered_since: Option<Micros>) -> bool {
+        self.repeat(covered_since) == Repeat::Marked { covered_since: None }
+    }
+
+    /// The answer to a publish that makes no call for `reason`. If an earlier process may have accepted it,
     /// nothing is known of what became of it there.
-    pub(crate) fn declined(&self, reason: Reason, covered_since: Option<Micros>) -> Verdict {
-        match self.repeat(covered_since) {
-            Repeat::Marked { covered_since: None } => Verdict::Failed(reason),
-            _ => Verdict::Refused(reason),
-        }
+    pub(crate) fn declined(&self, reason: Reason, covered_since: Option<Micros>) -> Answer {
+        let verdict = match self.may_be_accepted_before(covered_since) {
+            true => Verdict::Failed(reason),
+            false => Verdict::Refused(reason),
+        };
+        Answer { verdict, attempts: 0, recorded: false, version: None }
     }
 
     /// Reads the response topic and correlation data.
