Platform tests: the start of a fleet and of an outage stand once

Cause: two tests began a fleet and an outage in the same lines, and counted served calls alike.

Change: start_fleet, assert_most_served and ChangeLog::begin_outage serve them; each check keeps its bound.

--- a/crates/gateway/tests/platform/list_outage.rs
+++ b/crates/gateway/tests/platform/list_outage.rs
@@ -30,21 +30,37 @@
     (0..count).map(call).collect()
 }
 
-/// Drains two workers during an outage of the log and makes calls only once the drains count as delivered:
-/// from then on no request may reach the drained workers.
-fn drain_during_outage(service: Service) {
-    let workers: Vec<FleetWorker> = (0..8).map(|seed| FleetWorker::start(Behaviour::GOOD, seed)).collect();
-    let names: Vec<String> = (0..8).map(|number| format!("s-{number}")).collect();
+/// Starts workers, and a log that lists them under the returned names.
+fn start_fleet(count: u64) -> (Vec<FleetWorker>, Vec<String>, ChangeLog) {
+    let workers: Vec<FleetWorker> =
+        (0..count).map(|seed| FleetWorker::start(Behaviour::GOOD, seed)).collect();
+    let names: Vec<String> = (0..count).map(|number| format!("s-{number}")).collect();
     let list: Vec<_> =
         names.iter().zip(&workers).map(|(name, worker)| (name.as_str(), worker.address)).collect();
     let log = ChangeLog::start(&list);
+    (workers, names, log)
+}
+
+/// Asserts that at least half of the calls were served.
+fn assert_most_served(records: &[CallRecord]) {
+    let is_served = |record: &&CallRecord| matches!(record.answer, Some((_, Outcome::Served(_))));
+    let served = records.iter().filter(is_served).count();
+    assert!(
+        served * 2 >= records.len(),
+        "only {served} of {} calls served by the other workers",
+        records.len()
+    );
+}
+
+/// Drains two workers during an outage of the log and makes calls only once the drains count as delivered:
+/// from then on no request may reach the drained workers.
+fn drain_during_outage(service: Service) {
+    let (workers, names, log) = start_fleet(8);
     let router = Router::start(&log);
     wait_until_ready(&router);
     let address = router.process.address;
     send_paced(address, &plan(1, Duration::from_secs(1)), Duration::ZERO);
-    until("the router to poll the log", || log.pending_polls() > 0);
-    log.set_service(service);
-    let outage = Instant::now();
+    let outage = log.begin_outage(service);
     thread::sleep(Duration::from_secs(1));
     let drained = &workers[..2];
     drained.iter().for_each(FleetWorker::drain);
@@ -61,13 +77,7 @@
         late.len(),
         late.first()
     );
-    let served =
-        records.iter().filter(|record| matches!(record.answer, Some((_, Outcome::Served(_))))).count();
-    assert!(
-        served * 2 >= records.len(),
-        "only {served} of {} calls served by the other workers",
-        records.len()
-    );
+    assert_most_served(&records);
 }
 
 /// Guards against a load request to a worker that drained while the change log was unreachable (report
@@ -90,21 +100,15 @@
     const GRACE: Duration = Duration::from_millis(2_000);
     const TOLERANCE: Duration = Duration::from_millis(50);
     const DRAINED_AFTER: Duration = Duration::from_millis(7_200);
-    let workers: Vec<FleetWorker> = (0..4).map(|seed| FleetWorker::start(Behaviour::GOOD, seed)).collect();
+    let (workers, _, log) = start_fleet(4);
     workers.iter().for_each(FleetWorker::use_shallow_health_checks);
-    let names: Vec<String> = (0..4).map(|number| format!("s-{number}")).collect();
-    let list: Vec<_> =
-        names.iter().zip(&workers).map(|(name, worker)| (name.as_str(), worker.address)).collect();
-    let log = ChangeLog::start(&list);
     let mut settings = config(&log);
     settings["settings"]["rules"]["drain_grace"] = (GRACE.as_millis() as f64).into();
     let router = Router::start_with(&settings);
     wait_until_ready(&router);
     let address = router.process.address;
     send_paced(address, &plan(1, Duration::from_secs(1)), Duration::ZERO);
-    until("the router to poll the log", || log.pending_polls() > 0);
-    log.set_service(Service::Silent);
-    let outage = Instant::now();
+    let outage = log.begin_outage(Service::Silent);
     let calls =
         thread::spawn(move || send_paced(address, &plan(1_000, DRAINED_AFTER + GRACE + WATCHED), TIMEOUT));
     thread::sleep(DRAINED_AFTER);
@@ -115,9 +119,7 @@
     let records = calls.join().unwrap();
     let late = drained.received().into_iter().filter(|received| received.at > last).count();
     assert_eq!(late, 0, "requests to a draining worker");
-    let served =
-        records.iter().filter(|record| matches!(record.answer, Some((_, Outcome::Served(_))))).count();
-    assert!(served * 2 >= records.len(), "only {served} of {} calls served", records.len());
+    assert_most_served(&records);
 }
 
 /// Guards against a router that never waits long enough for a slow log: each answer arrives after the
--- a/crates/gateway/tests/platform/replaced_worker.rs
+++ b/crates/gateway/tests/platform/replaced_worker.rs
@@ -1,7 +1,6 @@
 //! Routers whose change log is unreachable while a worker's process is replaced, at its address, by one of
 //! another cell. Workers discard repeated bookings only within their cell.
 
-use crate::support::until;
 use crate::test_servers::*;
 use serde_json::Value;
 use std::collections::HashMap;
@@ -96,9 +95,7 @@
     wait_until_ready(&router);
     let address = router.process.address;
     send_paced(address, &plan(1, Duration::from_secs(1)), Duration::ZERO);
-    until("the router to poll the log", || log.pending_polls() > 0);
-    log.set_service(Service::Silent);
-    let outage = Instant::now();
+    let outage = log.begin_outage(Service::Silent);
     let calls = thread::spawn(move || {
         send_paced(address, &plan(FIRST_TAG, DELIVERED_AFTER + FAILING), TIMEOUT);
     });
--- a/crates/gateway/tests/platform/test_servers/change_log.rs
+++ b/crates/gateway/tests/platform/test_servers/change_log.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How a change log responds to polls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,6 +154,13 @@
         *self.service.lock().unwrap() = service;
     }
 
+    /// Begins an outage while a poll of the router is pending; returns when it began.
+    pub(crate) fn begin_outage(&self, service: Service) -> Instant {
+        until("the router to poll the log", || self.pending_polls() > 0);
+        self.set_service(service);
+        Instant::now()
+    }
+
     /// Total size of all complete answers so far.
     pub(crate) fn sent_bytes(&self) -> usize {
         self.sent_bytes.load(Ordering::SeqCst)
