--- a/src/balancer/list_lease.rs
+++ b/src/balancer/list_lease.rs
@@ -8,17 +8,13 @@
 //! A health check may show no more than that the process runs. So once a worker has rejected a call, which a
 //! draining one does, only served calls show that it accepts work.
 //!
-//! A health check shows that the process at a worker's address accepts work, not that it is the one that the
-//! list names: another worker, of another cell and just started, may have taken over the address. A process
-//! is identified only if it has been running since before the list was last confirmed. What the list says of
-//! a worker's cell, zone and start applies to identified processes only.
+//! Which process is at a worker's address then is the concern of `process_identity`.
 
-use super::dispatch::Attempt;
 use super::membership::Worker;
 use super::probing::PROBE_WAIT;
 use super::statistics::{after, since};
 use super::Balancer;
-use crate::api::{Action, Micros, Outcome, ProcessInfo, RequestId, WorkerId};
+use crate::api::{Action, Micros, Outcome, RequestId, WorkerId};
 use std::collections::BTreeSet;
 
 /// A worker's own confirmation is valid for the drain grace divided by this; the rest is reserved for the
@@ -59,10 +55,9 @@
         self.expires_at
     }
 
-    /// Whether a process that runs since `process_since` is the one that the list named when it was confirmed
-    /// as of `confirmed_as_of`.
-    fn is_older(process_since: Option<Micros>, confirmed_as_of: Micros) -> bool {
-        process_since.is_some_and(|since| since <= confirmed_as_of)
+    /// Whether the list is in use without ever having been confirmed.
+    pub(super) fn is_assumed(&self) -> bool {
+        self.is_assumed
     }
 }
 
@@ -92,51 +87,11 @@
         self.slow_start.invalidate();
     }
 
-    /// Whether the worker's process is the one that the list names. While a confirmed list is current, it is.
-    pub(super) fn is_identified(&self, worker: &Worker) -> bool {
-        let Some(confirmed_as_of) = self.list_lease.confirmed_as_of else { return true };
-        let process_since = worker.process.map(|process| process.since);
-        self.list_names_processes() || ListLease::is_older(process_since, confirmed_as_of)
-    }
-
-    /// Whether the attempt went to the process that the list named for its worker, so that the cell and zone
-    /// recorded for it are those where it could have run.
-    pub(super) fn went_to_listed_process(&self, attempt: &Attempt) -> bool {
-        let Some(confirmed_as_of) = self.list_lease.confirmed_as_of else { return true };
-        let last_listed = attempt.last_listed.unwrap_or(confirmed_as_of);
-        let is_still_listed = attempt.last_listed.is_none() && self.list_names_processes();
-        is_still_listed || ListLease::is_older(attempt.process_since, last_listed)
-    }
-
-    /// When the worker's process started, at the latest; `None` if that is long ago. If it may have replaced
-    /// the one that the list names, it may have started just before its first connection.
-    pub(super) fn process_started_at(&self, worker: &Worker) -> Option<Micros> {
-        let new_process = worker.process.filter(|process| process.may_be_new && !self.is_identified(worker));
-        worker.started_at.max(new_process.map(|process| process.since))
-    }
-
-    /// Records the process that responded for a worker.
-    pub(super) fn record_process(&mut self, worker: WorkerId, process: Option<ProcessInfo>) {
-        let names_processes = self.list_names_processes();
-        let Some(worker) = self.membership.workers.get_mut(&worker) else { return };
-        if process.is_some() && worker.process != process {
-            worker.process = process;
-            if !names_processes {
-                self.slow_start.invalidate();
-            }
-        }
-    }
-
     /// Whether the lease is valid, so that the list alone decides which workers accept work.
     pub(super) fn list_is_current(&self) -> bool {
         self.list_lease.expires_at.is_none_or(|at| self.now < at)
     }
 
-    /// Whether the list tells which process is at each worker's address.
-    pub(super) fn list_names_processes(&self) -> bool {
-        self.list_is_current() && !self.list_lease.is_assumed
-    }
-
     /// Whether a worker may be sent new work: it is ready in the list, and either the list is current or the
     /// worker has recently confirmed its readiness itself.
     pub(super) fn is_confirmed_ready(&self, worker: &Worker) -> bool {
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -17,6 +17,7 @@
 mod outlier;
 mod placement;
 mod probing;
+mod process_identity;
 mod retry;
 mod selection;
 mod slow_start;
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -308,24 +308,12 @@
 
     /// Whether further attempts are limited to the zone or cell of an earlier one that could have run. Which
     /// processes belong to it, only the list tells.
-    fn is_bound_to_group(&self, open: &OpenRequest) -> bool {
+    pub(super) fn is_bound_to_group(&self, open: &OpenRequest) -> bool {
         let effect = self.class(open).effect;
         matches!(effect, Effect::IdempotentWithKey { group: Group::Zone | Group::Cell, .. })
             && open.could_have_run()
     }
 
-    /// Whether all attempts that could have run went to the processes that the list named.
-    fn went_to_listed_processes(&self, open: &OpenRequest) -> bool {
-        open.possible_runs().all(|attempt| self.went_to_listed_process(attempt))
-    }
-
-    /// Since when the process that the next attempt reaches has to be running: since before the list was last
-    /// confirmed, if the attempt must not reach a process of another group and the list is out of date.
-    pub(super) fn required_process_since(&self, open: &OpenRequest) -> Option<Micros> {
-        let is_required = self.is_bound_to_group(open) && !self.list_names_processes();
-        self.list_lease.confirmed_as_of().filter(|_| is_required)
-    }
-
     /// Number of requests by which the worker would exceed its bounded load; it is busy if this is above 0.
     fn requests_over_limit(&self, worker: &Worker, total_weight: f64) -> f64 {
         let fair_share =
