Platform: rejected input, memory and bytes of slow iterations are logged

Change: counts of rejections by reason each second and in 'stopped'; a line when memory passes half of its limit, with table sizes and buffered bytes; bytes from clients and workers, and clients, in slow iterations; debug lines for client connections and each rejection.

--- a/crates/gateway/src/platform/change_log.rs
+++ b/crates/gateway/src/platform/change_log.rs
@@ -1,6 +1,6 @@
 //! The change log's connection, and the application of its events to the worker list.
 
-use super::{Router, MAX_INVALID_MESSAGES_LOGGED};
+use super::Router;
 use crate::clock::after;
 use slatevalve::{Micros, WorkerId, WorkerState};
 use slatevalve_platform::changes::{Change, ChangeLogOutput, ContactEvent, LIST_LEASE};
@@ -8,6 +8,9 @@
 use std::collections::{BTreeSet, HashSet};
 use tracing::{debug, info, warn};
 
+/// Limit of invalid messages of the change log that are logged individually.
+const MAX_INVALID_MESSAGES_LOGGED: u64 = 20;
+
 /// Workers for which a change requires more than recording the new state.
 #[derive(Default)]
 struct AffectedWorkers {
@@ -67,8 +70,8 @@
             }
             ChangeLogOutput::Change(change) => self.apply_change(now, change),
             ChangeLogOutput::Malformed(error) => {
-                self.invalid_messages += 1;
-                if self.invalid_messages <= MAX_INVALID_MESSAGES_LOGGED {
+                self.invalid_log_messages += 1;
+                if self.invalid_log_messages <= MAX_INVALID_MESSAGES_LOGGED {
                     warn!(%error, "invalid response, or line of one, from the change log");
                 }
             }
--- a/crates/gateway/src/platform/events.rs
+++ b/crates/gateway/src/platform/events.rs
@@ -4,7 +4,7 @@
 use signal_hook::consts::SIGHUP;
 use slatevalve::{Micros, WorkerState};
 use slatevalve_reactor::{Id, ReactorEvent};
-use tracing::warn;
+use tracing::{debug, warn};
 
 impl Router {
     /// Handles the events of an iteration. All outputs of an event are executed before the next event is
@@ -26,12 +26,16 @@
         match event {
             ReactorEvent::Accepted { connection, .. } => {
                 let link = self.clients.add(connection);
+                debug!(now = now.0, link = link.0, "client connected");
                 self.front.opened(now, link, &mut self.to_front);
             }
             ReactorEvent::Received(id, bytes) => self.received(now, id, &bytes),
             ReactorEvent::Connected(id) => self.worker_side().connected(now, id),
             ReactorEvent::Closed { id, connected, written } => match self.clients.remove(id) {
-                Some(link) => self.front.closed(link, &mut self.to_front),
+                Some(link) => {
+                    debug!(now = now.0, link = link.0, "client closed its connection");
+                    self.front.closed(link, &mut self.to_front);
+                }
                 None => self.worker_side().closed(now, id, connected, written),
             },
             ReactorEvent::Drained(_) | ReactorEvent::Woken => {}
@@ -48,10 +52,14 @@
     fn received(&mut self, now: Micros, id: Id, bytes: &[u8]) {
         match self.clients.link(id) {
             Some(link) => {
+                self.received_bytes.from_clients += bytes.len();
                 let ready = self.is_ready();
                 self.front.received(now, link, bytes, ready, &mut self.to_front);
             }
-            None => self.worker_side().received(now, id, bytes),
+            None => {
+                self.received_bytes.from_workers += bytes.len();
+                self.worker_side().received(now, id, bytes);
+            }
         }
     }
 
--- a/crates/gateway/src/platform/iteration_log.rs
+++ b/crates/gateway/src/platform/iteration_log.rs
@@ -17,6 +17,11 @@
     pub(super) duration: Micros,
     /// Number of reactor events.
     pub(super) events: usize,
+    /// Bytes received from clients, and from workers and the change log.
+    pub(super) client_bytes: usize,
+    pub(super) worker_bytes: usize,
+    /// Number of client connections.
+    pub(super) clients: usize,
     /// Number of worker list members applied.
     pub(super) list_members: usize,
     /// Number of calls without an answer at the end.
@@ -46,6 +51,9 @@
                 now = work.began_at.0,
                 work_us = work.duration.0,
                 events = work.events,
+                client_bytes = work.client_bytes,
+                worker_bytes = work.worker_bytes,
+                clients = work.clients,
                 list_members = work.list_members,
                 open_calls = work.open_calls,
                 slow_iterations = self.slow_count,
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -14,13 +14,15 @@
 //! | `outputs` | execution of the outputs of front end and engine |
 //! | `change_log` | changes of the worker list |
 //! | `reload`, `shutdown` | handling of SIGHUP, SIGTERM and SIGINT |
-//! | `iteration_log` | log of slow iterations |
+//! | `iteration_log`, `memory_log`, `rejection_log` | logs of slow iterations, of high memory use, of rejected input |
 
 mod change_log;
 mod error;
 mod events;
 mod iteration_log;
+mod memory_log;
 mod outputs;
+mod rejection_log;
 mod reload;
 mod shutdown;
 mod startup;
@@ -32,6 +34,8 @@
 use crate::loop_timer::{LoopIteration, LoopTimer};
 use crate::server::pool::Pool;
 use iteration_log::{IterationLog, IterationWork};
+use memory_log::{MemoryLog, MemoryUse};
+use rejection_log::RejectionLog;
 use reload::ReloadRetry;
 use shutdown::{ClientInput, Shutdown};
 use slatevalve::{Micros, WorkerId, WorkerState};
@@ -44,8 +48,13 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-/// Limit of invalid messages that are logged individually; their total number is logged at shutdown.
-const MAX_INVALID_MESSAGES_LOGGED: u64 = 20;
+/// Numbers of bytes received in one iteration.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReceivedBytes {
+    from_clients: usize,
+    /// From workers and the change log.
+    from_workers: usize,
+}
 
 /// A running router.
 pub struct Router {
@@ -68,6 +77,8 @@
     read_delay: Micros,
     loop_timer: LoopTimer,
     iteration_log: IterationLog,
+    /// Bytes received in this iteration.
+    received_bytes: ReceivedBytes,
     /// Members of the worker list applied in this iteration.
     list_members: usize,
     /// End of the lease on the worker list; workers are probed before use after it.
@@ -77,8 +88,10 @@
     list_outages: u64,
     shutdown: Shutdown,
     reload_retry: Option<ReloadRetry>,
-    /// Number of invalid messages from clients and from the change log.
-    invalid_messages: u64,
+    /// Number of invalid messages from the change log.
+    invalid_log_messages: u64,
+    rejections: RejectionLog,
+    memory_log: MemoryLog,
     to_engine: Vec<Output>,
     to_front: Vec<FrontOutput>,
     log_outputs: Vec<ChangeLogOutput>,
@@ -93,9 +106,7 @@
     /// Sizes of all tables that grow with traffic: connections, open requests and ids of the front end;
     /// workers, connections, attempts and timers of the pool. For the log and for tests of the bounds.
     pub fn sizes(&self) -> [usize; 7] {
-        let (links, open, ids) = self.front.sizes();
-        let [workers, connections, attempts, timers] = self.pool.sizes();
-        [links, open, ids, workers, connections, attempts, timers]
+        table_sizes(&self.front, &self.pool)
     }
 
     /// Runs until an orderly shutdown is complete.
@@ -120,6 +131,7 @@
             .map_err(PlatformError::Loop)?;
         self.read_delay = read_delay;
         self.list_members = 0;
+        self.received_bytes = ReceivedBytes::default();
         let event_count = events.len();
         let client_input = match events.iter().any(|event| self.is_client_input(event)) {
             true => ClientInput::Some,
@@ -136,12 +148,27 @@
             began_at: now,
             duration: elapsed(now, self.clock.now()),
             events: event_count,
+            client_bytes: self.received_bytes.from_clients,
+            worker_bytes: self.received_bytes.from_workers,
+            clients: self.front.sizes().0,
             list_members: self.list_members,
             open_calls: self.front.unanswered(),
         });
+        self.log_load(now);
         Ok(is_complete)
     }
 
+    /// Logs rejected input and high memory use, at intervals.
+    fn log_load(&mut self, now: Micros) {
+        self.rejections.log_if_due(now, self.front.sizes().0);
+        let memory_use = || MemoryUse {
+            sizes: table_sizes(&self.front, &self.pool),
+            unwritten_bytes: self.reactor.unwritten_bytes(),
+            incomplete_bytes: self.front.incomplete_bytes(),
+        };
+        self.memory_log.measure_if_due(now, memory_use);
+    }
+
     /// Runs the expired timers of front end, pool and engine, and executes their outputs.
     fn advance_calls(&mut self, now: Micros) {
         self.front.advance(now, &mut self.to_front);
@@ -174,3 +201,10 @@
         }
     }
 }
+
+/// See [`Router::sizes`].
+fn table_sizes(front: &Front, pool: &Pool) -> [usize; 7] {
+    let (links, open, ids) = front.sizes();
+    let [workers, connections, attempts, timers] = pool.sizes();
+    [links, open, ids, workers, connections, attempts, timers]
+}
--- a/crates/gateway/src/platform/outputs.rs
+++ b/crates/gateway/src/platform/outputs.rs
@@ -1,10 +1,10 @@
 //! Execution of the outputs of front end and engine.
 
-use super::{Router, MAX_INVALID_MESSAGES_LOGGED};
+use super::Router;
 use slatevalve::Micros;
 use slatevalve_engine::{Answer, Call, Output, Ticket};
 use slatevalve_platform::front::FrontOutput;
-use tracing::{debug, info};
+use tracing::debug;
 
 impl Router {
     /// Executes pending outputs until none is left; executing an output may produce others.
@@ -29,10 +29,8 @@
                 self.engine.client_disconnected(now, ticket, &mut self.to_engine);
             }
             FrontOutput::Rejected(link, reason) => {
-                self.invalid_messages += 1;
-                if self.invalid_messages <= MAX_INVALID_MESSAGES_LOGGED {
-                    info!(link = link.0, ?reason, "invalid message from a client");
-                }
+                debug!(now = now.0, link = link.0, ?reason, "rejected");
+                self.rejections.record(link, reason);
             }
         }
     }
--- a/crates/gateway/src/platform/shutdown.rs
+++ b/crates/gateway/src/platform/shutdown.rs
@@ -9,6 +9,7 @@
 //! closing a socket with unread bytes resets the connection and discards answers in transit. The loop
 //! advances the shutdown at the end of each iteration.
 
+use super::memory_log::peak_memory_kb;
 use super::Router;
 use crate::clock::{after, elapsed};
 use slatevalve::Micros;
@@ -144,7 +145,9 @@
             failed = counts.failed,
             attempts = counts.attempts,
             overdue = counts.overdue,
-            unusable = self.invalid_messages,
+            unusable = self.rejections.total() + self.invalid_log_messages,
+            rejected = ?self.rejections.by_reason(),
+            peak_memory_kb = peak_memory_kb(),
             list_outages = self.list_outages,
             slow_iterations = self.iteration_log.slow_count(),
             longest_iteration_us = self.iteration_log.longest().0,
--- a/crates/gateway/src/platform/startup.rs
+++ b/crates/gateway/src/platform/startup.rs
@@ -1,8 +1,10 @@
 //! Startup of a router: reading the configuration, and deriving the settings of its components.
 
 use super::iteration_log::IterationLog;
+use super::memory_log::MemoryLog;
+use super::rejection_log::RejectionLog;
 use super::shutdown::Shutdown;
-use super::{PlatformError, Router};
+use super::{PlatformError, ReceivedBytes, Router};
 use crate::clock::{after, Clock};
 use crate::event_loop::{self, ClientConnections, Listener};
 use crate::loop_timer::LoopTimer;
@@ -97,13 +99,16 @@
             read_delay: Micros(0),
             loop_timer,
             iteration_log: IterationLog::default(),
+            received_bytes: ReceivedBytes::default(),
             list_members: 0,
             list_expires_at: Micros(0),
             list_expiry_handled: false,
             list_outages: 0,
             shutdown: Shutdown::new(longest_deadline),
             reload_retry: None,
-            invalid_messages: 0,
+            invalid_log_messages: 0,
+            rejections: RejectionLog::default(),
+            memory_log: MemoryLog::new(config.limits.memory_mb),
             to_engine: Vec::new(),
             to_front: Vec::new(),
             log_outputs: Vec::new(),
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -82,6 +82,23 @@
     NoRoom,
 }
 
+impl RejectReason {
+    /// The reason's name, without its details.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RejectReason::Frame(_) => "frame",
+            RejectReason::NotAMessage => "not_a_message",
+            RejectReason::Call(_) => "call",
+            RejectReason::Number => "number",
+            RejectReason::OpenId => "open_id",
+            RejectReason::TooManyOpen => "too_many_open",
+            RejectReason::Silent => "silent",
+            RejectReason::NoRoom => "no_room",
+        }
+    }
+}
+
 struct OpenRequest {
     connection: LinkId,
     number: u32,
@@ -131,6 +148,12 @@
         self.connections.values().filter(|connection| connection.incomplete_since.is_some()).count()
     }
 
+    /// Number of bytes of incomplete messages, on all connections.
+    #[must_use]
+    pub fn incomplete_bytes(&self) -> usize {
+        self.connections.values().map(|connection| connection.buffer.len()).sum()
+    }
+
     /// Adds a client connection. If the limit is then exceeded, an idle connection is evicted, possibly the
     /// new one.
     pub fn opened(&mut self, now: Micros, id: LinkId, out: &mut Vec<FrontOutput>) {
--- a/crates/reactor/src/reactor/connections.rs
+++ b/crates/reactor/src/reactor/connections.rs
@@ -90,6 +90,12 @@
         self.registry.connections().any(|c| c.output.pending() > 0)
     }
 
+    /// Number of bytes buffered for all connections.
+    #[must_use]
+    pub fn unwritten_bytes(&self) -> usize {
+        self.registry.connections().map(|c| c.output.pending()).sum()
+    }
+
     /// Total number of bytes that the kernel accepted on a connection; 0 for an unknown one.
     #[must_use]
     pub fn written(&self, id: Id) -> u64 {
