Balancer: request times for the load quota are forgotten as they age, without a walk

Cause: the times of requests within the quota's window were pruned only when a load was wanted, by a walk over all of them: without loads they grew without end, with a load for each request each cost a walk. Change: times are pruned from the front with each request and load; decisions are the same.

--- a/src/balancer/loading.rs
+++ b/src/balancer/loading.rs
@@ -5,7 +5,7 @@
 use super::statistics::*;
 use super::{Balancer, TICK_INTERVAL};
 use crate::api::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Weight of one completed load request in the mean load time.
 const LOAD_TIME_REQUEST_RATE: f64 = 0.2;
@@ -68,17 +68,12 @@
 
     /// Takes one load request from the quota; false if the quota of the window is used up.
     fn take_load_quota(&mut self) -> bool {
-        let (now, loading) = (self.now, &self.settings.loading);
-        if loading.load_quota_window.0 <= 0 {
+        if self.settings.loading.load_quota_window.0 <= 0 {
             return true;
         }
+        self.prune_quota_window();
+        let (now, loading) = (self.now, &self.settings.loading);
         let placement = &mut self.placement;
-        placement.load_request_times.retain(|time| since(now, *time) <= loading.load_quota_window);
-        // Whether requests at the edge of the window count is ambiguous, so the last tick of the window is
-        // left out.
-        placement
-            .request_times
-            .retain(|time| after(since(now, *time), TICK_INTERVAL) <= loading.load_quota_window);
         let allowed =
             loading.load_quota_free + loading.load_quota_share * placement.request_times.len() as f64;
         if placement.load_request_times.len() as f64 + 1.0 > allowed {
@@ -88,6 +83,26 @@
         true
     }
 
+    /// Counts a request for the quota.
+    pub(super) fn count_for_quota(&mut self) {
+        if self.settings.loading.load_quota_window.0 > 0 {
+            self.placement.request_times.push_back(self.now);
+            self.prune_quota_window();
+        }
+    }
+
+    /// Removes what is older than the window of the quota. Entries are in order of time, so that only the
+    /// oldest ones are checked.
+    fn prune_quota_window(&mut self) {
+        let (now, window) = (self.now, self.settings.loading.load_quota_window);
+        let has_ended = |time: &Micros| since(now, *time) > window;
+        // Whether requests at the edge of the window count is ambiguous, so the last tick of the window is
+        // left out.
+        let is_at_edge = |time: &Micros| after(since(now, *time), TICK_INTERVAL) > window;
+        remove_front_while(&mut self.placement.load_request_times, has_ended);
+        remove_front_while(&mut self.placement.request_times, is_at_edge);
+    }
+
     /// Prepares a function that is about to replace another (`replaced`): requests up to `limit` loads at the
     /// workers that its calls will be sent to.
     pub(super) fn preload(
@@ -188,3 +203,13 @@
         *inflation = inflation.max(mean.min(LOAD_TIME_INFLATION_MAX));
     }
 }
+
+/// Removes entries from the front of a queue as long as they satisfy a predicate.
+fn remove_front_while(times: &mut VecDeque<Micros>, is_removed: impl Fn(&Micros) -> bool) {
+    while times.front().is_some_and(&is_removed) {
+        times.pop_front();
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -150,9 +150,7 @@
 
     /// Counts a request for its function and adds the function if it is new.
     pub(super) fn count_call(&mut self, request: &Request) {
-        if self.settings.loading.load_quota_window.0 > 0 {
-            self.placement.request_times.push_back(self.now);
-        }
+        self.count_for_quota();
         let new_function = Function {
             load_time_secs: LOAD_TIME_DEFAULT_SECS,
             service_time_secs: SERVICE_TIME_DEFAULT_SECS,
