Balancer: the least recently used functions are removed 512 at a time

Cause: beyond 4,096 functions each request of a new one searched all of them for the oldest. Change: an eighth is removed at once; if too many are in use, the next search waits until others were added. Which functions are kept differs only beyond 4,096.

--- a/src/balancer/loading/tests.rs
+++ b/src/balancer/loading/tests.rs
@@ -82,3 +82,18 @@
     let kept = balancer.placement.request_times.len() as i64;
     assert!(kept <= WINDOW.0 / INTERVAL.0, "{kept} times kept");
 }
+
+/// Guards against requests under ever new function names that cost the more the more there were before (report
+/// 9fde00).
+#[test]
+fn a_request_of_a_new_function_costs_the_same_after_many_others() {
+    let mut balancer = balancer();
+    let first = send_and_leave(&mut balancer, 0..2_000, |number| number);
+    send_and_leave(&mut balancer, 2_000..12_000, |number| number);
+    let last = send_and_leave(&mut balancer, 12_000..14_000, |number| number);
+    // Tables are larger, so that look-ups take a little longer.
+    let allowed = first * 3 + Duration::from_millis(10);
+    assert!(last < allowed, "{last:?} for the last requests, {first:?} for the first");
+    let functions = balancer.placement.functions.len();
+    assert!(functions <= super::super::placement::FUNCTIONS_MAX + 1, "{functions} functions");
+}
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -15,8 +15,10 @@
 /// Number of calls assumed before the first one, so that the first function seen does not count as the whole
 /// load.
 const SHARE_PRIOR_CALLS: f64 = 30.0;
-/// Maximum number of functions tracked; the least recently used one is removed first.
-const FUNCTIONS_MAX: usize = 4096;
+/// Number of functions tracked above which the least recently used ones are removed.
+pub(super) const FUNCTIONS_MAX: usize = 4096;
+/// Number of functions removed at once, so that the cost of the search is spread over many new functions.
+const FUNCTIONS_REMOVED: usize = FUNCTIONS_MAX / 8;
 /// Load time of a function until it is known, in seconds.
 pub(super) const LOAD_TIME_DEFAULT_SECS: f64 = 0.7;
 /// Service time of a function until it is known, in seconds.
@@ -98,6 +100,8 @@
 #[derive(Default)]
 pub(super) struct Placement {
     pub(super) functions: BTreeMap<FunctionId, Function>,
+    /// Number of functions above which the oldest ones are removed; at least [`FUNCTIONS_MAX`].
+    functions_limit: usize,
     /// Mean number of loads per request.
     pub(super) load_rate: f64,
     /// Mean ratio of load times to the usual ones at present.
@@ -122,6 +126,7 @@
             assumed_loaded_probability,
             replica_scale: 1.0,
             load_time_inflation: 1.0,
+            functions_limit: FUNCTIONS_MAX,
             ..Placement::default()
         }
     }
@@ -163,23 +168,28 @@
             function.load_time_secs =
                 to_secs(load_time).clamp(LOAD_TIME_HINT_MIN_SECS, LOAD_TIME_HINT_MAX_SECS);
         }
-        if self.placement.functions.len() > FUNCTIONS_MAX {
-            self.remove_oldest_function(request.function);
+        if self.placement.functions.len() > self.placement.functions_limit {
+            self.remove_oldest_functions(request.function);
         }
     }
 
-    /// Removes the least recently used function, except `kept` and those with calls or loads in flight.
-    fn remove_oldest_function(&mut self, kept: FunctionId) {
+    /// Removes the least recently used functions, except `kept` and those with calls or loads in flight.
+    fn remove_oldest_functions(&mut self, kept: FunctionId) {
         let is_idle = |function: &Function| {
             let mut replicas = function.replicas.values();
             replicas.all(|replica| replica.in_flight == 0 && replica.load_requested_at.is_none())
         };
         let functions = self.placement.functions.iter();
         let removable = functions.filter(|(id, function)| is_idle(function) && **id != kept);
-        let oldest = removable.min_by_key(|(id, function)| (function.calls.updated_at, **id));
-        if let Some(id) = oldest.map(|(id, _)| *id) {
+        let mut oldest: Vec<(Micros, FunctionId)> =
+            removable.map(|(id, function)| (function.calls.updated_at, *id)).collect();
+        oldest.sort_unstable();
+        for (_, id) in oldest.into_iter().take(FUNCTIONS_REMOVED) {
             self.placement.functions.remove(&id);
         }
+        // If too many functions are in use, the next search waits until others have been added.
+        let remaining = self.placement.functions.len();
+        self.placement.functions_limit = FUNCTIONS_MAX.max(remaining + FUNCTIONS_REMOVED);
     }
 
     /// Decays the mean number of loads per request; called once for each request.
