Event loops: clients that do not read get no turns, and their answers a bounded part of memory

Cause: up to 512 KiB of answers waited for each client that did not read, with hundreds of clients 200 MB and more, and its further requests were still read. Change: a client with more than 16 KiB unwritten is not read until it has read its answers; all clients with more than 4 KiB together may have an eighth of the process's memory waiting (256 MiB for MQTT), beyond which those with the most are closed, with a line in the log.

--- a/crates/gateway/src/event_loop/client_connections.rs
+++ b/crates/gateway/src/event_loop/client_connections.rs
@@ -1,6 +1,7 @@
 //! Client connections of a front end: maps reactor connections to the front end's links and back, and decides
 //! when their input is read.
 
+use super::client_output::{ClientOutput, OutputChanges};
 use super::input_queue::{InputQueue, Turn, TurnRead};
 use slatevalve::Micros;
 use slatevalve_reactor::{Id, Reactor, ReadOutcome};
@@ -17,6 +18,7 @@
     links: HashMap<Id, Link>,
     sockets: HashMap<Link, Id>,
     input: InputQueue,
+    output: ClientOutput,
 }
 
 /// Input of a client, read in one turn.
@@ -30,14 +32,15 @@
 }
 
 impl<Link: Copy + Eq + Hash> ClientConnections<Link> {
-    /// Creates an empty map.
-    pub(crate) fn new(link_of_number: fn(u64) -> Link) -> Self {
+    /// Creates an empty map. All clients together may have `max_unwritten` bytes waiting to be read by them.
+    pub(crate) fn new(link_of_number: fn(u64) -> Link, max_unwritten: usize) -> Self {
         ClientConnections {
             link_of_number,
             last_number: 0,
             links: HashMap::new(),
             sockets: HashMap::new(),
             input: InputQueue::default(),
+            output: ClientOutput::new(max_unwritten),
         }
     }
 
@@ -66,11 +69,24 @@
 
     fn forget(&mut self, connection: Id) {
         self.input.remove(connection);
+        self.output.remove(connection);
     }
 
-    /// Begins an iteration of the loop, before its events are handled.
-    pub(crate) fn begin_iteration(&mut self) {
+    /// Begins an iteration of the loop, before its events are handled: clients that do not read get no turns,
+    /// others get them again. Returns the links of clients that have to be closed because all together have
+    /// too many bytes waiting.
+    pub(crate) fn begin_iteration(&mut self, reactor: &mut Reactor) -> Vec<Link> {
         self.input.begin_iteration();
+        let OutputChanges { suspended, resumed, closed } = self.output.check(reactor);
+        for id in suspended {
+            self.input.suspend(id);
+            reactor.pause_reading(id);
+        }
+        for id in resumed {
+            self.input.resume(id);
+            reactor.read_on_demand(id);
+        }
+        closed.into_iter().filter_map(|id| self.close(reactor, id)).collect()
     }
 
     /// Records that input is available on a client connection, and may have been since `since`.
@@ -132,6 +148,7 @@
     pub(crate) fn write(&mut self, reactor: &mut Reactor, link: Link, bytes: &[u8]) {
         if let Some(connection) = self.sockets.get(&link) {
             reactor.write(*connection, bytes);
+            self.output.buffered(*connection, reactor.pending(*connection));
         }
     }
 
--- a/crates/gateway/src/event_loop/input_queue.rs
+++ b/crates/gateway/src/event_loop/input_queue.rs
@@ -126,6 +126,8 @@
         /// Position in the order of arrival.
         order: u64,
     },
+    /// Gets no turn until the client has read what was written to it.
+    Suspended,
 }
 
 #[derive(Debug)]
@@ -280,7 +282,7 @@
             let client = self.clients.get(id)?;
             match client.readiness {
                 Readiness::Waiting { order } => Some((*id, client, order)),
-                Readiness::Idle => None,
+                Readiness::Idle | Readiness::Suspended => None,
             }
         })
     }
@@ -312,6 +314,23 @@
         }
         self.waiting.retain(|id| *id != turn.connection);
     }
+
+    /// Gives a connection no turns until [`InputQueue::resume`].
+    pub(crate) fn suspend(&mut self, connection: Id) {
+        if let Some(client) = self.clients.get_mut(&connection) {
+            client.readiness = Readiness::Suspended;
+            self.continued = self.continued.filter(|id| *id != connection);
+            self.waiting.retain(|id| *id != connection);
+        }
+    }
+
+    /// Ends a suspension; the connection waits for a turn once input is reported.
+    pub(crate) fn resume(&mut self, connection: Id) {
+        let client = self.clients.get_mut(&connection);
+        if let Some(client) = client.filter(|client| client.readiness == Readiness::Suspended) {
+            client.readiness = Readiness::Idle;
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/event_loop/input_queue/tests.rs
+++ b/crates/gateway/src/event_loop/input_queue/tests.rs
@@ -198,3 +198,16 @@
         assert_eq!(turn.client_may_have_left(10, 0), may_have_left, "after {polls} polls");
     }
 }
+
+#[test]
+fn a_suspended_connection_gets_no_turn_until_it_is_resumed() {
+    let ids = ids(1);
+    let mut queue = established(&ids);
+    queue.mark_readable(ids[0], NOW);
+    queue.suspend(ids[0]);
+    queue.mark_readable(ids[0], NOW);
+    assert_eq!((queue.next_turn(NOW), queue.has_waiting()), (None, false));
+    queue.resume(ids[0]);
+    queue.mark_readable(ids[0], NOW);
+    assert!(queue.next_turn(NOW).is_some());
+}
--- a/crates/gateway/src/event_loop/mod.rs
+++ b/crates/gateway/src/event_loop/mod.rs
@@ -5,6 +5,7 @@
 //! The wait itself is in [`crate::loop_timer`].
 
 mod client_connections;
+mod client_output;
 mod input_queue;
 mod listener;
 mod worker_side;
--- a/crates/gateway/src/platform/client_input.rs
+++ b/crates/gateway/src/platform/client_input.rs
@@ -5,7 +5,7 @@
 use crate::event_loop::{ClientRead, TURNS_PER_ITERATION};
 use slatevalve::Micros;
 use slatevalve_platform::front::LinkId;
-use tracing::debug;
+use tracing::{debug, warn};
 
 /// What is known of the input that is being handled.
 #[derive(Clone, Copy, Debug, Default)]
@@ -17,6 +17,14 @@
 }
 
 impl Router {
+    /// Closes clients that do not read, if all of them together have too many bytes waiting.
+    pub(super) fn close_slow_clients(&mut self, now: Micros) {
+        for link in self.clients.begin_iteration(&mut self.reactor) {
+            warn!(now = now.0, link = link.0, "closed a client that does not read its answers");
+            self.client_left(now, link);
+        }
+    }
+
     /// Handles the input of clients until all is read or the time for it is used up.
     pub(super) fn serve_clients(&mut self, now: Micros) {
         for link in self.clients.close_departed(now, &mut self.reactor) {
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -141,7 +141,7 @@
         let has_client_input =
             self.clients.has_input() || events.iter().any(|event| self.is_client_input(event));
         let client_input = if has_client_input { ClientInput::Some } else { ClientInput::None };
-        self.clients.begin_iteration();
+        self.close_slow_clients(now);
         self.handle_events(now, events);
         self.serve_clients(now);
         self.advance_log(now);
--- a/crates/gateway/src/platform/startup.rs
+++ b/crates/gateway/src/platform/startup.rs
@@ -25,6 +25,9 @@
 
 /// Limit of bytes buffered for one connection; a client that reads too slowly is disconnected.
 const MAX_BUFFERED: usize = 512 * 1024;
+/// Part of the process's memory for bytes that slow clients have not read yet.
+const UNWRITTEN_MEMORY_DIVISOR: usize = 8;
+const BYTES_PER_MB: usize = 1024 * 1024;
 /// Pause of the listener after a failed accept.
 const ACCEPT_PAUSE: Micros = Micros(20_000);
 /// File descriptors reserved for other purposes than client and worker connections: standard streams,
@@ -95,7 +98,7 @@
             change_log,
             log_connection: None,
             listener,
-            clients: ClientConnections::new(LinkId),
+            clients: ClientConnections::new(LinkId, max_unwritten(config.limits.memory_mb)),
             workers: HashMap::new(),
             read_delay: Micros(0),
             loop_timer,
@@ -136,6 +139,15 @@
     }
 }
 
+/// Limit of the bytes that wait to be read by slow clients, all together, for a process with `memory_mb`.
+fn max_unwritten(memory_mb: u64) -> usize {
+    memory_share(memory_mb, UNWRITTEN_MEMORY_DIVISOR)
+}
+
+fn memory_share(memory_mb: u64, divisor: usize) -> usize {
+    usize::try_from(memory_mb).unwrap_or(usize::MAX).saturating_mul(BYTES_PER_MB) / divisor
+}
+
 fn new_change_log_client(
     config: &Config,
     file: &Path,
--- a/crates/gateway/src/server/client_input.rs
+++ b/crates/gateway/src/server/client_input.rs
@@ -5,8 +5,17 @@
 use crate::event_loop::{ClientRead, TURNS_PER_ITERATION};
 use slatevalve::Micros;
 use slatevalve_mqtt::LinkId;
+use tracing::warn;
 
 impl GatewayServer {
+    /// Closes clients that do not read, if all of them together have too many bytes waiting.
+    pub(super) fn close_slow_clients(&mut self, now: Micros) {
+        for link in self.clients.begin_iteration(&mut self.reactor) {
+            warn!(link = link.0, "closed a client that does not read its answers");
+            self.client_left(now, link);
+        }
+    }
+
     /// Handles the input of clients until all is read or the time for it is used up.
     pub(super) fn serve_clients(&mut self, now: Micros) {
         if !self.clients.has_input() {
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -48,6 +48,8 @@
 
 /// Maximum of unsent bytes per connection; a peer that reads too slowly is disconnected when it is reached.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum of unsent bytes of all clients that read too slowly.
+const MAX_UNREAD_BYTES: usize = 256 * 1024 * 1024;
 /// How long the listener is paused after a failed accept.
 const ACCEPT_PAUSE: Micros = Micros(100_000);
 
@@ -127,7 +129,7 @@
             start_times: WorkerStartTimes::default(),
             pool: new_pool(&site, &instance),
             listener,
-            clients: ClientConnections::new(LinkId),
+            clients: ClientConnections::new(LinkId, MAX_UNREAD_BYTES),
             input_age: Micros(0),
             workers_listed: BTreeSet::new(),
             read_delay: Micros(0),
@@ -185,7 +187,7 @@
         self.input_age = read_delay;
         // The lease may have expired during the wait.
         self.apply_send_permission();
-        self.clients.begin_iteration();
+        self.close_slow_clients(now);
         for event in events {
             self.handle_event(now, event);
         }
