Engine: open calls take a bounded part of the process's memory

Cause: the payload of each open call is kept until it ends, for retries, and was kept twice more in the pool; nothing bounded their sum (400 x 32 x 16 KiB). Change: EngineSettings::max_open_bytes, an eighth of the memory on the platform (a call counts 1 KiB and its payload: 4,096 small or 240 of the largest calls in 32 MB), 512 MiB for 'run'; calls beyond are refused as never run. The pool drops the payload of a request once it is encoded.

--- a/crates/engine/src/engine/calls.rs
+++ b/crates/engine/src/engine/calls.rs
@@ -7,6 +7,7 @@
 use crate::call::{Call, Repeat, RunBody, Ticket};
 use crate::duplicates::{Fingerprint, KeyDigest, KeyStatus};
 use crate::output::Output;
+use crate::settings::OPEN_CALL_BYTES;
 use crate::version::Version;
 use slatevalve::{ClassId, Effect, Event, FunctionId, Micros, Request, RequestId};
 use std::sync::Arc;
@@ -207,7 +208,9 @@
         if budget.0 <= 0 {
             return Err(Reason::BudgetTooShort);
         }
-        if self.open_calls.len() >= self.settings.max_open_calls {
+        let open_bytes = self.open_bytes + open_call_bytes(&call.payload);
+        if self.open_calls.len() >= self.settings.max_open_calls || open_bytes > self.settings.max_open_bytes
+        {
             return Err(Reason::TooManyOpen);
         }
         Ok(budget)
@@ -229,6 +232,7 @@
             attempts: Vec::new(),
             answered: false,
         };
+        self.open_bytes += open_call_bytes(&open_call.body.payload);
         self.tickets.insert(open_call.waiters[0].ticket, id);
         self.open_calls.insert(id, open_call);
         self.set_deadline(id, deadline);
@@ -282,6 +286,11 @@
     }
 }
 
+/// Number of bytes that an open call with this payload counts for.
+pub(super) fn open_call_bytes(payload: &[u8]) -> usize {
+    payload.len() + OPEN_CALL_BYTES
+}
+
 /// The answer to a call that started no run.
 fn answer_without_run(verdict: Verdict) -> Answer {
     Answer { verdict, attempts: 0, recorded: false, version: None }
--- a/crates/engine/src/engine/completion.rs
+++ b/crates/engine/src/engine/completion.rs
@@ -1,5 +1,6 @@
 //! Final answers: one for each call, delivered to every waiting ticket and stored under the call's key.
 
+use super::calls::open_call_bytes;
 use super::{Engine, Timer};
 use crate::answer::{Answer, Verdict};
 use crate::attempt::AttemptRef;
@@ -64,6 +65,7 @@
         }
         if let Some(call) = self.open_calls.remove(&id) {
             self.names.release(call.function);
+            self.open_bytes -= open_call_bytes(&call.body.payload);
         }
     }
 }
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -85,6 +85,8 @@
     next_request: u64,
     /// Ordered by request id, which is the order of acceptance.
     open_calls: BTreeMap<RequestId, OpenCall>,
+    /// Bytes of all open calls; see [`EngineSettings::max_open_bytes`].
+    open_bytes: usize,
     tickets: HashMap<Ticket, RequestId>,
     names: Names,
     keys: DuplicateTable,
@@ -107,6 +109,7 @@
             now: Micros(0),
             next_request: 1,
             open_calls: BTreeMap::new(),
+            open_bytes: 0,
             tickets: HashMap::new(),
             names: Names::new(settings.max_function_names),
             keys: DuplicateTable::new(settings.duplicates.unwrap_or_default()),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -29,6 +29,6 @@
 pub use engine::{Engine, Statistics};
 pub use names::{function_id, worker_id};
 pub use output::{Output, SendLimits};
-pub use settings::{ClassPolicy, EngineSettings, FunctionTraits};
+pub use settings::{ClassPolicy, EngineSettings, FunctionTraits, OPEN_CALL_BYTES};
 pub use timers::Timers;
 pub use version::Version;
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -30,6 +30,9 @@
     }
 }
 
+/// Memory that an open call takes beside its payload, in bytes.
+pub const OPEN_CALL_BYTES: usize = 1024;
+
 /// Settings of an [`Engine`](crate::Engine).
 #[derive(Clone, Debug, Default)]
 pub struct EngineSettings {
@@ -54,6 +57,8 @@
     pub answer_margin: Micros,
     /// Maximum number of open calls.
     pub max_open_calls: usize,
+    /// Maximum number of bytes of all open calls: their payloads, and [`OPEN_CALL_BYTES`] for each.
+    pub max_open_bytes: usize,
     /// Maximum number of function names in the name table.
     pub max_function_names: usize,
 }
--- a/crates/engine/tests/engine/calls.rs
+++ b/crates/engine/tests/engine/calls.rs
@@ -97,3 +97,15 @@
     let over_limit = harness.call(1, UNSAFE, Some("one more"), Repeat::Unmarked);
     assert_eq!(harness.reason(over_limit), Some(Reason::KeyTableFull));
 }
+
+/// Guards against memory that grows with the payloads of open calls (report 9fde00).
+#[test]
+fn calls_beyond_the_limit_of_open_bytes_are_refused_until_others_have_ended() {
+    let limit = 3 * OPEN_CALL_BYTES;
+    let mut harness = Harness::with_settings(EngineSettings { max_open_bytes: limit, ..settings(Micros(0)) });
+    let tickets: Vec<Ticket> = (0..3).map(|_| harness.call(1, SAFE, None, Repeat::Unmarked)).collect();
+    assert_eq!(harness.reason(tickets[2]), Some(Reason::TooManyOpen));
+    harness.end_oldest(Outcome::Ok);
+    let next = harness.call(1, SAFE, None, Repeat::Unmarked);
+    assert_ne!(harness.reason(next), Some(Reason::TooManyOpen));
+}
--- a/crates/engine/tests/engine/harness.rs
+++ b/crates/engine/tests/engine/harness.rs
@@ -43,6 +43,7 @@
         duplicates: Some(DuplicateLimits { keys: 64, ..DuplicateLimits::default() }),
         answer_margin: Micros(10_000),
         max_open_calls: 32,
+        max_open_bytes: usize::MAX,
         max_function_names: 16,
         ..EngineSettings::default()
     }
@@ -73,8 +74,12 @@
     }
 
     pub(crate) fn with_retention(retention: Micros) -> Self {
+        Harness::with_settings(settings(retention))
+    }
+
+    pub(crate) fn with_settings(settings: EngineSettings) -> Self {
         let mut harness = Harness {
-            engine: Engine::new(settings(retention)),
+            engine: Engine::new(settings),
             now: Micros(0),
             out: Vec::new(),
             last_ticket: 0,
--- a/crates/gateway/src/platform/startup.rs
+++ b/crates/gateway/src/platform/startup.rs
@@ -27,6 +27,9 @@
 const MAX_BUFFERED: usize = 512 * 1024;
 /// Part of the process's memory for bytes that slow clients have not read yet.
 const UNWRITTEN_MEMORY_DIVISOR: usize = 8;
+/// Part of the process's memory for open calls. Their bytes may be held twice: until they are sent, and until the
+/// call ends.
+const OPEN_CALLS_MEMORY_DIVISOR: usize = 8;
 const BYTES_PER_MB: usize = 1024 * 1024;
 /// Pause of the listener after a failed accept.
 const ACCEPT_PAUSE: Micros = Micros(20_000);
@@ -92,7 +95,11 @@
             file,
             classes: site.names.classes.clone(),
             reactor,
-            engine: Engine::new(engine_settings(site.settings.clone(), config.seed)),
+            engine: Engine::new(engine_settings(
+                site.settings.clone(),
+                config.seed,
+                max_open_bytes(config.limits.memory_mb),
+            )),
             front: Front::new(front_settings(site, limits.clients)),
             pool: new_pool(site, limits.workers),
             change_log,
@@ -144,6 +151,11 @@
     memory_share(memory_mb, UNWRITTEN_MEMORY_DIVISOR)
 }
 
+/// Limit of the bytes of all open calls, for a process with `memory_mb`.
+fn max_open_bytes(memory_mb: u64) -> usize {
+    memory_share(memory_mb, OPEN_CALLS_MEMORY_DIVISOR)
+}
+
 fn memory_share(memory_mb: u64, divisor: usize) -> usize {
     usize::try_from(memory_mb).unwrap_or(usize::MAX).saturating_mul(BYTES_PER_MB) / divisor
 }
@@ -158,7 +170,7 @@
         .map_err(|error| PlatformError::Known(file.into(), error))
 }
 
-fn engine_settings(balancer: Settings, seed: u64) -> EngineSettings {
+fn engine_settings(balancer: Settings, seed: u64, max_open_bytes: usize) -> EngineSettings {
     EngineSettings {
         balancer,
         seed,
@@ -169,6 +181,7 @@
         duplicates: None,
         answer_margin: ANSWER_MARGIN,
         max_open_calls: usize::MAX,
+        max_open_bytes,
         max_function_names: MAX_FUNCTIONS,
     }
 }
--- a/crates/gateway/src/server/pool/requests.rs
+++ b/crates/gateway/src/server/pool/requests.rs
@@ -28,6 +28,7 @@
 /// A request queued or in flight on a connection.
 pub(super) struct PendingRequest {
     pub(super) purpose: Purpose,
+    /// What was sent, without the payload of a call.
     pub(super) message: WorkerRequest,
     pub(super) submitted_at: Micros,
     /// Position of its bytes on the connection, counted like [`Reactor::written`].
@@ -91,7 +92,7 @@
         reactor: &mut Reactor,
         id: Id,
         purpose: Purpose,
-        message: WorkerRequest,
+        mut message: WorkerRequest,
     ) -> Option<RequestKey> {
         let deadline = self.timeout(purpose).map(|timeout| after(now, timeout));
         let connection = self.connections.get_mut(&id)?;
@@ -112,6 +113,7 @@
             self.timers.set(at, Timer::Request(RequestKey { connection: id, tag }));
         }
         let range = start..connection.bytes_submitted;
+        message.discard_payload();
         let request = PendingRequest { purpose, message, submitted_at: now, bytes: range, deadline };
         connection.requests.insert(tag, request);
         reactor.write(id, &bytes);
--- a/crates/gateway/src/settings/site.rs
+++ b/crates/gateway/src/settings/site.rs
@@ -17,6 +17,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// Limit of the bytes of all open calls.
+const MAX_OPEN_BYTES: usize = 512 * 1024 * 1024;
 /// Resolution of the load balancer's timers.
 const BALANCER_TIMER_RESOLUTION: Micros = Micros(1_000);
 /// Default margin before a call's deadline that the answer needs to reach the client in time.
@@ -194,6 +196,7 @@
         other_functions: functions.other,
         duplicates: Some(duplicates(top)?),
         answer_margin: gateway.or("answer-margin-ms", DEFAULT_ANSWER_MARGIN, Form::millis)?,
+        max_open_bytes: MAX_OPEN_BYTES,
         max_open_calls: whole(gateway, "max-open", 20_000, 10_000_000)?,
         max_function_names: whole(gateway, "max-functions", 65_536, 10_000_000)?,
     })
--- a/crates/worker-protocol/src/request.rs
+++ b/crates/worker-protocol/src/request.rs
@@ -57,6 +57,15 @@
     Ready,
 }
 
+impl WorkerRequest {
+    /// Drops the payload of a call, which is not needed once the request is encoded.
+    pub fn discard_payload(&mut self) {
+        if let WorkerRequest::Infer(call) = self {
+            call.payload = Vec::new();
+        }
+    }
+}
+
 /// Why a message is not a request of this profile. The worker responds with 400 or 404, without
 /// [`NOT_EXECUTED`].
 ///
