Platform front: incomplete messages of clients take a bounded part of memory

Cause: each connection may keep 20 KiB of an incomplete message, in a buffer of up to twice that capacity; 442 connections of a router with 1,024 descriptors make 9 to 18 MB of 32. Change: an eighth of the process's memory for all incomplete messages together, beyond which the connection that has been within one for the longest time is closed; buffers keep no spare capacity. Fixtures of other tests name the new setting.

--- a/adapter/tests/platform.rs
+++ b/adapter/tests/platform.rs
@@ -246,7 +246,7 @@
             max_function_names: 100,
             ..EngineSettings::default()
         });
-        let mut front = Front::new(FrontSettings { classes, connections: 4 });
+        let mut front = Front::new(FrontSettings { classes, connections: 4, incomplete_bytes: usize::MAX });
         front.opened(Micros(0), LinkId(1), &mut Vec::new());
         let (ids, actions) = (HashMap::new(), Vec::new());
         Platform { front, engine, ids, last_message: 0, now: Micros(0), actions }
--- a/crates/gateway/src/platform/startup.rs
+++ b/crates/gateway/src/platform/startup.rs
@@ -30,6 +30,8 @@
 /// Part of the process's memory for open calls. Their bytes may be held twice: until they are sent, and until the
 /// call ends.
 const OPEN_CALLS_MEMORY_DIVISOR: usize = 8;
+/// Part of the process's memory for incomplete messages of clients.
+const INCOMPLETE_MEMORY_DIVISOR: usize = 8;
 const BYTES_PER_MB: usize = 1024 * 1024;
 /// Pause of the listener after a failed accept.
 const ACCEPT_PAUSE: Micros = Micros(20_000);
@@ -100,7 +102,11 @@
                 config.seed,
                 max_open_bytes(config.limits.memory_mb),
             )),
-            front: Front::new(front_settings(site, limits.clients)),
+            front: Front::new(front_settings(
+                site,
+                limits.clients,
+                max_incomplete_bytes(config.limits.memory_mb),
+            )),
             pool: new_pool(site, limits.workers),
             change_log,
             log_connection: None,
@@ -156,6 +162,11 @@
     memory_share(memory_mb, OPEN_CALLS_MEMORY_DIVISOR)
 }
 
+/// Limit of the bytes of incomplete messages, for a process with `memory_mb`.
+fn max_incomplete_bytes(memory_mb: u64) -> usize {
+    memory_share(memory_mb, INCOMPLETE_MEMORY_DIVISOR)
+}
+
 fn memory_share(memory_mb: u64, divisor: usize) -> usize {
     usize::try_from(memory_mb).unwrap_or(usize::MAX).saturating_mul(BYTES_PER_MB) / divisor
 }
@@ -186,9 +197,13 @@
     }
 }
 
-fn front_settings(site: &SiteConfig, connections: usize) -> FrontSettings {
+fn front_settings(site: &SiteConfig, connections: usize, incomplete_bytes: usize) -> FrontSettings {
     let effects = site.settings.classes.iter().map(|class| class.effect);
-    FrontSettings { classes: site.names.classes.iter().cloned().zip(effects).collect(), connections }
+    FrontSettings {
+        classes: site.names.classes.iter().cloned().zip(effects).collect(),
+        connections,
+        incomplete_bytes,
+    }
 }
 
 fn new_pool(site: &SiteConfig, connections: usize) -> Pool {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -9,7 +9,7 @@
 //! calls to the engine.
 //!
 //! Bounds: [`FrontSettings::connections`], with 32 open requests and one message of 20 KiB on each
-//! connection.
+//! connection, and [`FrontSettings::incomplete_bytes`].
 
 mod connection;
 
@@ -43,6 +43,9 @@
     pub classes: Vec<(String, Effect)>,
     /// Limit of client connections; when it is exceeded, an idle connection is evicted.
     pub connections: usize,
+    /// Limit of the bytes of incomplete messages on all connections; when it is exceeded, the connection that
+    /// has been within a message for the longest time is closed.
+    pub incomplete_bytes: usize,
 }
 
 /// An action for the event loop to execute.
@@ -78,7 +81,7 @@
     TooManyOpen,
     /// The connection timed out: no complete message in time, idle, or nothing but interrupted requests.
     Silent,
-    /// The connection was evicted because the connection limit was exceeded.
+    /// The connection was evicted because the limit of connections or of incomplete messages was exceeded.
     NoRoom,
 }
 
@@ -114,6 +117,8 @@
     ids: HashMap<String, LinkId>,
     next_ticket: u64,
     next_sweep: Option<Micros>,
+    /// Bytes of incomplete messages on all connections.
+    incomplete_bytes: usize,
 }
 
 impl Front {
@@ -127,6 +132,7 @@
             ids: HashMap::new(),
             next_ticket: 0,
             next_sweep: None,
+            incomplete_bytes: 0,
         }
     }
 
@@ -151,7 +157,7 @@
     /// Number of bytes of incomplete messages, on all connections.
     #[must_use]
     pub fn incomplete_bytes(&self) -> usize {
-        self.connections.values().map(|connection| connection.buffer.len()).sum()
+        self.incomplete_bytes
     }
 
     /// Adds a client connection. If the limit is then exceeded, an idle connection is evicted, possibly the
@@ -170,14 +176,20 @@
 
     /// Handles a connection that the client closed.
     pub fn closed(&mut self, id: LinkId, out: &mut Vec<FrontOutput>) {
-        if let Some(connection) = self.connections.remove(&id) {
+        if let Some(connection) = self.remove_connection(id) {
             self.abandon_open(connection, out);
         }
     }
 
+    fn remove_connection(&mut self, id: LinkId) -> Option<Connection> {
+        let connection = self.connections.remove(&id)?;
+        self.incomplete_bytes -= connection.buffer.len();
+        Some(connection)
+    }
+
     /// Closes a connection on the front end's own initiative.
     fn close(&mut self, id: LinkId, reason: RejectReason, out: &mut Vec<FrontOutput>) {
-        if let Some(connection) = self.connections.remove(&id) {
+        if let Some(connection) = self.remove_connection(id) {
             self.abandon_open(connection, out);
             out.push(FrontOutput::Rejected(id, reason));
             out.push(FrontOutput::Finish(id));
@@ -210,6 +222,7 @@
     ) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let mut buffer = std::mem::take(&mut connection.buffer);
+        self.incomplete_bytes -= buffer.len();
         buffer.extend_from_slice(bytes);
         let mut start = 0;
         // Handling a message may close the connection; the bytes after it are then ignored.
@@ -227,13 +240,26 @@
                 }
                 Ok(None) => {
                     buffer.drain(..start);
-                    return connection.keep_incomplete(now, buffer);
+                    self.incomplete_bytes += buffer.len();
+                    connection.keep_incomplete(now, buffer);
+                    return self.limit_incomplete(out);
                 }
                 Err(e) => return self.close(id, RejectReason::Frame(e), out),
             }
         }
     }
 
+    /// Closes the connections that have been within a message for the longest time, while the incomplete
+    /// messages exceed their limit.
+    fn limit_incomplete(&mut self, out: &mut Vec<FrontOutput>) {
+        while self.incomplete_bytes > self.settings.incomplete_bytes {
+            let incomplete = self.connections.iter().filter(|(_, connection)| !connection.buffer.is_empty());
+            let oldest = incomplete.min_by_key(|(_, connection)| connection.incomplete_since);
+            let Some(oldest) = oldest.map(|(id, _)| *id) else { return };
+            self.close(oldest, RejectReason::NoRoom, out);
+        }
+    }
+
     fn handle_message(
         &mut self,
         now: Micros,
--- a/crates/platform/src/front/connection.rs
+++ b/crates/platform/src/front/connection.rs
@@ -76,12 +76,13 @@
     }
 
     /// Stores the bytes of an incomplete message, if any.
-    pub(super) fn keep_incomplete(&mut self, now: Micros, bytes: Vec<u8>) {
+    pub(super) fn keep_incomplete(&mut self, now: Micros, mut bytes: Vec<u8>) {
         if bytes.is_empty() {
             // Releases the buffer's memory, so that idle connections take little.
             self.buffer = Vec::new();
         } else {
             self.incomplete_since.get_or_insert(now);
+            bytes.shrink_to_fit();
             self.buffer = bytes;
         }
     }
--- a/crates/platform/tests/front.rs
+++ b/crates/platform/tests/front.rs
@@ -7,6 +7,8 @@
 use slatevalve_platform::message::InvalidRequest;
 
 const ID: &str = "9b1f03aa5c7e2d41";
+/// Limit of the bytes of incomplete messages.
+const INCOMPLETE_BYTES: usize = 100_000;
 const KEY: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
 
 struct Fixture {
@@ -30,7 +32,7 @@
         let keyed = Effect::IdempotentWithKey { group: Group::Cell, memory: Micros(6_000_000) };
         let classes = [("quote", Effect::Idempotent), ("booking", keyed), ("charge", Effect::NonIdempotent)];
         let classes = classes.map(|(name, effect)| (name.to_string(), effect)).to_vec();
-        let settings = FrontSettings { classes, connections };
+        let settings = FrontSettings { classes, connections, incomplete_bytes: INCOMPLETE_BYTES };
         Fixture { front: Front::new(settings), now: Micros(1_000_000), out: Vec::new() }
     }
 
@@ -380,3 +382,29 @@
         }
     }
 }
+
+/// Guards against memory that grows with the number of clients that stop within a large message (report
+/// 9fde00).
+#[test]
+fn incomplete_messages_are_limited_together_and_the_oldest_is_closed() {
+    let mut fixture = Fixture::new(100);
+    let mut large = request(1, "quote", &[], &[0; 16_000]);
+    large.pop();
+    let fitting = (INCOMPLETE_BYTES / large.len()) as u64;
+    for link in 1..=fitting {
+        fixture.open(link);
+        assert!(fixture.send(link, &large).closed.is_empty());
+        fixture.now.0 += 1;
+    }
+    fixture.open(fitting + 1);
+    let outputs = fixture.send(fitting + 1, &large);
+    assert_eq!((outputs.closed, outputs.reasons), (vec![1], vec![RejectReason::NoRoom]));
+    assert!(fixture.front.incomplete_bytes() <= INCOMPLETE_BYTES);
+    // Whatever ends an incomplete message makes room.
+    fixture.send(2, &[0]);
+    fixture.front.closed(LinkId(3), &mut fixture.out);
+    fixture.take_outputs();
+    fixture.open(fitting + 2);
+    assert!(fixture.send(fitting + 2, &large).closed.is_empty());
+    assert_eq!(fixture.front.incomplete_bytes(), (fitting as usize - 1) * large.len());
+}
--- a/crates/platform/tests/stored_forms.rs
+++ b/crates/platform/tests/stored_forms.rs
@@ -181,7 +181,7 @@
 fn answer_bytes(verdict: Verdict) -> Vec<u8> {
     let keyed = Effect::IdempotentWithKey { group: Group::Cell, memory: Micros(6_000_000) };
     let classes = vec![("quote".to_string(), Effect::Idempotent), ("booking".to_string(), keyed)];
-    let mut front = Front::new(FrontSettings { classes, connections: 4 });
+    let mut front = Front::new(FrontSettings { classes, connections: 4, incomplete_bytes: usize::MAX });
     let mut out = Vec::new();
     front.opened(Micros(0), LinkId(1), &mut out);
     front.received(Micros(0), LinkId(1), REQUEST, true, &mut out);
@@ -221,7 +221,8 @@
 
 #[test]
 fn the_answer_to_an_invalid_request_keeps_its_bytes() {
-    let mut front = Front::new(FrontSettings { classes: Vec::new(), connections: 4 });
+    let mut front =
+        Front::new(FrontSettings { classes: Vec::new(), connections: 4, incomplete_bytes: usize::MAX });
     let mut out = Vec::new();
     front.opened(Micros(0), LinkId(1), &mut out);
     front.received(Micros(0), LinkId(1), REQUEST, true, &mut out);
@@ -234,7 +235,8 @@
     for (ready, literal) in
         [(true, b"\x94\x01\x08\xc0\x92\xc3\x80"), (false, b"\x94\x01\x08\xc0\x92\xc2\x80")]
     {
-        let mut front = Front::new(FrontSettings { classes: Vec::new(), connections: 4 });
+        let mut front =
+            Front::new(FrontSettings { classes: Vec::new(), connections: 4, incomplete_bytes: usize::MAX });
         let mut out = Vec::new();
         front.opened(Micros(0), LinkId(1), &mut out);
         front.received(Micros(0), LinkId(1), CHECK, ready, &mut out);
