--- a/adapter/tests/platform.rs
+++ b/adapter/tests/platform.rs
@@ -243,6 +243,7 @@
             balancer: site.settings,
             seed,
             max_open_calls: 1_000,
+            max_open_bytes: usize::MAX,
             max_function_names: 100,
             ..EngineSettings::default()
         });
