Platform front: an id that may have run is not accepted again

Cause: the id of a request was free again as soon as its client had left or got its answer, while its attempt could still run, or had run.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -12,11 +12,13 @@
 //! connection, and [`FrontSettings::incomplete_bytes`].
 
 mod connection;
+mod recent_ids;
 
 use crate::after;
 use crate::frame::FrameError;
 use crate::message::{self, ClientRequest, InvalidRequest, Message};
 use connection::Connection;
+use recent_ids::RecentIds;
 use slatevalve::{ClassId, Effect, Micros};
 use slatevalve_engine::{Answer, Call, ClientRef, Repeat, Ticket, Verdict};
 use std::collections::{BTreeMap, HashMap};
@@ -77,6 +79,9 @@
     /// A request with the same id is open. On the same connection, the connection is closed; on another, the
     /// request gets an error response.
     OpenId,
+    /// A request with the same id may have run and is no longer open: it was answered, or its client has left.
+    /// It gets an error response.
+    UsedId,
     /// The connection has more open requests than the protocol allows; it is closed.
     TooManyOpen,
     /// The connection timed out: no complete message in time, idle, or nothing but interrupted requests.
@@ -95,6 +100,7 @@
             RejectReason::Call(_) => "call",
             RejectReason::Number => "number",
             RejectReason::OpenId => "open_id",
+            RejectReason::UsedId => "used_id",
             RejectReason::TooManyOpen => "too_many_open",
             RejectReason::Silent => "silent",
             RejectReason::NoRoom => "no_room",
@@ -115,6 +121,8 @@
     open: HashMap<Ticket, OpenRequest>,
     /// Connection of each open request, by the request's id.
     ids: HashMap<String, LinkId>,
+    /// Ids of calls that may have run, also of open ones.
+    recent_ids: RecentIds,
     next_ticket: u64,
     next_sweep: Option<Micros>,
     /// Bytes of incomplete messages on all connections.
@@ -130,6 +138,7 @@
             connections: BTreeMap::new(),
             open: HashMap::new(),
             ids: HashMap::new(),
+            recent_ids: RecentIds::default(),
             next_ticket: 0,
             next_sweep: None,
             incomplete_bytes: 0,
@@ -313,6 +322,10 @@
             // to.
             Some(other) if *other == id => return self.close(id, RejectReason::OpenId, out),
             Some(_) => return self.reject(id, number, RejectReason::OpenId, out),
+            // Workers would run it once more: they drop duplicates by key, and not in every class.
+            None if self.recent_ids.contains(&request.id) => {
+                return self.reject(id, number, RejectReason::UsedId, out);
+            }
             None => {}
         }
         let Some(connection) = self.connections.get_mut(&id) else { return };
@@ -323,6 +336,7 @@
         let ticket = Ticket(self.next_ticket);
         connection.open.insert(number, ticket);
         self.ids.insert(request.id.clone(), id);
+        self.recent_ids.insert(&request.id);
         self.open.insert(ticket, OpenRequest { connection: id, number, id: request.id.clone() });
         out.push(FrontOutput::Call(Box::new(call(ticket, id, class, request))));
     }
@@ -377,7 +391,10 @@
         }
         let bytes = match &answer.verdict {
             Verdict::Served { payload, .. } => message::served(request.number, payload),
-            Verdict::Refused(_) => message::error(request.number, CODE_REFUSED),
+            Verdict::Refused(_) => {
+                self.recent_ids.remove(&request.id);
+                message::error(request.number, CODE_REFUSED)
+            }
             Verdict::Failed(_) => message::error(request.number, CODE_FAILED),
         };
         self.write(request.connection, bytes, out);
