A process that may have replaced another lately gets no repeat bound to a cell

Cause: while the list is current, any process at an address counted as the one that the list names, although a list learns of a replacement only after some time. Change: a process that may have replaced another one (connections to its address ended without our closing them, and none from before answers) is identified only after the time within which the list tells: the lease's length, 7 s. Until then no keyed call that could have run, in a class bound to a cell or zone, is sent to it, nor anywhere if it ran there; new connections to it are no way round (ProcessLimits::unreplaced_since). An expired list follows the same rule. First attempts, other classes and slow start are as before.

--- a/adapter/src/commands.rs
+++ b/adapter/src/commands.rs
@@ -14,7 +14,7 @@
 pub(crate) fn encode(instance: &str, action: Action, requests: &mut RequestTable) -> Option<Value> {
     Some(match action {
         // The simulator's lists do not expire, and it sends at once.
-        Action::Send { id, worker, timeout, process_since: _, send_before: _ } => {
+        Action::Send { id, worker, timeout, process: _, send_before: _ } => {
             let name = requests.name(id)?;
             let mut command = json!({"m": "Deliver", "i": instance, "id": name, "worker": worker.0});
             if let Some(timeout) = timeout {
--- a/crates/engine/src/engine/actions.rs
+++ b/crates/engine/src/engine/actions.rs
@@ -26,8 +26,8 @@
     /// Executes one action. If it cannot be executed, returns the event that reports this to the balancer.
     fn execute(&mut self, action: Action, out: &mut Vec<Output>) -> Option<Event> {
         match action {
-            Action::Send { id, worker, timeout: _, process_since, send_before } => {
-                return self.send(id, worker, SendLimits { process_since, send_before }, out);
+            Action::Send { id, worker, timeout: _, process, send_before } => {
+                return self.send(id, worker, SendLimits { process, send_before }, out);
             }
             // Answers have no field for `retry_after`; the balancer sets it only if the settings allow it.
             Action::Refuse { id, retry_after: _ } => self.refuse(id, out),
--- a/crates/engine/src/output.rs
+++ b/crates/engine/src/output.rs
@@ -4,14 +4,14 @@
 use crate::attempt::AttemptRef;
 use crate::call::{RunBody, Ticket};
 use crate::version::Version;
-use slatevalve::{FunctionId, Micros, WorkerId};
+use slatevalve::{FunctionId, Micros, ProcessLimits, WorkerId};
 use std::sync::Arc;
 
 /// Conditions under which a request may be sent to a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SendLimits {
-    /// If set, it may reach only a process that is known to run since this time at the latest.
-    pub process_since: Option<Micros>,
+    /// The processes that it may reach.
+    pub process: ProcessLimits,
     /// If set, its first byte must be written before this time.
     pub send_before: Option<Micros>,
 }
--- a/crates/gateway/src/server/pool/connections.rs
+++ b/crates/gateway/src/server/pool/connections.rs
@@ -3,7 +3,7 @@
 use super::requests::{without_payload, PendingRequest};
 use super::timers::after;
 use super::{Pool, Purpose, RequestEnd};
-use slatevalve::{Micros, Outcome, RequestId, WorkerId};
+use slatevalve::{Micros, Outcome, ProcessLimits, RequestId, WorkerId};
 use slatevalve_reactor::{Id, Reactor};
 use slatevalve_worker_protocol::{CompletedRequest, ReplyReader, Tag};
 use std::collections::{BTreeMap, VecDeque};
@@ -89,8 +89,7 @@
 
 impl Pool {
     /// Selects a connection for a request: an idle one if available, otherwise a new one, otherwise one with
-    /// requests of the same kind. If `process_since` is set, the request may reach only a process that is
-    /// known to run since then, and no connection is opened: it could lead to another one.
+    /// requests of the same kind. If `limits` allow no process that may be new, no connection is opened.
     ///
     /// # Errors
     /// The outcome of the request if no connection is available: [`Outcome::NotSent`] if the worker is not
@@ -102,12 +101,14 @@
         reactor: &mut Reactor,
         worker: WorkerId,
         purpose: Purpose,
-        process_since: Option<Micros>,
+        limits: ProcessLimits,
     ) -> Result<Id, Outcome> {
-        self.peers.get(&worker).filter(|p| p.is_listed).ok_or(Outcome::NotSent)?;
-        if let Some(id) = self.take_idle(now, reactor, worker, purpose, process_since) {
+        let peer = self.peers.get(&worker).filter(|p| p.is_listed).ok_or(Outcome::NotSent)?;
+        if let Some(id) = self.take_idle(now, reactor, worker, purpose, peer.process_since(limits)) {
             return Ok(id);
         }
+        // An idle connection may have been found to have ended, as at the end of a process.
+        let process_since = self.peers.get(&worker).and_then(|peer| peer.process_since(limits));
         if process_since.is_some() {
             return self.find_shareable(worker, purpose, process_since).ok_or(Outcome::NotSent);
         }
--- a/crates/gateway/src/server/pool/peers.rs
+++ b/crates/gateway/src/server/pool/peers.rs
@@ -2,7 +2,7 @@
 
 use super::connections::Connection;
 use super::Pool;
-use slatevalve::{Micros, ProcessInfo, WorkerId};
+use slatevalve::{Micros, ProcessInfo, ProcessLimits, WorkerId};
 use slatevalve_reactor::{Id, Reactor};
 use std::net::SocketAddr;
 
@@ -23,6 +23,16 @@
     pub(super) is_listed: bool,
 }
 
+impl Peer {
+    /// Since when a process must be known to run to be within the limits; `None` if any process is.
+    pub(super) fn process_since(&self, limits: ProcessLimits) -> Option<Micros> {
+        let is_recent = |at: &Micros| limits.unreplaced_since.is_some_and(|since| *at >= since);
+        let ended_at = self.connection_ended_at.filter(is_recent);
+        let before_end = ended_at.map(|at| Micros(at.0 - 1));
+        limits.since.into_iter().chain(before_end).min()
+    }
+}
+
 impl Pool {
     /// Adds a worker or updates its address.
     ///
--- a/crates/gateway/src/server/pool/requests.rs
+++ b/crates/gateway/src/server/pool/requests.rs
@@ -66,7 +66,7 @@
         request: OutgoingRequest,
     ) -> Option<RequestEnd> {
         let OutgoingRequest { worker, purpose, limits, message } = request;
-        match self.acquire(now, reactor, worker, purpose, limits.process_since) {
+        match self.acquire(now, reactor, worker, purpose, limits.process) {
             Ok(id) => {
                 let key = self.enqueue(now, reactor, id, purpose, message)?;
                 if let Some(at) = limits.send_before {
--- a/crates/gateway/src/server/pool/tests.rs
+++ b/crates/gateway/src/server/pool/tests.rs
@@ -4,7 +4,7 @@
 
 use super::requests::OutgoingRequest;
 use super::*;
-use slatevalve::{Outcome, RequestId};
+use slatevalve::{Outcome, ProcessLimits, RequestId};
 use slatevalve_engine::SendLimits;
 use slatevalve_platform::workers::LineProtocol;
 use slatevalve_reactor::{Reactor, ReactorEvent};
@@ -71,9 +71,12 @@
     /// Submits a health check that may reach only a process that runs since `limit`; returns its end if no
     /// connection leads to one.
     fn probe(&mut self, limit: Option<Micros>) -> Option<Outcome> {
+        self.probe_process(ProcessLimits { since: limit, ..ProcessLimits::default() })
+    }
+
+    fn probe_process(&mut self, process: ProcessLimits) -> Option<Outcome> {
         let probe = OutgoingRequest::to_any(WORKER, Purpose::Probe, WorkerRequest::Ready);
-        let probe =
-            OutgoingRequest { limits: SendLimits { process_since: limit, ..SendLimits::default() }, ..probe };
+        let probe = OutgoingRequest { limits: SendLimits { process, ..SendLimits::default() }, ..probe };
         self.pool.submit(self.now, &mut self.reactor, probe).map(|end| end.reply.outcome)
     }
 
@@ -441,3 +444,20 @@
         assert_eq!(&line, if is_late { b"load t1\r\n" } else { b"load t0\r\n" });
     }
 }
+
+/// Guards against a booking that runs twice at a process that came up at the address of another one (report
+/// 9fde00).
+#[test]
+fn a_request_limited_to_an_unreplaced_process_opens_no_connection_after_one_has_ended_lately() {
+    let limited = |since| ProcessLimits { unreplaced_since: Some(Micros(since)), since: None };
+    for is_handled in [true, false] {
+        let mut fixture = PoolFixture::new(8);
+        drop(fixture.serve_call(1));
+        fixture.now = Micros(100);
+        if is_handled {
+            fixture.poll();
+        }
+        assert_eq!(fixture.probe_process(limited(100)), Some(Outcome::NotSent), "handled: {is_handled}");
+        assert_eq!(fixture.probe_process(limited(101)), None, "it ended before");
+    }
+}
--- a/src/api/actions.rs
+++ b/src/api/actions.rs
@@ -2,6 +2,15 @@
 
 use super::ids::{FunctionId, Micros, RequestId, WorkerId};
 
+/// Limits of the processes at a worker's address that an attempt may reach.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// If set, only a process that is known to run since this time at the latest.
+    pub since: Option<Micros>,
+    /// If set, only a process that cannot have replaced another one since this time.
+    pub unreplaced_since: Option<Micros>,
+}
+
 /// Output of the balancer, to be executed in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -13,9 +22,9 @@
         worker: WorkerId,
         /// Limit of the attempt's duration; `None` leaves the client's deadline as the only limit.
         timeout: Option<Micros>,
-        /// If set, the attempt may reach only a process that is known to run since this time at the latest;
-        /// otherwise it ends as [`Outcome::NotSent`](super::Outcome::NotSent).
-        process_since: Option<Micros>,
+        /// The processes that the attempt may reach; otherwise it ends as
+        /// [`Outcome::NotSent`](super::Outcome::NotSent).
+        process: ProcessLimits,
         /// If set, the attempt must begin to leave the router before this time; otherwise it ends as
         /// [`Outcome::NotSent`](super::Outcome::NotSent).
         send_before: Option<Micros>,
--- a/src/balancer/completion.rs
+++ b/src/balancer/completion.rs
@@ -15,7 +15,7 @@
         let attempt = open.attempts.get_mut(answer.attempt);
         let Some(attempt) = attempt.filter(|attempt| attempt.outcome.is_none()) else { return };
         attempt.outcome = Some(answer.outcome);
-        attempt.process_since = answer.process.map(|process| process.since);
+        attempt.process = answer.process;
         let attempt = attempt.clone();
         self.remove_from_flight(&attempt);
         self.record_process(attempt.worker, answer.process);
--- a/src/balancer/dispatch.rs
+++ b/src/balancer/dispatch.rs
@@ -31,8 +31,8 @@
     /// `None` while it is in flight.
     pub(super) outcome: Option<Outcome>,
     pub(super) is_cancelled: bool,
-    /// Since when the process that it was sent to is known to run; `None` while it is in flight.
-    pub(super) process_since: Option<Micros>,
+    /// The process that it was sent to; `None` while it is in flight.
+    pub(super) process: Option<ProcessInfo>,
     /// When the list was last confirmed with the worker as it was at the time of the attempt; `None` while the
     /// list has it unchanged.
     pub(super) last_listed: Option<Micros>,
@@ -231,7 +231,7 @@
         if !self.can_send(open, worker_id, 1) || !self.is_confirmed_ready(worker) {
             return;
         }
-        let process_since = self.required_process_since(open);
+        let process = self.process_limits(open);
         let send_before = self.key_expires_at(open);
         let (work_secs, function_id) = (self.class_work(open), open.request.function);
         let no_replica = Replica::default();
@@ -259,9 +259,9 @@
             assumed_loaded,
             outcome: None,
             is_cancelled: false,
-            process_since: None,
+            process: None,
             last_listed: None,
         });
-        out.push(Action::Send { id, worker: worker_id, timeout: None, process_since, send_before });
+        out.push(Action::Send { id, worker: worker_id, timeout: None, process, send_before });
     }
 }
--- a/src/balancer/list_lease.rs
+++ b/src/balancer/list_lease.rs
@@ -28,6 +28,8 @@
     expires_at: Option<Micros>,
     /// Time as of which it was last confirmed to be complete; `None` if it never was.
     confirmed_as_of: Option<Micros>,
+    /// Time from a change until the list has it, at most: how long a list may be relied on after it was complete.
+    notice_time: Micros,
     /// Whether the list is in use without ever having been confirmed.
     is_assumed: bool,
     /// Workers that are sent nothing until the list is confirmed again.
@@ -50,6 +52,11 @@
         self.confirmed_as_of
     }
 
+    /// Time from a change until the list has it, at most.
+    pub(super) fn notice_time(&self) -> Micros {
+        self.notice_time
+    }
+
     /// When the lease expires; `None` if it does not.
     pub(super) fn expires_at(&self) -> Option<Micros> {
         self.expires_at
@@ -69,6 +76,7 @@
         }
         self.list_lease.expires_at = Some(after(self.now, lease));
         self.list_lease.confirmed_as_of = self.list_lease.confirmed_as_of.max(Some(as_of));
+        self.list_lease.notice_time = after(since(self.now, as_of), lease);
         self.list_lease.is_assumed = false;
         self.list_lease.suspended.clear();
     }
--- a/src/balancer/process_identity.rs
+++ b/src/balancer/process_identity.rs
@@ -3,40 +3,55 @@
 //! A health check shows that the process at an address accepts work, not that it is the one that the list
 //! names: another worker, of another cell and just started, may have taken over the address. While the list is
 //! out of date, a process is identified only if it has been running since before the list was last confirmed.
+//! Also a current list learns of a replacement only after some time: a process that may have replaced another one
+//! is identified only once that time has passed.
 //! What the list says of a worker's cell, zone and start applies to identified processes only.
 
 use super::dispatch::{Attempt, OpenRequest};
 use super::membership::Worker;
+use super::statistics::since;
 use super::Balancer;
-use crate::api::{Micros, ProcessInfo, WorkerId};
-
-/// Whether a process that runs since `process_since` is the one that the list named when it was confirmed as
-/// of `confirmed_as_of`.
-fn is_older(process_since: Option<Micros>, confirmed_as_of: Micros) -> bool {
-    process_since.is_some_and(|since| since <= confirmed_as_of)
-}
+use crate::api::{Micros, ProcessInfo, ProcessLimits, WorkerId};
 
 impl Balancer {
-    /// Whether the worker's process is the one that the list names. While a confirmed list is current, it is.
+    /// Whether a process is the one that the list named when it was complete as of `as_of`: it was running by
+    /// then, and if it may have replaced another one, the list has had time to tell.
+    fn is_named(&self, process: ProcessInfo, as_of: Micros) -> bool {
+        let may_be_untold = process.may_be_new && since(as_of, process.since) < self.list_lease.notice_time();
+        process.since <= as_of && !may_be_untold
+    }
+
+    /// Time as of which the list names the processes: now while a confirmed list is current.
+    fn named_as_of(&self) -> Option<Micros> {
+        match self.list_names_processes() {
+            true => self.list_lease.confirmed_as_of().map(|_| self.now),
+            false => self.list_lease.confirmed_as_of(),
+        }
+    }
+
+    /// Whether the worker's process is the one that the list names. While a confirmed list is current, it is
+    /// unless it may have replaced another one and the list may not tell of that yet.
     pub(super) fn is_identified(&self, worker: &Worker) -> bool {
-        let Some(confirmed_as_of) = self.list_lease.confirmed_as_of() else { return true };
-        let process_since = worker.process.map(|process| process.since);
-        self.list_names_processes() || is_older(process_since, confirmed_as_of)
+        let Some(as_of) = self.named_as_of() else { return true };
+        let unknown_is_named = self.list_names_processes();
+        worker.process.map_or(unknown_is_named, |process| self.is_named(process, as_of))
     }
 
     /// Whether the attempt went to the process that the list named for its worker, so that the cell and zone
     /// recorded for it are those where it could have run.
     fn went_to_listed_process(&self, attempt: &Attempt) -> bool {
-        let Some(confirmed_as_of) = self.list_lease.confirmed_as_of() else { return true };
-        let last_listed = attempt.last_listed.unwrap_or(confirmed_as_of);
-        let is_still_listed = attempt.last_listed.is_none() && self.list_names_processes();
-        is_still_listed || is_older(attempt.process_since, last_listed)
+        let Some(named_as_of) = self.named_as_of() else { return true };
+        let unknown_is_named = attempt.last_listed.is_none() && self.list_names_processes();
+        let as_of = attempt.last_listed.unwrap_or(named_as_of);
+        attempt.process.map_or(unknown_is_named, |process| self.is_named(process, as_of))
     }
 
     /// When the worker's process started, at the latest; `None` if that is long ago. If it may have replaced
-    /// the one that the list names, it may have started just before its first connection.
+    /// the one that an outdated list names, it may have started just before its first connection.
     pub(super) fn process_started_at(&self, worker: &Worker) -> Option<Micros> {
-        let new_process = worker.process.filter(|process| process.may_be_new && !self.is_identified(worker));
+        let is_suspected = |process: &ProcessInfo| process.may_be_new && !self.list_names_processes();
+        let new_process = worker.process.filter(is_suspected);
+        let new_process = new_process.filter(|_| !self.is_identified(worker));
         worker.started_at.max(new_process.map(|process| process.since))
     }
 
@@ -62,10 +77,14 @@
         open.possible_runs().all(|attempt| self.went_to_listed_process(attempt))
     }
 
-    /// Since when the process that the next attempt reaches has to be running: since before the list was last
-    /// confirmed, if the attempt must not reach a process of another group and the list is out of date.
-    pub(super) fn required_process_since(&self, open: &OpenRequest) -> Option<Micros> {
-        let is_required = self.is_bound_to_group(open) && !self.list_names_processes();
-        self.list_lease.confirmed_as_of().filter(|_| is_required)
+    /// Which processes the next attempt may reach. If it must not reach one of another group, that is one that
+    /// runs since before the list was last confirmed, unless the list is current, and one of which the list
+    /// would have told by then if it had replaced another one.
+    pub(super) fn process_limits(&self, open: &OpenRequest) -> ProcessLimits {
+        let as_of = self.named_as_of().filter(|_| self.is_bound_to_group(open));
+        ProcessLimits {
+            since: as_of.filter(|_| !self.list_names_processes()),
+            unreplaced_since: as_of.map(|as_of| since(as_of, self.list_lease.notice_time())),
+        }
     }
 }
--- a/tests/replaced_process.rs
+++ b/tests/replaced_process.rs
@@ -1,5 +1,6 @@
-//! Workers whose processes are replaced at their addresses while the worker list is out of date: the list's
-//! cells, zones and start times apply only to processes that run since before it was last confirmed.
+//! Workers whose processes are replaced at their addresses. While the worker list is out of date, its cells, zones
+//! and start times apply only to processes that run since before it was last confirmed; while it is current, not
+//! to processes that may have replaced others so recently that the list does not tell yet.
 
 use slatevalve::*;
 
@@ -92,9 +93,9 @@
             let mut probed = None;
             for action in actions.drain(..) {
                 match action {
-                    Action::Send { worker, process_since, .. } => {
+                    Action::Send { worker, process, .. } => {
                         self.attempts += 1;
-                        return Some(Decision::Sent(worker, process_since));
+                        return Some(Decision::Sent(worker, process.since));
                     }
                     Action::Refuse { .. } => return Some(Decision::Refused),
                     Action::Fail { .. } => return Some(Decision::Failed),
@@ -303,3 +304,29 @@
         sent(started_just_now(true))
     );
 }
+
+/// Guards against a booking that runs twice because a new process came up at the address of a worker of its cell
+/// and is taken for that worker until the list tells of it (report 9fde00).
+#[test]
+fn a_current_list_does_not_name_a_process_that_may_have_replaced_another_one_lately() {
+    for (age_us, is_named) in [(1_000_000, false), (LEASE.0 + 1, true)] {
+        let mut router = Router::with_two_cells(CELL_KEY);
+        router.confirm();
+        let since = Micros(router.now.0 - age_us);
+        let replaced = Some(ProcessInfo { since, may_be_new: true });
+        // It ran at the worker that the list names, and the other one of the cell may be another process.
+        let first = router.request_at_one_of([1, 2]);
+        let (worker, outcome, latency) = (peer(first), Outcome::Ok, Micros(1_000));
+        router.handle(Event::ProbeCompleted { worker, outcome, latency, report: None, process: replaced });
+        let actions = router.answer(Outcome::Error);
+        let second = router.decide_within(actions, Micros(500_000));
+        assert_ne!(second, Some(Decision::Sent(peer(first), None)).filter(|_| !is_named), "{age_us}");
+        // It ran at a process that may be another one than the list names.
+        let mut router = Router::with_two_cells(CELL_KEY);
+        router.confirm();
+        router.request_at_one_of([1, 2]);
+        let actions = router.answer_from(Outcome::Error, replaced);
+        let is_repeated = matches!(router.decide_within(actions, Micros(500_000)), Some(Decision::Sent(..)));
+        assert_eq!(is_repeated, is_named, "{age_us}");
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -427,7 +427,7 @@
         id: RequestId(1),
         worker: WorkerId(w),
         timeout: None,
-        process_since: None,
+        process: ProcessLimits::default(),
         send_before: None,
     };
     let refuse = || Action::Refuse { id: RequestId(1), retry_after: None };
