Soak: crowds at full speed, clients that leave input unread, ids that come again, series of signals

Change: half of the runs have one to three intruders, drawn apart from the faults, whose draws stay as they were: a crowd of 1 to 60 clients of any kind, reading or not; 32 large calls with a close behind them; a charge that comes again after its client left. A third of the runs have a series of SIGHUP and SIGSTOP. New rule: no router passes its limit of memory.

--- a/crates/gateway/benches/platform_calls.rs
+++ b/crates/gateway/benches/platform_calls.rs
@@ -60,7 +60,7 @@
         "{rate} calls/s: {served} of {} served, {:.1} us of processor time a call, {:.1} MB, p50 {:?}, p99 {:?}",
         records.len(),
         cpu * 1e6 / records.len() as f64,
-        router.process.peak_memory_mb(),
+        router.process.peak_memory_mb().unwrap(),
         times[times.len() / 2],
         times[times.len() * 99 / 100],
     );
--- a/crates/gateway/tests/platform/fleet_size.rs
+++ b/crates/gateway/tests/platform/fleet_size.rs
@@ -239,7 +239,11 @@
         let cpu_seconds = processes.map(cpu_seconds).sum::<f64>() - self.before.iter().sum::<f64>();
         Resources {
             cpu_seconds: cpu_seconds / count,
-            peak_memory_mb: routers.iter().map(|router| router.process.peak_memory_mb()).sum::<f64>() / count,
+            peak_memory_mb: routers
+                .iter()
+                .map(|router| router.process.peak_memory_mb().unwrap())
+                .sum::<f64>()
+                / count,
             descriptors: self.descriptors.join().unwrap(),
             connections: 0.0,
             list_kilobytes: 0.0,
--- a/crates/gateway/tests/platform/full_speed/mod.rs
+++ b/crates/gateway/tests/platform/full_speed/mod.rs
@@ -60,7 +60,7 @@
     let _share = ProcessorShare::limit(&router.process.child, PROCESSOR_PERCENT);
     let _crowd = Crowd::start(router.process.address, kind, reading, clients);
     let usual = send_usual_calls(router.process.address, LENGTH);
-    Run { usual, peak_memory_mb: router.process.peak_memory_mb(), log: router.log() }
+    Run { usual, peak_memory_mb: router.process.peak_memory_mb().unwrap(), log: router.log() }
 }
 
 /// Checks the usual calls beside a crowd, and that the router keeps its limit of memory.
--- a/crates/gateway/tests/platform/full_speed/stalled.rs
+++ b/crates/gateway/tests/platform/full_speed/stalled.rs
@@ -36,7 +36,7 @@
     let stalling = thread::spawn(move || stall(address));
     let usual = send_usual_calls(address, LENGTH);
     stalling.join().unwrap();
-    let peak = router.process.peak_memory_mb();
+    let peak = router.process.peak_memory_mb().unwrap();
     println!("peak {peak} MB, {usual:?}");
     assert!(peak < MEMORY_LIMIT_MB as f64, "{peak} MB");
     assert!(usual.are_served(), "{usual:?}");
--- a/crates/gateway/tests/platform/soak/mod.rs
+++ b/crates/gateway/tests/platform/soak/mod.rs
@@ -5,6 +5,7 @@
 //! `SLATEVALVE_SOAK_SEEDS=1..50 cargo test -p slatevalve-gateway --test platform soak -- --nocapture`
 
 mod clients;
+mod intruders;
 mod rules;
 mod run;
 
@@ -23,8 +24,8 @@
 }
 
 /// Guards the platform's rules under random faults: each call gets one answer in time, unsafe calls run once,
-/// drains are kept, nothing is sent for clients that left, no attempt gets more time than its client has, and
-/// restarted routers are ready soon.
+/// drains are kept, nothing is sent for clients that left, no attempt gets more time than its client has,
+/// restarted routers are ready soon, and none passes its limit of memory, also beside clients that keep to no rule.
 #[test]
 fn the_platforms_rules_hold_under_random_faults() {
     let seeds: Vec<u64> = seeds().collect();
--- a/crates/gateway/tests/platform/soak/rules.rs
+++ b/crates/gateway/tests/platform/soak/rules.rs
@@ -33,6 +33,7 @@
     for received in run.received.iter().flatten() {
         violations.extend(sent_for_client(received, &calls));
     }
+    violations.extend(run.memory_over_limit_mb.iter().map(|peak| format!("memory: {peak:.1} MB")));
     if !violations.is_empty() {
         violations.insert(0, run.script.clone());
     }
--- a/crates/gateway/tests/platform/soak/run.rs
+++ b/crates/gateway/tests/platform/soak/run.rs
@@ -1,9 +1,10 @@
 //! One run: workers, a change log, routers, clients, and random faults from a seed.
 
 use super::clients::{run_client, Call, ClientSettings};
+use super::intruders::{self, intrude};
 use crate::support::until;
 use crate::test_servers::*;
-use rand::{RngExt, SeedableRng};
+use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -18,6 +19,14 @@
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
 /// Upper bound of the time from the start of a restarted router until it is ready.
 const READY_WITHIN: Duration = Duration::from_secs(6);
+/// Distinguishes the draws of intruders from those of faults.
+const INTRUDERS_STREAM: u64 = 0x1u64 << 48;
+/// Distinguishes the draws of series of signals.
+const SIGNALS_STREAM: u64 = 0x2u64 << 48;
+/// How long each SIGSTOP of a series lasts.
+const SERIES_STOP: Duration = Duration::from_millis(20);
+/// Memory that the configuration allows a router.
+const MEMORY_LIMIT_MB: f64 = 64.0;
 /// Factor on the rate of calls during a load spike.
 const SPIKE_FACTOR: u64 = 8;
 
@@ -38,6 +47,8 @@
     /// SIGKILL and a new start.
     Kill,
     LoadSpike(Duration),
+    /// Some SIGHUP in quick succession, and as many SIGSTOP with SIGCONT.
+    Series(u32),
 }
 
 /// A worker that was drained, and when the log published that.
@@ -69,7 +80,9 @@
     pub drained: Vec<Drained>,
     pub log_outages: Vec<LogOutage>,
     pub router_exits: Vec<RouterExit>,
-    /// Seed, deadline and faults of the run, for the report.
+    /// Peak memory of each router process that passed its limit.
+    pub memory_over_limit_mb: Vec<f64>,
+    /// Seed, deadline, faults and intruders of the run, for the report.
     pub script: String,
 }
 
@@ -83,13 +96,18 @@
     drained: Vec<Drained>,
     log_outages: Vec<LogOutage>,
     router_exits: Vec<RouterExit>,
+    memory_over_limit_mb: Vec<f64>,
 }
 
 pub(super) fn play(seed: u64) -> RunRecord {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let timeout = Duration::from_millis([300, 600, 1_200, 2_400][random.random_range(0..4)]);
     let mut running = start(&mut random, timeout, seed);
-    let faults = draw_faults(&mut random);
+    let mut faults = draw_faults(&mut random);
+    faults.extend(draw_series(&mut Pcg64Mcg::seed_from_u64(seed | SIGNALS_STREAM)));
+    faults.sort_by_key(|(at, _)| *at);
+    let mut intruder_random = Pcg64Mcg::seed_from_u64(seed | INTRUDERS_STREAM);
+    let intrusions = intruders::draw(&mut intruder_random);
     let clients: Vec<_> = running
         .client_settings
         .iter()
@@ -100,6 +118,19 @@
         })
         .collect();
     let start = Instant::now();
+    let intruders: Vec<_> = intrusions
+        .iter()
+        .copied()
+        .map(|(at, intrusion)| {
+            let router = intruder_random.random_range(0..running.client_settings.len());
+            let settings = running.client_settings[router].clone();
+            let mut random = Pcg64Mcg::seed_from_u64(intruder_random.next_u64());
+            thread::spawn(move || {
+                thread::sleep((start + at).saturating_duration_since(Instant::now()));
+                intrude(intrusion, &settings, &mut random)
+            })
+        })
+        .collect();
     for (at, fault) in &faults {
         thread::sleep((start + *at).saturating_duration_since(Instant::now()));
         running.inject(&mut random, *fault);
@@ -109,11 +140,12 @@
         .client_settings
         .iter()
         .for_each(|client_settings| client_settings.has_ended.store(true, Ordering::SeqCst));
-    let calls = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
-    let Running { workers, drained, log_outages, router_exits, .. } = running;
+    let calls = clients.into_iter().chain(intruders).flat_map(|client| client.join().unwrap()).collect();
+    (0..running.routers.len()).for_each(|router| running.check_memory(router));
+    let Running { workers, drained, log_outages, router_exits, memory_over_limit_mb, .. } = running;
     let received = workers.iter().map(FleetWorker::received).collect();
-    let script = format!("seed {seed}, deadline {timeout:?}, {faults:?}");
-    RunRecord { calls, received, drained, log_outages, router_exits, script }
+    let script = format!("seed {seed}, deadline {timeout:?}, {faults:?}, {intrusions:?}");
+    RunRecord { calls, received, drained, log_outages, router_exits, memory_over_limit_mb, script }
 }
 
 fn start(random: &mut Pcg64Mcg, timeout: Duration, seed: u64) -> Running {
@@ -139,6 +171,7 @@
         drained: Vec::new(),
         log_outages: Vec::new(),
         router_exits: Vec::new(),
+        memory_over_limit_mb: Vec::new(),
     };
     let rate = random.random_range(5..30);
     for number in 0..random.random_range(1..3) {
@@ -161,6 +194,13 @@
     faults
 }
 
+/// A series of signals, in a third of the runs.
+fn draw_series(random: &mut Pcg64Mcg) -> Option<(Duration, Fault)> {
+    let at = Duration::from_millis(random.random_range(500..4_500));
+    let signals = random.random_range(2..6);
+    (random.random_range(0..3) == 0).then_some((at, Fault::Series(signals)))
+}
+
 fn draw_fault(random: &mut Pcg64Mcg) -> Fault {
     let time = Duration::from_millis(random.random_range(100..800));
     match random.random_range(0..12) {
@@ -222,6 +262,7 @@
                 self.routers[router].process.signal("CONT");
             }
             Fault::Restart => self.restart(router),
+            Fault::Series(signals) => self.signal_in_series(router, signals),
             Fault::Kill => self.kill_and_start(router, false),
             Fault::LoadSpike(time) => {
                 let client_settings = self.client_settings[router].clone();
@@ -234,6 +275,22 @@
         }
     }
 
+    /// Sends signals that neither end the router nor change its configuration.
+    fn signal_in_series(&self, router: usize, signals: u32) {
+        for _ in 0..signals {
+            self.routers[router].process.signal("HUP");
+            self.routers[router].process.signal("STOP");
+            thread::sleep(SERIES_STOP);
+            self.routers[router].process.signal("CONT");
+        }
+    }
+
+    /// Records the peak memory of a router's process if it is over the limit.
+    fn check_memory(&mut self, router: usize) {
+        let peak = self.routers[router].process.peak_memory_mb();
+        self.memory_over_limit_mb.extend(peak.filter(|peak| *peak > MEMORY_LIMIT_MB));
+    }
+
     fn drain(&mut self) {
         let worker = self.workers.len() - 1 - self.drained.len();
         if worker < 2 {
@@ -278,6 +335,7 @@
     }
 
     fn kill_and_start(&mut self, router: usize, was_planned: bool) {
+        self.check_memory(router);
         let at = Instant::now();
         let _ = self.routers[router].process.child.kill();
         let _ = self.routers[router].process.child.wait();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -148,11 +148,11 @@
         before.current.expect("the descriptor limit is unlimited")
     }
 
-    /// Peak resident memory.
-    pub(crate) fn peak_memory_mb(&self) -> f64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-        line.trim().trim_end_matches(" kB").parse::<f64>().unwrap() / 1_024.0
+    /// Peak resident memory; `None` once the process has ended.
+    pub(crate) fn peak_memory_mb(&self) -> Option<f64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        Some(line.trim().trim_end_matches(" kB").parse::<f64>().unwrap() / 1_024.0)
     }
 
     /// Restricts the process to one processor core.
