Reactor: connections that are closed and not read by their peers are limited to 64

Cause: a connection in graceful close keeps its descriptor and its unwritten bytes for up to 5 s, and their number had no limit. Change: beyond 64 the one that has been closing for the longest time is closed; at shutdown there is no limit. Result: the new test fails without the limit (no connection of 74 is closed) and passes.

--- a/crates/gateway/src/platform/shutdown.rs
+++ b/crates/gateway/src/platform/shutdown.rs
@@ -153,7 +153,7 @@
             longest_iteration_us = self.iteration_log.longest().0,
             "stopped"
         );
-        self.reactor.set_max_lingering(usize::MAX);
+        self.reactor.allow_any_number_of_closing();
         self.clients.close_all_gracefully(&mut self.reactor);
         self.shutdown.stage = Stage::Closing;
     }
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -37,5 +37,5 @@
 mod write_buffer;
 
 pub use event::{Id, ReactorEvent, ReadOutcome};
-pub use reactor::{AcceptQueue, Reactor, MAX_LINGERING};
+pub use reactor::{AcceptQueue, Reactor, MAX_FLUSHING, MAX_LINGERING};
 pub use signal::Waker;
--- a/crates/reactor/src/reactor/graceful_close.rs
+++ b/crates/reactor/src/reactor/graceful_close.rs
@@ -12,6 +12,9 @@
 
 /// Default limit of connections in lingering close. When it is exceeded, the longest lingering one is closed.
 pub const MAX_LINGERING: usize = 16;
+/// Default limit of closing connections whose buffered bytes are being written. When it is exceeded, the one that
+/// has been closing for the longest time is closed.
+pub const MAX_FLUSHING: usize = 64;
 /// Longest time for which a half-closed connection is read.
 const LINGERING_TIMEOUT: Duration = Duration::from_millis(500);
 /// Limit of bytes read and discarded from a half-closed connection.
@@ -32,11 +35,17 @@
     flushing: VecDeque<Closing>,
     lingering: VecDeque<Closing>,
     max_lingering: usize,
+    max_flushing: usize,
 }
 
 impl Default for GracefulClose {
     fn default() -> Self {
-        GracefulClose { flushing: VecDeque::new(), lingering: VecDeque::new(), max_lingering: MAX_LINGERING }
+        GracefulClose {
+            flushing: VecDeque::new(),
+            lingering: VecDeque::new(),
+            max_lingering: MAX_LINGERING,
+            max_flushing: MAX_FLUSHING,
+        }
     }
 }
 
@@ -70,11 +79,28 @@
         connection.close_phase = ClosePhase::Flushing;
         self.closing.flushing.push_back(Closing { id, since: Instant::now() });
         self.update_interest(id);
+        self.limit_flushing();
+    }
+
+    /// Closes the connections that have been flushing for the longest time while there are too many.
+    fn limit_flushing(&mut self) {
+        if self.closing.flushing.len() <= self.closing.max_flushing {
+            return;
+        }
+        let registry = &self.registry;
+        let is_flushing = |id| registry.connection(id).is_some_and(|c| c.close_phase == ClosePhase::Flushing);
+        self.closing.flushing.retain(|closing| is_flushing(closing.id));
+        while self.closing.flushing.len() > self.closing.max_flushing {
+            let Some(longest) = self.closing.flushing.pop_front() else { return };
+            self.close_and_report(longest.id);
+        }
     }
 
-    /// Sets the limit of connections in lingering close; [`MAX_LINGERING`] by default.
-    pub fn set_max_lingering(&mut self, max_lingering: usize) {
-        self.closing.max_lingering = max_lingering;
+    /// Removes the limits of connections in lingering close and of those whose bytes are being written, which
+    /// are [`MAX_LINGERING`] and [`MAX_FLUSHING`] by default.
+    pub fn allow_any_number_of_closing(&mut self) {
+        self.closing.max_lingering = usize::MAX;
+        self.closing.max_flushing = usize::MAX;
     }
 
     /// Number of connections in lingering close.
--- a/crates/reactor/src/reactor/mod.rs
+++ b/crates/reactor/src/reactor/mod.rs
@@ -6,7 +6,7 @@
 mod on_demand;
 mod signals;
 
-pub use graceful_close::MAX_LINGERING;
+pub use graceful_close::{MAX_FLUSHING, MAX_LINGERING};
 pub use listeners::AcceptQueue;
 
 use crate::event::{Id, ReactorEvent};
--- a/crates/reactor/tests/on_demand.rs
+++ b/crates/reactor/tests/on_demand.rs
@@ -1,6 +1,6 @@
-//! Connections that are read on demand, and the bound of what one poll reads from all others.
+//! Connections that are read on demand, and bounds of what peers make the reactor hold.
 
-use slatevalve_reactor::{Id, Reactor, ReactorEvent, ReadOutcome};
+use slatevalve_reactor::{Id, Reactor, ReactorEvent, ReadOutcome, MAX_FLUSHING};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -136,3 +136,26 @@
     }
     assert_eq!(read.len(), CONNECTIONS, "connections that were read");
 }
+
+/// Guards against descriptors and memory that grow with the number of clients that are disconnected and do not
+/// read what was written to them (report 9fde00).
+#[test]
+fn connections_that_are_closed_and_not_read_by_their_peers_are_limited() {
+    const BEYOND: usize = 10;
+    let mut reactor = Reactor::new(16 << 20).unwrap();
+    let (_, address) = listen(&mut reactor);
+    let accepted: Vec<(Id, TcpStream)> =
+        (0..MAX_FLUSHING + BEYOND).map(|_| accept(&mut reactor, address)).collect();
+    for (id, _) in &accepted {
+        reactor.write(*id, &[0; 8 << 20]);
+        reactor.close_gracefully(*id);
+    }
+    let mut ended = Vec::new();
+    for event in poll(&mut reactor) {
+        if let ReactorEvent::Closed { id, .. } = event {
+            ended.push(id);
+        }
+    }
+    let longest: Vec<Id> = accepted[..BEYOND].iter().map(|(id, _)| *id).collect();
+    assert_eq!(ended, longest, "the first ones to be closed");
+}
