--- a/crates/gateway/src/event_loop/client_output.rs
+++ b/crates/gateway/src/event_loop/client_output.rs
@@ -73,3 +73,6 @@
         changes
     }
 }
+
+#[cfg(test)]
+mod tests;
