Turns: light clients get every second one, and a pause within one does not end them all

Cause: turns were shared by time, and the time of a turn counts the router's own stops. One turn of a usual client with a stop in it was followed by a whole iteration of new connections, and ended its iteration's turns; with many accepts in each iteration too few turns were left. Change: every second turn goes to a connection of light use whose last turn read all of its input; a turn counts for at most 2.5 ms; the queue itself keeps the time of an iteration.

--- a/crates/gateway/src/event_loop/input_queue.rs
+++ b/crates/gateway/src/event_loop/input_queue.rs
@@ -3,11 +3,11 @@
 //!
 //! Input is read in turns: one bounded read of one connection, whose messages are handled before the next
 //! turn. The turns of an iteration end once they took [`TURNS_PER_ITERATION`]; what is left waits in the
-//! kernel until the next one, and other events are handled in between. Half of the time is for new connections,
-//! in the order of arrival: one without history must neither wait for all others nor, by connecting again and
-//! again, overtake them. The other turns go first to connections without a backlog, whose input is read to its
-//! end within a few turns as a usual client's is, then to those with one, and one in [`TURNS_PER_BACKLOGGED`] in
-//! any case to the latter. Within both, the connection whose input took the least time to handle lately comes first (max-min fairness,
+//! kernel until the next one, and other events are handled in between. Every second turn is for a connection whose
+//! input took little time lately and was read to its end by its last turn, as a usual client's is. Half of the
+//! remaining time is for new connections, in the order of arrival: one without history must neither
+//! wait for all others nor, by connecting again and again, overtake them. The other half is for the rest, those
+//! with a backlog last, but with one turn in [`TURNS_PER_BACKLOGGED`] in any case. Among established ones, the connection whose input took the least time to handle lately comes first (max-min fairness,
 //! as in fair queueing: Demers, Keshav and Shenker, SIGCOMM 1989).
 
 use slatevalve::Micros;
@@ -15,7 +15,7 @@
 use std::collections::HashMap;
 
 /// Time for the turns of one iteration.
-pub(crate) const TURNS_PER_ITERATION: Micros = Micros(5_000);
+const TURNS_PER_ITERATION: Micros = Micros(5_000);
 /// Bytes read in one turn: a few tens of usual messages.
 const TURN_BYTES: usize = 4 * 1024;
 /// Bytes read in the first turn of a connection: a usual message.
@@ -30,14 +30,14 @@
 /// stale input is shorter, its connection keeps the turn until all is read, so that a cancellation behind a call
 /// is seen before the call is sent.
 const WINDOW_MIN_BYTES: usize = 32 * 1024;
-/// Recent use above which a connection does not keep the turn.
+/// Recent use above which the use of a connection is not light.
 const LIGHT_USE_MAX: Micros = Micros(20_000);
 /// Number of turns of which one is for a connection with a backlog.
 const TURNS_PER_BACKLOGGED: u32 = 8;
 /// Recent use is counted over the current period and the one before it.
 const USE_PERIOD: Micros = Micros(1_000_000);
 /// Limit of the time counted for one turn: a pause of the process within it is not the client's doing.
-const TURN_TIME_MAX: Micros = Micros(5_000);
+const TURN_TIME_MAX: Micros = Micros(2_500);
 
 /// Permission to read from a connection once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,10 +154,15 @@
     waiting: Vec<Id>,
     next_order: u64,
     iteration: u64,
-    /// Time of turns of new connections less that of others, within the time of one iteration.
+    /// Time of turns of new connections less that of others whose use is not light, within the time of one
+    /// iteration.
     balance: i64,
+    /// Whether the next turn is for a connection of light use.
+    prefers_light: bool,
     /// Number of turns since one was for a connection with a backlog.
     turns_since_backlogged: u32,
+    /// Time of the turns of this iteration.
+    time_used: Micros,
     /// The connection that keeps the turn until its input is read.
     continued: Option<Id>,
 }
@@ -188,6 +193,7 @@
     /// Begins an iteration of the loop, before its input is reported.
     pub(crate) fn begin_iteration(&mut self) {
         self.iteration += 1;
+        self.time_used = Micros(0);
     }
 
     /// Records that input is available on a connection, and may have been since `since`.
@@ -225,8 +231,11 @@
         self.waiting.iter().filter(is_stale).copied().collect()
     }
 
-    /// The next turn, if a connection waits for one.
+    /// The next turn, if a connection waits for one and the time of this iteration is not used up.
     pub(crate) fn next_turn(&mut self, now: Micros) -> Option<Turn> {
+        if self.time_used >= TURNS_PER_ITERATION {
+            return None;
+        }
         let connection = match self.continued.take() {
             Some(connection) => connection,
             None => self.select(now)?,
@@ -250,12 +259,28 @@
             }
         }
         self.turns_since_backlogged += 1;
+        self.prefers_light = !self.prefers_light;
+        if let Some(light) = self.prefers_light.then(|| self.first_light(now)).flatten() {
+            return Some(light);
+        }
         match self.balance <= 0 {
             true => self.first_new().or_else(|| self.least_used(now)),
             false => self.least_used(now).or_else(|| self.first_new()),
         }
     }
 
+    /// The established connection whose input took the least time lately, of those of light use whose last turn
+    /// read all of their input.
+    fn first_light(&self, now: Micros) -> Option<Id> {
+        let is_light = |client: &Client| {
+            client.is_established
+                && client.bytes_since_drained == 0
+                && client.recent_use.total(now) <= LIGHT_USE_MAX
+        };
+        let light = self.waiting_clients().filter(|(_, client, _)| is_light(client));
+        light.min_by_key(|(_, client, order)| (client.recent_use.total(now), *order)).map(|(id, _, _)| id)
+    }
+
     /// The new connection that has been waiting for the longest time.
     fn first_new(&self) -> Option<Id> {
         let new = self.waiting_clients().filter(|(_, client, _)| !client.is_established);
@@ -290,12 +315,18 @@
     /// Ends a turn that took `time`.
     pub(crate) fn end_turn(&mut self, now: Micros, turn: Turn, read: TurnRead, time: Micros) {
         let TurnRead { bytes, unread } = read;
+        let time = time.min(TURN_TIME_MAX);
+        self.time_used.0 += time.0;
         let order = self.next_order;
         let Some(client) = self.clients.get_mut(&turn.connection) else { return };
-        let change = if client.is_established { -time.0 } else { time.0 };
+        let change = match (client.is_established, turn.bytes_before == 0 && turn.is_light) {
+            (false, _) => time.0,
+            (true, true) => 0,
+            (true, false) => -time.0,
+        };
         self.balance = (self.balance + change).clamp(-TURNS_PER_ITERATION.0, TURNS_PER_ITERATION.0);
         client.is_established = true;
-        client.recent_use.add(now, time.min(TURN_TIME_MAX));
+        client.recent_use.add(now, time);
         client.bytes_since_drained += bytes;
         client.has_backlog = client.bytes_since_drained + unread >= BACKLOG_BYTES;
         if bytes >= turn.max_bytes {
--- a/crates/gateway/src/event_loop/mod.rs
+++ b/crates/gateway/src/event_loop/mod.rs
@@ -11,7 +11,6 @@
 mod worker_side;
 
 pub(crate) use client_connections::{ClientConnections, ClientRead};
-pub(crate) use input_queue::TURNS_PER_ITERATION;
 pub(crate) use listener::Listener;
 pub(crate) use worker_side::WorkerSide;
 
--- a/crates/gateway/src/platform/client_input.rs
+++ b/crates/gateway/src/platform/client_input.rs
@@ -1,8 +1,8 @@
 //! Turns of the clients: reading and handling their input, and closing the connections of those that have left.
 
 use super::Router;
-use crate::clock::{after, elapsed};
-use crate::event_loop::{ClientRead, TURNS_PER_ITERATION};
+use crate::clock::elapsed;
+use crate::event_loop::ClientRead;
 use slatevalve::Micros;
 use slatevalve_platform::front::LinkId;
 use tracing::{debug, warn};
@@ -35,7 +35,6 @@
             return;
         }
         let mut began = self.clock.now();
-        let end = after(began, TURNS_PER_ITERATION);
         while let Some(ClientRead { link, input, turn, read }) =
             self.clients.read_next(now, &mut self.reactor)
         {
@@ -44,9 +43,6 @@
             self.serve_client(now, link, input);
             let ended = self.clock.now();
             self.clients.end_turn(now, turn, read, elapsed(began, ended));
-            if ended >= end {
-                break;
-            }
             began = ended;
         }
     }
--- a/crates/gateway/src/server/client_input.rs
+++ b/crates/gateway/src/server/client_input.rs
@@ -1,8 +1,8 @@
 //! Turns of the MQTT clients: reading and handling their input.
 
 use super::GatewayServer;
-use crate::clock::{after, elapsed};
-use crate::event_loop::{ClientRead, TURNS_PER_ITERATION};
+use crate::clock::elapsed;
+use crate::event_loop::ClientRead;
 use slatevalve::Micros;
 use slatevalve_mqtt::LinkId;
 use tracing::warn;
@@ -22,7 +22,6 @@
             return;
         }
         let mut began = self.clock.now();
-        let end = after(began, TURNS_PER_ITERATION);
         while let Some(ClientRead { link, input, turn, read }) =
             self.clients.read_next(now, &mut self.reactor)
         {
@@ -30,9 +29,6 @@
             self.handle_client_input(now, link, input);
             let ended = self.clock.now();
             self.clients.end_turn(now, turn, read, elapsed(began, ended));
-            if ended >= end {
-                break;
-            }
             began = ended;
         }
     }
