Turns are chosen from ordered sets, and buffers of idle connections keep 4 KiB

Cause: each turn walked all waiting connections to choose the next. Change: waiting connections stand in an ordered set for each class; empty buffers keep 4 KiB; the parts of memory for unread answers and incomplete messages are a sixteenth.

--- a/crates/gateway/src/event_loop/client_connections.rs
+++ b/crates/gateway/src/event_loop/client_connections.rs
@@ -119,7 +119,7 @@
 
     /// The links of the clients whose input waits to be read.
     pub(crate) fn waiting(&self) -> impl Iterator<Item = Link> + '_ {
-        self.input.waiting().iter().filter_map(|id| self.links.get(id).copied())
+        self.input.waiting().filter_map(|id| self.links.get(&id).copied())
     }
 
     /// Ends a turn that took `time`.
--- a/crates/gateway/src/event_loop/input_queue.rs
+++ b/crates/gateway/src/event_loop/input_queue.rs
@@ -12,7 +12,7 @@
 
 use slatevalve::Micros;
 use slatevalve_reactor::Id;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// Time for the turns of one iteration.
 const TURNS_PER_ITERATION: Micros = Micros(5_000);
@@ -109,27 +109,77 @@
     fn as_of(self, now: Micros) -> Self {
         let period = now.0 / USE_PERIOD.0;
         match period - self.period {
-            0 => self,
+            ..=0 => self,
             1 => RecentUse { period, current: Micros(0), previous: self.current },
             _ => RecentUse { period, ..RecentUse::default() },
         }
     }
 }
 
+/// What a waiting connection has shown so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Class {
+    /// It had no turn yet.
+    New,
+    /// Its input took little time lately, and its last turn read all of it.
+    Light,
+    Other,
+    /// Much more input than a usual client's was found.
+    Backlogged,
+}
+
+/// Position of a waiting connection within its class, lowest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    /// Recent use; 0 in classes where only the order counts.
+    recent_use: Micros,
+    /// Position in the order of arrival.
+    order: u64,
+    connection: Id,
+}
+
 /// Where a connection stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Readiness {
     /// No input is known to be available.
     Idle,
     /// Waits for a turn.
-    Waiting {
-        /// Position in the order of arrival.
-        order: u64,
-    },
+    Waiting(Class, Place),
     /// Gets no turn until the client has read what was written to it.
     Suspended,
 }
 
+/// The waiting connections of each class.
+#[derive(Debug, Default)]
+struct Waiting {
+    new: BTreeSet<Place>,
+    light: BTreeSet<Place>,
+    other: BTreeSet<Place>,
+    backlogged: BTreeSet<Place>,
+}
+
+impl Waiting {
+    fn class(&mut self, class: Class) -> &mut BTreeSet<Place> {
+        match class {
+            Class::New => &mut self.new,
+            Class::Light => &mut self.light,
+            Class::Other => &mut self.other,
+            Class::Backlogged => &mut self.backlogged,
+        }
+    }
+
+    fn iter(&self) -> impl Iterator<Item = Id> + '_ {
+        let classes = [&self.new, &self.light, &self.other, &self.backlogged];
+        classes.into_iter().flatten().map(|place| place.connection)
+    }
+
+    /// The connection whose input took the least time lately; one with a backlog only if there is no other.
+    fn least_used(&self) -> Option<Id> {
+        let without_backlog = self.light.first().into_iter().chain(self.other.first()).min();
+        without_backlog.or(self.backlogged.first()).map(|place| place.connection)
+    }
+}
+
 #[derive(Debug)]
 struct Client {
     readiness: Readiness,
@@ -146,12 +196,23 @@
     maybe_blocked_in: Option<u64>,
 }
 
+impl Client {
+    fn class(&self, now: Micros) -> Class {
+        let is_light = self.bytes_since_drained == 0 && self.recent_use.total(now) <= LIGHT_USE_MAX;
+        match (self.is_established, self.has_backlog) {
+            (false, _) => Class::New,
+            (true, true) => Class::Backlogged,
+            (true, false) if is_light => Class::Light,
+            (true, false) => Class::Other,
+        }
+    }
+}
+
 /// Client connections and the order of their turns.
 #[derive(Debug, Default)]
 pub(crate) struct InputQueue {
     clients: HashMap<Id, Client>,
-    /// Connections that wait for a turn.
-    waiting: Vec<Id>,
+    waiting: Waiting,
     next_order: u64,
     iteration: u64,
     /// Time of turns of new connections less that of others whose use is not light, within the time of one
@@ -184,10 +245,8 @@
 
     /// Removes a connection that has ended.
     pub(crate) fn remove(&mut self, connection: Id) {
-        if self.clients.remove(&connection).is_some() {
-            self.waiting.retain(|id| *id != connection);
-            self.continued = self.continued.filter(|id| *id != connection);
-        }
+        self.dequeue(connection);
+        self.clients.remove(&connection);
     }
 
     /// Begins an iteration of the loop, before its input is reported.
@@ -206,29 +265,51 @@
         }
         client.unread_since.get_or_insert(since);
         if client.readiness == Readiness::Idle {
-            client.readiness = Readiness::Waiting { order: self.next_order };
-            self.next_order += 1;
-            self.waiting.push(connection);
+            self.enqueue(connection, since);
         }
     }
 
+    /// Adds a connection to the end of its class.
+    fn enqueue(&mut self, connection: Id, now: Micros) {
+        let Some(client) = self.clients.get_mut(&connection) else { return };
+        let class = client.class(now);
+        let recent_use = match class {
+            Class::New | Class::Backlogged => Micros(0),
+            Class::Light | Class::Other => client.recent_use.total(now),
+        };
+        let place = Place { recent_use, order: self.next_order, connection };
+        self.next_order += 1;
+        client.readiness = Readiness::Waiting(class, place);
+        self.waiting.class(class).insert(place);
+    }
+
+    /// Removes a connection from its class; it no longer waits.
+    fn dequeue(&mut self, connection: Id) {
+        let Some(client) = self.clients.get_mut(&connection) else { return };
+        if let Readiness::Waiting(class, place) = client.readiness {
+            self.waiting.class(class).remove(&place);
+            client.readiness = Readiness::Idle;
+        }
+        self.continued = self.continued.filter(|id| *id != connection);
+    }
+
     /// Whether a connection waits for a turn.
     pub(crate) fn has_waiting(&self) -> bool {
-        !self.waiting.is_empty()
+        self.waiting.iter().next().is_some()
     }
 
     /// The connections that wait for a turn.
-    pub(crate) fn waiting(&self) -> &[Id] {
-        &self.waiting
+    pub(crate) fn waiting(&self) -> impl Iterator<Item = Id> + '_ {
+        self.waiting.iter()
     }
 
     /// The waiting connections whose clients may have left behind the unread input.
     pub(crate) fn stale(&self, now: Micros) -> Vec<Id> {
-        let is_stale = |id: &&Id| {
+        let is_stale = |id: &Id| {
             let since = self.clients.get(id).and_then(|client| client.unread_since);
             since.is_some_and(|since| now.0 - since.0 >= STALE_AGE.0 / 2)
         };
-        self.waiting.iter().filter(is_stale).copied().collect()
+        self.waiting.iter().filter(is_stale).collect()
     }
 
     /// The next turn, if a connection waits for one and the time of this iteration is not used up.
@@ -238,7 +319,7 @@
         }
         let connection = match self.continued.take() {
             Some(connection) => connection,
-            None => self.select(now)?,
+            None => self.select()?,
         };
         let client = self.clients.get(&connection)?;
         Some(Turn {
@@ -251,73 +332,33 @@
         })
     }
 
-    fn select(&mut self, now: Micros) -> Option<Id> {
+    fn select(&mut self) -> Option<Id> {
+        let first = |places: &BTreeSet<Place>| places.first().map(|place| place.connection);
+        let (new, light, backlogged) =
+            (first(&self.waiting.new), first(&self.waiting.light), first(&self.waiting.backlogged));
         if self.turns_since_backlogged + 1 >= TURNS_PER_BACKLOGGED {
             self.turns_since_backlogged = 0;
-            if let Some(connection) = self.first_backlogged() {
-                return Some(connection);
+            if backlogged.is_some() {
+                return backlogged;
             }
         }
         self.turns_since_backlogged += 1;
         self.prefers_light = !self.prefers_light;
-        if let Some(light) = self.prefers_light.then(|| self.first_light(now)).flatten() {
-            return Some(light);
+        if self.prefers_light && light.is_some() {
+            return light;
         }
         match self.balance <= 0 {
-            true => self.first_new().or_else(|| self.least_used(now)),
-            false => self.least_used(now).or_else(|| self.first_new()),
+            true => new.or_else(|| self.waiting.least_used()),
+            false => self.waiting.least_used().or(new),
         }
     }
 
-    /// The established connection whose input took the least time lately, of those of light use whose last turn
-    /// read all of their input.
-    fn first_light(&self, now: Micros) -> Option<Id> {
-        let is_light = |client: &Client| {
-            client.is_established
-                && client.bytes_since_drained == 0
-                && client.recent_use.total(now) <= LIGHT_USE_MAX
-        };
-        let light = self.waiting_clients().filter(|(_, client, _)| is_light(client));
-        light.min_by_key(|(_, client, order)| (client.recent_use.total(now), *order)).map(|(id, _, _)| id)
-    }
-
-    /// The new connection that has been waiting for the longest time.
-    fn first_new(&self) -> Option<Id> {
-        let new = self.waiting_clients().filter(|(_, client, _)| !client.is_established);
-        new.min_by_key(|(_, _, order)| *order).map(|(id, _, _)| id)
-    }
-
-    /// The established connection whose input took the least time lately, of those without a backlog if there
-    /// is one.
-    fn least_used(&self, now: Micros) -> Option<Id> {
-        let established = self.waiting_clients().filter(|(_, client, _)| client.is_established);
-        let least = established
-            .min_by_key(|(_, client, order)| (client.has_backlog, client.recent_use.total(now), *order));
-        least.map(|(id, _, _)| id)
-    }
-
-    /// The connection with a backlog that has been waiting for the longest time.
-    fn first_backlogged(&self) -> Option<Id> {
-        let backlogged = self.waiting_clients().filter(|(_, client, _)| client.has_backlog);
-        backlogged.min_by_key(|(_, _, order)| *order).map(|(id, _, _)| id)
-    }
-
-    fn waiting_clients(&self) -> impl Iterator<Item = (Id, &Client, u64)> {
-        self.waiting.iter().filter_map(|id| {
-            let client = self.clients.get(id)?;
-            match client.readiness {
-                Readiness::Waiting { order } => Some((*id, client, order)),
-                Readiness::Idle | Readiness::Suspended => None,
-            }
-        })
-    }
-
     /// Ends a turn that took `time`.
     pub(crate) fn end_turn(&mut self, now: Micros, turn: Turn, read: TurnRead, time: Micros) {
         let TurnRead { bytes, unread } = read;
         let time = time.min(TURN_TIME_MAX);
         self.time_used.0 += time.0;
-        let order = self.next_order;
+        self.dequeue(turn.connection);
         let Some(client) = self.clients.get_mut(&turn.connection) else { return };
         let change = match (client.is_established, turn.bytes_before == 0 && turn.is_light) {
             (false, _) => time.0,
@@ -330,12 +371,10 @@
         client.bytes_since_drained += bytes;
         client.has_backlog = client.bytes_since_drained + unread >= BACKLOG_BYTES;
         if bytes >= turn.max_bytes {
-            client.readiness = Readiness::Waiting { order };
-            self.next_order += 1;
+            self.enqueue(turn.connection, now);
             self.continued = turn.is_kept(bytes, unread).then_some(turn.connection);
             return;
         }
-        client.readiness = Readiness::Idle;
         client.has_backlog = false;
         let bytes_to_end = std::mem::take(&mut client.bytes_since_drained);
         if bytes_to_end < WINDOW_MIN_BYTES && client.maybe_blocked_in.is_none() {
@@ -343,15 +382,13 @@
         } else {
             client.maybe_blocked_in = Some(self.iteration);
         }
-        self.waiting.retain(|id| *id != turn.connection);
     }
 
     /// Gives a connection no turns until [`InputQueue::resume`].
     pub(crate) fn suspend(&mut self, connection: Id) {
+        self.dequeue(connection);
         if let Some(client) = self.clients.get_mut(&connection) {
             client.readiness = Readiness::Suspended;
-            self.continued = self.continued.filter(|id| *id != connection);
-            self.waiting.retain(|id| *id != connection);
         }
     }
 
--- a/crates/gateway/src/event_loop/input_queue/tests.rs
+++ b/crates/gateway/src/event_loop/input_queue/tests.rs
@@ -95,6 +95,10 @@
     let ids = ids(5);
     let mut queue = established(&ids);
     ids.iter().for_each(|id| queue.mark_readable(*id, NOW));
+    // By then all have a backlog.
+    (0..3 * ids.len()).for_each(|_| {
+        full_turn(&mut queue, NOW, Micros(1_000));
+    });
     let mut turns: HashMap<Id, usize> = HashMap::new();
     for _ in 0..50 {
         *turns.entry(full_turn(&mut queue, NOW, Micros(1_000))).or_default() += 1;
--- a/crates/gateway/src/platform/startup.rs
+++ b/crates/gateway/src/platform/startup.rs
@@ -26,12 +26,12 @@
 /// Limit of bytes buffered for one connection; a client that reads too slowly is disconnected.
 const MAX_BUFFERED: usize = 512 * 1024;
 /// Part of the process's memory for bytes that slow clients have not read yet.
-const UNWRITTEN_MEMORY_DIVISOR: usize = 8;
+const UNWRITTEN_MEMORY_DIVISOR: usize = 16;
 /// Part of the process's memory for open calls. Their bytes may be held twice: until they are sent, and until the
 /// call ends.
 const OPEN_CALLS_MEMORY_DIVISOR: usize = 8;
 /// Part of the process's memory for incomplete messages of clients.
-const INCOMPLETE_MEMORY_DIVISOR: usize = 8;
+const INCOMPLETE_MEMORY_DIVISOR: usize = 16;
 const BYTES_PER_MB: usize = 1024 * 1024;
 /// Pause of the listener after a failed accept.
 const ACCEPT_PAUSE: Micros = Micros(20_000);
--- a/crates/platform/src/workers.rs
+++ b/crates/platform/src/workers.rs
@@ -13,6 +13,9 @@
     CompletedRequest, MalformedReply, ReplyReader, Tag, WorkerProtocol, WorkerRequest,
 };
 
+/// Capacity that an empty receive buffer keeps: a connection that once carried much takes little while it is idle.
+const RETAINED_CAPACITY: usize = 4 * 1024;
+
 /// The line protocol, with the parameters from the operators' settings.
 #[derive(Clone, Copy, Debug)]
 pub struct LineProtocol {
@@ -160,6 +163,9 @@
         let mut consumed = 0;
         let result = self.parse_buffer(&mut consumed, out);
         self.buffer.drain(..consumed);
+        if self.buffer.is_empty() {
+            self.buffer.shrink_to(RETAINED_CAPACITY);
+        }
         if self.pending.is_empty() && !self.buffer.is_empty() {
             self.unsolicited = true;
         }
--- a/crates/reactor/src/write_buffer.rs
+++ b/crates/reactor/src/write_buffer.rs
@@ -7,6 +7,9 @@
 /// Number of written bytes at the front of the buffer above which they are removed.
 const COMPACTION_THRESHOLD: usize = 64 * 1024;
 
+/// Capacity that an empty buffer keeps: a connection that once carried much takes little while it is idle.
+const RETAINED_CAPACITY: usize = 4 * 1024;
+
 /// Bytes that the kernel has not accepted yet, with the count of those that it has accepted.
 #[derive(Debug, Default)]
 pub(crate) struct WriteBuffer {
@@ -63,6 +66,7 @@
         self.start += count;
         if self.pending() == 0 {
             self.bytes.clear();
+            self.bytes.shrink_to(RETAINED_CAPACITY);
             self.start = 0;
         } else if self.start > COMPACTION_THRESHOLD {
             self.bytes.drain(..self.start);
