--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -221,9 +221,10 @@
     packet(0x10, &body)
 }
 
-/// A PUBLISH with QoS 1.
+/// A PUBLISH with QoS 1, or 2.
 #[derive(Clone, Debug, Default)]
 pub struct Publish {
+    pub qos2: bool,
     pub topic: String,
     pub payload: Vec<u8>,
     pub id: u16,
@@ -261,15 +262,16 @@
             properties(&mut body, &encoded);
         }
         body.extend_from_slice(&self.payload);
-        packet(if self.dup { 0x3A } else { 0x32 }, &body)
+        packet(0x30 | if self.qos2 { 4 } else { 2 } | if self.dup { 8 } else { 0 }, &body)
     }
 
-    /// Reads a PUBLISH with QoS 0 or 1; `first` is its first byte.
+    /// Reads a PUBLISH; `first` is its first byte.
     pub fn decode(version: Version, first: u8, body: &[u8]) -> Option<Publish> {
         let mut reader = Reader(body);
         let topic = String::from_utf8_lossy(reader.string()?).into_owned();
         let id = if first & 0x06 != 0 { reader.u16()? } else { 0 };
-        let mut publish = Publish { topic, id, dup: first & 0x08 != 0, ..Publish::default() };
+        let mut publish =
+            Publish { topic, id, dup: first & 0x08 != 0, qos2: first & 0x04 != 0, ..Publish::default() };
         if version == Version::V5 {
             let length = reader.variable()?;
             let mut list = Reader(reader.take(length)?);
@@ -401,6 +403,11 @@
     packet(0x40, &id.to_be_bytes())
 }
 
+/// A packet of a given type that consists of a packet id.
+pub fn with_id(first: u8, id: u16) -> Vec<u8> {
+    packet(first, &id.to_be_bytes())
+}
+
 /// An MQTT client.
 pub struct Client {
     pub packets: Packets,
