Review case 9: a drain that the watch has told is not heeded after a restart

Cause: changes are dropped until the remembered list is confirmed, which waits for several answers of a slow registry.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod broker_repeat;
 mod common;
 mod dropped_answers;
+mod late_drain;
 mod lost_publish;
 mod lost_quarantine;
 mod many_ids;
@@ -37,6 +38,7 @@
     let verdict = match name.as_str() {
         "dropped-answers" => dropped_answers::run(&case),
         "lost-publish" => lost_publish::run(&case),
+        "late-drain" => late_drain::run(&case),
         "many-ids" => many_ids::run(&case),
         "lost-quarantine" => lost_quarantine::run(&case),
         "broker-repeat" => broker_repeat::run(&case),
