Review case 6: bookings of a killed gateway run again in another cell

Cause: in a group behind a broker another gateway gets, unmarked, what the killed one had sent; it does not know in which cell it ran.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod broker_repeat;
 mod common;
 mod dropped_answers;
+mod group_repeat;
 mod late_drain;
 mod lost_publish;
 mod lost_quarantine;
@@ -38,6 +39,7 @@
     let verdict = match name.as_str() {
         "dropped-answers" => dropped_answers::run(&case),
         "lost-publish" => lost_publish::run(&case),
+        "group-repeat" => group_repeat::run(&case),
         "late-drain" => late_drain::run(&case),
         "many-ids" => many_ids::run(&case),
         "lost-quarantine" => lost_quarantine::run(&case),
