--- a/review/standins-2/broker.rs
+++ b/review/standins-2/broker.rs
@@ -30,6 +30,8 @@
     connected: bool,
     /// Whether connections are refused: accepted by the machine and closed at once.
     away: bool,
+    /// Number of the connection on which the broker says nothing more and reads nothing; 0 for none.
+    silent: usize,
     unacknowledged: BTreeMap<u16, Unacknowledged>,
     next_id: u16,
     received: Vec<Received>,
@@ -71,11 +73,13 @@
         if first != 0x10 {
             return None;
         }
+        let number;
         {
             let mut state = self.state.lock().unwrap();
             let present = state.has_session;
             state.has_session = true;
             state.connects += 1;
+            number = state.connects;
             self.record.line(format!("broker: the bridge connects, session present: {present}"));
             packets.send(&packet(0x20, &[u8::from(present), 0, 0]));
             state.connection = Some(writer);
@@ -93,6 +97,9 @@
             }
         }
         while !packets.closed {
+            while self.state.lock().unwrap().silent == number {
+                thread::sleep(Duration::from_millis(20));
+            }
             if let Some((first, body)) = packets.next(Duration::from_millis(50)) {
                 self.handle(&mut packets, first, &body);
             }
@@ -174,6 +181,15 @@
         true
     }
 
+    /// The broker's machine vanishes: the bridge's connection stays open and silent. Another machine takes over the
+    /// address and the session, and accepts connections at once.
+    pub fn vanish(&self) {
+        self.record.line("broker: its machine vanishes, the connection stays open and silent; new ones are accepted");
+        let mut state = self.state.lock().unwrap();
+        state.silent = state.connects;
+        state.connected = false;
+    }
+
     /// Resets the bridge's connection and refuses others until [`Broker::come_back`].
     pub fn go_away(&self) {
         self.record.line("broker: the connection of the bridge breaks, others are refused");
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -11,6 +11,7 @@
 mod lost_quarantine;
 mod many_ids;
 mod new_route;
+mod silent_broker;
 
 use common::{Case, Fallible, Record, Verdict};
 use std::path::PathBuf;
@@ -40,6 +41,7 @@
         "dropped-answers" => dropped_answers::run(&case),
         "lost-publish" => lost_publish::run(&case),
         "group-repeat" => group_repeat::run(&case),
+        "silent-broker" => silent_broker::run(&case),
         "late-drain" => late_drain::run(&case),
         "many-ids" => many_ids::run(&case),
         "lost-quarantine" => lost_quarantine::run(&case),
