Review case 7: two gateways act by settings that conflict, as a commit does not wait

Cause: a lease names the settings of before the last commit, and the coordinator compares those with the next document.

--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -448,6 +448,10 @@
     pub payload: String,
     pub request_id: String,
     pub key: String,
+    /// The gateway that sent the call, its class, and the settings documents it was sent by.
+    pub gateway: String,
+    pub class: String,
+    pub settings: Vec<u64>,
     pub body: String,
 }
 
@@ -529,6 +533,9 @@
                     payload,
                     request_id: header("x-request-id").into(),
                     key: header("idempotency-key").into(),
+                    gateway: header("x-gateway").into(),
+                    class: header("x-class").into(),
+                    settings: header("x-settings").split(',').filter_map(|number| number.trim().parse().ok()).collect(),
                     body: format!("run {} at {name}", all.len() + 1),
                 };
                 if records {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -12,6 +12,7 @@
 mod many_ids;
 mod new_route;
 mod silent_broker;
+mod stale_settings;
 
 use common::{Case, Fallible, Record, Verdict};
 use std::path::PathBuf;
@@ -42,6 +43,7 @@
         "lost-publish" => lost_publish::run(&case),
         "group-repeat" => group_repeat::run(&case),
         "silent-broker" => silent_broker::run(&case),
+        "stale-settings" => stale_settings::run(&case),
         "late-drain" => late_drain::run(&case),
         "many-ids" => many_ids::run(&case),
         "lost-quarantine" => lost_quarantine::run(&case),
