--- a/crates/mqtt/src/bridge.rs
+++ b/crates/mqtt/src/bridge.rs
@@ -4,7 +4,7 @@
 //! - A publish is acknowledged to the broker only after its answer was sent in the same broker session, so a
 //!   lost connection loses no accepted call.
 //! - Acknowledgements are sent in the order of the publishes (section 4.6).
-//! - A redelivery on a resumed session is detected by its packet id and starts no call.
+//! - A redelivery on a resumed session is detected, see `accepted`, and starts no call.
 //! - A lost connection is retried with exponential backoff and seeded jitter.
 
 mod connection;
@@ -132,7 +132,6 @@
     /// The broker's receive maximum: the number of unacknowledged answers that it accepts.
     send_maximum: usize,
     redeliveries: RedeliveryRecord,
-    is_resumed: bool,
     /// Whether received publishes are ignored, so that the broker keeps them.
     stopped_accepting: bool,
 }
@@ -150,12 +149,11 @@
             timers: BTreeMap::new(),
             ticket_source: TicketSource::new(settings.number),
             pending: BTreeMap::new(),
-            deliveries: Deliveries::default(),
+            deliveries: Deliveries::new(settings.receive_maximum),
             outbox: VecDeque::new(),
             unacknowledged: BTreeMap::new(),
             send_maximum: usize::from(u16::MAX),
             redeliveries: RedeliveryRecord::of_earlier_session(),
-            is_resumed: false,
             stopped_accepting: false,
             settings,
         }
--- a/crates/mqtt/src/bridge/connection.rs
+++ b/crates/mqtt/src/bridge/connection.rs
@@ -31,6 +31,7 @@
     /// Handles an established connection by sending CONNECT.
     pub fn connected(&mut self, now: Micros, out: &mut Vec<BridgeOutput>) {
         self.opening = Some(Vec::new());
+        self.deliveries.connected(now);
         let connect = connect_packet(&self.settings);
         self.send_required(now, connect, out);
     }
@@ -216,7 +217,6 @@
         info!(resumed = is_resumed, "the broker accepted the connection");
         self.stage = Stage::Connected;
         self.failures = 0;
-        self.is_resumed = is_resumed;
         if !is_resumed {
             self.redeliveries = RedeliveryRecord::of_new_session();
             // Packet ids of the lost session are invalid. The library dropped unacknowledged answers with the
--- a/crates/mqtt/src/bridge/deliveries.rs
+++ b/crates/mqtt/src/bridge/deliveries.rs
@@ -1,6 +1,7 @@
 //! Tracks which of the broker's publishes were accepted and when each is acknowledged, and sends the answers.
 
 use super::{Bridge, BridgeOutput, PendingReply, Stage};
+use crate::accepted::AcceptedPublishes;
 use crate::packets;
 use crate::publish::{InboundPublish, OutboundPublish, Version};
 use crate::rejection::Rejection;
@@ -11,76 +12,82 @@
 use std::collections::{BTreeMap, VecDeque};
 use tracing::{info, warn};
 
+/// The state of the call of a publish that is not acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Delivery {
-    /// Distinguishes the publish from a later one with the same packet id.
-    fingerprint: u64,
-    state: DeliveryState,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum DeliveryState {
-    /// The call is open under this ticket.
+enum CallState {
     Open(Ticket),
-    /// The call is answered, but the publish is not acknowledged.
     Answered,
-    /// The acknowledgement was sent; the broker may not have received it.
-    Acknowledged,
 }
 
 /// The accepted publishes with packet ids.
-#[derive(Default)]
 pub(super) struct Deliveries {
     /// Kept when a session is resumed.
-    by_packet_id: BTreeMap<u16, Delivery>,
+    accepted: AcceptedPublishes,
+    /// The calls of publishes that are not acknowledged, by packet id. Kept when a session is resumed.
+    calls: BTreeMap<u16, CallState>,
     /// Packet ids without acknowledgement, in order of receipt on this connection.
     unacknowledged: VecDeque<u16>,
+    receive_maximum: u16,
 }
 
 impl Deliveries {
+    pub(super) fn new(receive_maximum: u16) -> Self {
+        Deliveries {
+            accepted: AcceptedPublishes::new(receive_maximum),
+            calls: BTreeMap::new(),
+            unacknowledged: VecDeque::new(),
+            receive_maximum,
+        }
+    }
+
+    /// Handles an established connection, before the broker says whether it resumes the session.
+    pub(super) fn connected(&mut self, now: Micros) {
+        self.accepted.connected(now);
+    }
+
     pub(super) fn connection_lost(&mut self) {
         self.unacknowledged.clear();
     }
 
     pub(super) fn session_lost(&mut self) {
-        self.by_packet_id.clear();
+        *self = Deliveries::new(self.receive_maximum);
     }
 
     /// Records a received packet id and returns whether it is a redelivery of an accepted publish.
-    fn receive(&mut self, id: u16, publish: &InboundPublish, is_resumed: bool) -> bool {
-        self.unacknowledged.push_back(id);
-        let fingerprint = publish.fingerprint();
-        let delivery = self.by_packet_id.get_mut(&id).filter(|delivery| delivery.fingerprint == fingerprint);
-        let Some(delivery) = delivery.filter(|_| publish.dup && is_resumed) else { return false };
-        if delivery.state == DeliveryState::Acknowledged {
-            delivery.state = DeliveryState::Answered;
+    fn receive(&mut self, id: u16, publish: &InboundPublish) -> bool {
+        if !self.unacknowledged.contains(&id) {
+            self.unacknowledged.push_back(id);
+        }
+        if !self.accepted.receive(publish) {
+            return false;
         }
+        // Without a call it was acknowledged before, and the broker did not receive the acknowledgement.
+        self.calls.entry(id).or_insert(CallState::Answered);
         true
     }
 
-    fn open(&mut self, publish: &InboundPublish, ticket: Ticket) {
+    fn open(&mut self, now: Micros, publish: &InboundPublish, ticket: Ticket) {
         if let Some(id) = publish.packet_id {
-            let delivery =
-                Delivery { fingerprint: publish.fingerprint(), state: DeliveryState::Open(ticket) };
-            self.by_packet_id.insert(id, delivery);
+            self.accepted.accept(now, publish);
+            self.calls.insert(id, CallState::Open(ticket));
         }
     }
 
     fn answered(&mut self, packet_id: Option<u16>, ticket: Ticket) {
-        let delivery = packet_id.and_then(|id| self.by_packet_id.get_mut(&id));
-        if let Some(delivery) = delivery.filter(|delivery| delivery.state == DeliveryState::Open(ticket)) {
-            delivery.state = DeliveryState::Answered;
+        let call = packet_id.and_then(|id| self.calls.get_mut(&id));
+        if let Some(call) = call.filter(|call| **call == CallState::Open(ticket)) {
+            *call = CallState::Answered;
         }
     }
 
     /// Takes the next packet id to acknowledge: the oldest one, once its call is answered.
     fn take_answered(&mut self) -> Option<u16> {
         let id = *self.unacknowledged.front()?;
-        let delivery = self.by_packet_id.get_mut(&id)?;
-        if delivery.state != DeliveryState::Answered {
+        if self.calls.get(&id) != Some(&CallState::Answered) {
             return None;
         }
-        delivery.state = DeliveryState::Acknowledged;
+        self.calls.remove(&id);
+        self.accepted.acknowledge(id);
         self.unacknowledged.pop_front()
     }
 }
@@ -97,12 +104,12 @@
         }
         self.redeliveries.received(&publish);
         if let Some(id) = publish.packet_id {
-            if self.deliveries.receive(id, &publish, self.is_resumed) {
+            if self.deliveries.receive(id, &publish) {
                 return self.acknowledge(now, out);
             }
         }
         let reason = match CallRequest::read(&self.settings.routes, None, &publish) {
-            Ok(request) => return self.start_call(publish, request, out),
+            Ok(request) => return self.start_call(now, publish, request, out),
             Err(Declined::Refused(reason)) => reason,
             Err(Declined::Rejected(rejection)) => {
                 info!(topic = %publish.topic, why = %rejection, "publish rejected");
@@ -115,11 +122,17 @@
         self.decline_call(now, &publish, reason, out);
     }
 
-    fn start_call(&mut self, publish: InboundPublish, mut request: CallRequest, out: &mut Vec<BridgeOutput>) {
+    fn start_call(
+        &mut self,
+        now: Micros,
+        publish: InboundPublish,
+        mut request: CallRequest,
+        out: &mut Vec<BridgeOutput>,
+    ) {
         let ticket = self.ticket_source.ticket();
         let address = std::mem::take(&mut request.reply_address);
         let client = self.ticket_source.client_named(address.response_topic.as_deref().unwrap_or_default());
-        self.deliveries.open(&publish, ticket);
+        self.deliveries.open(now, &publish, ticket);
         self.pending.insert(ticket, PendingReply { packet_id: publish.packet_id, address });
         let repeat = publish.repeat(self.redeliveries.covered_since());
         let call = request.call(ticket, client, publish.payload, repeat);
@@ -135,7 +148,7 @@
         out: &mut Vec<BridgeOutput>,
     ) {
         let ticket = self.ticket_source.ticket();
-        self.deliveries.open(publish, ticket);
+        self.deliveries.open(now, publish, ticket);
         let reply = PendingReply { packet_id: publish.packet_id, address: publish.reply_address() };
         self.pending.insert(ticket, reply);
         let answer = publish.declined(reason, self.redeliveries.covered_since());
--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -30,8 +30,8 @@
             return self.disconnect(now, id, DisconnectReasonCode::RetainNotSupported, out);
         }
         // A publish that is sent again because its acknowledgement was lost already has a call or an answer.
-        if session.has_accepted(&publish) {
-            return self.acknowledge(now, id, version, &publish, None, out);
+        if session.accepted.receive(&publish) {
+            return self.acknowledge(now, id, client, &publish, None, out);
         }
         let request = match session.open_calls_and_answers() < self.settings.session_quota {
             true => CallRequest::read(&self.settings.routes, Some(&session.client_id), &publish),
@@ -52,9 +52,9 @@
         };
         let rejection = request.as_ref().err().and_then(|declined| declined.rejection());
         if rejection.is_none() {
-            session.record_accepted(&publish);
+            session.accepted.accept(now, &publish);
         }
-        self.acknowledge(now, id, version, &publish, rejection, out);
+        self.acknowledge(now, id, client, &publish, rejection, out);
         match request {
             Ok(request) => self.start_call(client, publish, request, out),
             Err(Declined::Refused(reason)) => self.decline_call(now, client, &publish, reason, out),
@@ -73,12 +73,16 @@
         &mut self,
         now: Micros,
         id: LinkId,
-        version: Version,
+        client: ClientRef,
         publish: &InboundPublish,
         rejection: Option<Rejection>,
         out: &mut Vec<FrontOutput>,
     ) {
-        if let Some(packet) = packets::acknowledge(version, publish, rejection).transpose() {
+        let (Some(session), Some(packet_id)) = (self.sessions.get_mut(&client), publish.packet_id) else {
+            return;
+        };
+        session.accepted.acknowledge(packet_id);
+        if let Some(packet) = packets::acknowledge(session.version, publish, rejection).transpose() {
             self.send_required(now, id, packet, out);
         }
     }
--- a/crates/mqtt/src/front/handshake.rs
+++ b/crates/mqtt/src/front/handshake.rs
@@ -167,7 +167,8 @@
 
     fn create_session(&mut self, client_id: &str, version: Version) -> ClientRef {
         let client = self.ticket_source.client();
-        self.sessions.insert(client, Session::new(client, client_id.into(), version));
+        self.sessions
+            .insert(client, Session::new(client, client_id.into(), version, self.settings.receive_maximum));
         self.clients_by_id.insert(client_id.into(), client);
         client
     }
@@ -180,6 +181,7 @@
         session.expires_at = None;
         let opened_at = self.connections.get(&id).map_or(now, |connection| connection.opened_at);
         session.redeliveries.connected(opened_at);
+        session.accepted.connected(opened_at);
         let stored = std::mem::take(&mut session.stored);
         let received_qos2 = session.received_qos2.clone();
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/crates/mqtt/src/lib.rs
+++ b/crates/mqtt/src/lib.rs
@@ -9,6 +9,7 @@
 //! unless 3.1.1 is named.
 #![forbid(unsafe_code)]
 
+mod accepted;
 mod bridge;
 mod first_packet;
 mod front;
--- a/crates/mqtt/src/publish.rs
+++ b/crates/mqtt/src/publish.rs
@@ -5,7 +5,6 @@
 use mqtt_protocol_core::mqtt::result_code::MqttError;
 use slatevalve::Micros;
 use slatevalve_engine::{Answer, Reason, Repeat, Verdict};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 /// The supported protocol versions.
@@ -60,14 +59,6 @@
 }
 
 impl InboundPublish {
-    /// A hash that distinguishes this message from another one with the same packet id.
-    pub(crate) fn fingerprint(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        (&self.topic, &self.payload).hash(&mut hasher);
-        self.properties.iter().for_each(|property| property.to_continuous_buffer().hash(&mut hasher));
-        hasher.finish()
-    }
-
     /// Whether the publish may have been received before, by this process or an earlier one. `covered_since`
     /// holds for redeliveries of the session: what the client itself repeats, it may have sent at any time.
     pub(crate) fn repeat(&self, covered_since: Option<Micros>) -> Repeat {
--- a/crates/mqtt/src/session.rs
+++ b/crates/mqtt/src/session.rs
@@ -1,15 +1,13 @@
 //! The state of a client's session, which outlives its connections (section 4.1).
 
-use crate::publish::{InboundPublish, OutboundPublish, ReplyAddress, Version};
+use crate::accepted::AcceptedPublishes;
+use crate::publish::{OutboundPublish, ReplyAddress, Version};
 use crate::redelivery::RedeliveryRecord;
 use crate::LinkId;
 use mqtt_protocol_core::mqtt::packet::{Qos, StorePacket};
 use slatevalve::Micros;
 use slatevalve_engine::{ClientRef, Ticket};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-
-/// Maximum number of packet ids for which a session stores the fingerprint of the message.
-const MAX_FINGERPRINTS: usize = 2_048;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// Where the answer to an open call goes.
 #[derive(Clone, Debug)]
@@ -33,9 +31,8 @@
     /// Set while the session has no connection.
     pub(crate) expires_at: Option<Micros>,
     pub(crate) redeliveries: RedeliveryRecord,
-    /// Fingerprints of the accepted publishes by packet id. They identify a publish that is sent again
-    /// because its acknowledgement was lost, even if it has no key.
-    accepted: HashMap<u16, u64>,
+    /// The accepted publishes that the client may send again because their acknowledgements were lost.
+    pub(crate) accepted: AcceptedPublishes,
     /// Packets that the library had in flight when the connection ended.
     pub(crate) stored: Vec<StorePacket>,
     /// Packet ids of received publishes with QoS 2 whose PUBREL has not arrived.
@@ -49,7 +46,8 @@
 }
 
 impl Session {
-    pub(crate) fn new(client: ClientRef, client_id: String, version: Version) -> Self {
+    /// Creates a session of a client that may have `receive_maximum` publishes without acknowledgement.
+    pub(crate) fn new(client: ClientRef, client_id: String, version: Version, receive_maximum: u16) -> Self {
         Session {
             client,
             client_id,
@@ -59,7 +57,7 @@
             expires_at: None,
             // The client may not have received the CONNACK that tells that the session is a new one.
             redeliveries: RedeliveryRecord::of_earlier_session(),
-            accepted: HashMap::new(),
+            accepted: AcceptedPublishes::new(receive_maximum),
             stored: Vec::new(),
             received_qos2: Vec::new(),
             pending: BTreeMap::new(),
@@ -68,21 +66,6 @@
         }
     }
 
-    /// Whether a publish is a retransmission of one accepted before.
-    pub(crate) fn has_accepted(&self, publish: &InboundPublish) -> bool {
-        let fingerprint = publish.packet_id.and_then(|id| self.accepted.get(&id));
-        publish.dup && fingerprint == Some(&publish.fingerprint())
-    }
-
-    /// Records an accepted publish.
-    pub(crate) fn record_accepted(&mut self, publish: &InboundPublish) {
-        let Some(id) = publish.packet_id else { return };
-        // Beyond the limit, repeats are detected by their keys only, in classes that have keys.
-        if self.accepted.len() < MAX_FINGERPRINTS || self.accepted.contains_key(&id) {
-            self.accepted.insert(id, publish.fingerprint());
-        }
-    }
-
     /// Number of open calls and queued answers, which the session's quota limits.
     pub(crate) fn open_calls_and_answers(&self) -> usize {
         self.pending.len() + self.outbox.len()
--- a/crates/mqtt/tests/bridge.rs
+++ b/crates/mqtt/tests/bridge.rs
@@ -127,6 +127,19 @@
             ResponseTopic::new("replies/app").unwrap().into(),
             UserProperty::new("key", key).unwrap().into(),
         ];
+        self.deliver_with(topic, id, properties, dup);
+    }
+
+    /// Delivers a call without a key, with a message expiry in seconds.
+    fn deliver_expiring(&mut self, id: u16, expiry_s: u32, dup: bool) {
+        let properties = vec![
+            MessageExpiryInterval::new(expiry_s).unwrap().into(),
+            ResponseTopic::new("replies/app").unwrap().into(),
+        ];
+        self.deliver_with("charge/card", id, properties, dup);
+    }
+
+    fn deliver_with(&mut self, topic: &str, id: u16, properties: Vec<Property>, dup: bool) {
         let builder = v5_0::Publish::builder().topic_name(topic).unwrap().qos(Qos::AtLeastOnce);
         let publish = builder.packet_id(id).dup(dup).props(properties).payload("p").build().unwrap();
         let bytes = publish.to_continuous_buffer();
@@ -206,6 +219,60 @@
     assert_eq!(b.calls.len(), 2);
 }
 
+/// Guards against a call that runs and is answered a second time because the broker counted its message expiry
+/// down before it delivered the publish again (review/10).
+#[test]
+fn a_redelivery_with_less_message_expiry_starts_no_call_and_is_answered_once() {
+    for answered_before in [false, true] {
+        let mut b = Bench::new();
+        b.connect(false, vec![]);
+        b.deliver_expiring(1, 60, false);
+        b.deliver_expiring(2, 60, false);
+        b.lose_connection();
+        if answered_before {
+            b.answer(0);
+        }
+        b.connect(true, vec![]);
+        // In another order than at first.
+        for (id, expiry_s) in [(2, 39), (1, 40)] {
+            b.deliver_expiring(id, expiry_s, true);
+        }
+        b.lose_connection();
+        b.connect(true, vec![]);
+        for (id, expiry_s) in [(1, 19), (2, 19)] {
+            b.deliver_expiring(id, expiry_s, true);
+        }
+        assert_eq!(b.calls.len(), 2, "answered before: {answered_before}");
+        b.take_sent();
+        if !answered_before {
+            b.answer(0);
+        }
+        b.answer(1);
+        let answers = b.take_sent().iter().filter(|sent| *sent == "answer").count();
+        assert_eq!(answers, if answered_before { 1 } else { 2 });
+        assert_eq!(b.calls.len(), 2, "answered before: {answered_before}");
+    }
+}
+
+/// Guards against the same after the acknowledgement was sent and lost.
+#[test]
+fn a_redelivery_with_less_message_expiry_after_a_lost_acknowledgement_is_acknowledged_again() {
+    let mut b = Bench::new();
+    b.connect(false, vec![]);
+    b.deliver_expiring(1, 60, false);
+    b.answer(0);
+    b.lose_connection();
+    b.connect(true, vec![]);
+    b.take_sent();
+    b.deliver_expiring(1, 40, true);
+    assert_eq!((b.calls.len(), b.take_sent()), (1, vec!["1".to_string()]));
+    // A message that did not wait for the 20 s is another one.
+    b.lose_connection();
+    b.connect(true, vec![]);
+    b.deliver_expiring(1, 55, true);
+    assert_eq!(b.calls.len(), 2);
+}
+
 #[test]
 fn unacknowledged_answers_of_a_lost_session_are_published_again() {
     let mut b = Bench::new();
--- a/crates/mqtt/tests/front/main.rs
+++ b/crates/mqtt/tests/front/main.rs
@@ -229,6 +229,33 @@
     assert_eq!(b.calls.len(), 2);
 }
 
+/// Guards against a call that runs twice because its second transmission names its topic by another alias or
+/// states its properties in another order.
+#[test]
+fn a_publish_that_is_resent_in_another_form_starts_no_second_call() {
+    let alias = |alias: u16| -> Property { TopicAlias::new(alias).unwrap().into() };
+    let mark = || -> Property { ContentType::new("text").unwrap().into() };
+    let less: Property = MessageExpiryInterval::new(8).unwrap().into();
+    let more: Property = MessageExpiryInterval::new(10).unwrap().into();
+    let forms = [
+        (vec![alias(3), mark()], vec![mark()]),
+        (vec![mark()], vec![alias(3), mark()]),
+        (vec![alias(3)], vec![alias(4)]),
+        (vec![key("k"), mark()], vec![mark(), key("k")]),
+        (vec![more], vec![less]),
+    ];
+    for (first, second) in forms {
+        let mut b = Bench::new(settings());
+        b.connect(1, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+        b.publish(1, v5_publish("quote/fare", Qos::AtLeastOnce, 1, first));
+        b.disconnect(1);
+        b.advance_by(2);
+        b.connect(2, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+        b.publish(2, v5_publish("quote/fare", Qos::AtLeastOnce, 1, second.clone()).set_dup(true));
+        assert_eq!(b.calls.len(), 1, "{second:?}");
+    }
+}
+
 #[test]
 fn a_qos_2_publish_starts_one_call_however_often_it_is_sent_before_its_pubrel() {
     let mut b = Bench::new(settings());
