--- a/crates/mqtt/src/accepted.rs
+++ b/crates/mqtt/src/accepted.rs
@@ -3,7 +3,8 @@
 //! A sender delivers a message with QoS 1 again, with the DUP flag under the same packet id, until it has
 //! received the acknowledgement (sections 4.3.2 and 4.4). The id alone does not identify the message: the
 //! acknowledgement may have arrived and the id may have been reused for a message whose first delivery was
-//! lost.
+//! lost. With QoS 2 the id identifies the message until PUBREL (section 4.3.3), which the protocol library
+//! checks, so such publishes are not recorded here.
 //!
 //! Which two deliveries under one packet id are the same message:
 //!
@@ -24,11 +25,12 @@
 //! | --- | --- | --- |
 //! | no acknowledgement sent | yes | 4.3.2 |
 //! | acknowledgement sent, the connection lost before anything shows that it arrived | yes | 4.4 |
+//! | the peer acknowledges an answer, or replies to a ping, sent after the acknowledgement on the same connection | no, as it received both in order | 4.3.2 |
 //! | the packet id arrives with another message | no, the peer reuses the id | 2.2.1 |
 //! | the session ends | no, packet ids belong to a session | 4.1 |
 
 use crate::publish::InboundPublish;
-use mqtt_protocol_core::mqtt::packet::Property;
+use mqtt_protocol_core::mqtt::packet::{Property, Qos};
 use slatevalve::Micros;
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -44,8 +46,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Acknowledged {
     Never,
-    /// Once at least. The peer may not have received the acknowledgement.
-    Sent,
+    /// On an earlier connection, which ended before the peer showed that it had received the acknowledgement.
+    Earlier,
+    /// On the current connection, as the acknowledgement with this number.
+    Now(u64),
 }
 
 /// A publish that was accepted and that the peer may deliver again.
@@ -80,7 +84,7 @@
     }
 }
 
-/// The accepted publishes of one session.
+/// The accepted publishes with QoS 1 of one session.
 #[derive(Debug)]
 pub(crate) struct AcceptedPublishes {
     /// Maximum number of recorded publishes; beyond it, the oldest ones are dropped.
@@ -89,6 +93,15 @@
     packet_ids_by_age: BTreeMap<u64, u16>,
     next_age: u64,
     connected_at: Micros,
+    /// Packet ids by the numbers of their acknowledgements on the current connection, as far as the peer has
+    /// not shown that it received them.
+    acknowledgements: BTreeMap<u64, u16>,
+    next_acknowledgement: u64,
+    /// For each answer sent on the current connection and not acknowledged by the peer, the number of the next
+    /// acknowledgement when it was sent.
+    answers: HashMap<u16, u64>,
+    /// The same for the last ping.
+    ping: Option<u64>,
 }
 
 impl AcceptedPublishes {
@@ -102,12 +115,23 @@
             packet_ids_by_age: BTreeMap::new(),
             next_age: 0,
             connected_at: Micros(i64::MIN),
+            acknowledgements: BTreeMap::new(),
+            next_acknowledgement: 0,
+            answers: HashMap::new(),
+            ping: None,
         }
     }
 
     /// Handles a new connection of the session.
     pub(crate) fn connected(&mut self, now: Micros) {
         self.connected_at = now;
+        for packet_id in std::mem::take(&mut self.acknowledgements).into_values() {
+            if let Some(accepted) = self.by_packet_id.get_mut(&packet_id) {
+                accepted.acknowledged = Acknowledged::Earlier;
+            }
+        }
+        self.answers.clear();
+        self.ping = None;
     }
 
     /// Handles a received publish and returns whether it is an accepted one that was delivered again.
@@ -123,7 +147,7 @@
 
     /// Records an accepted publish.
     pub(crate) fn accept(&mut self, now: Micros, publish: &InboundPublish) {
-        let Some(packet_id) = publish.packet_id else { return };
+        let Some(packet_id) = publish.packet_id.filter(|_| publish.qos == Qos::AtLeastOnce) else { return };
         self.forget(packet_id);
         let accepted = Accepted {
             content: content(publish),
@@ -144,14 +168,52 @@
 
     /// Handles the acknowledgement that is sent for a publish.
     pub(crate) fn acknowledge(&mut self, packet_id: u16) {
-        if let Some(accepted) = self.by_packet_id.get_mut(&packet_id) {
-            accepted.acknowledged = Acknowledged::Sent;
+        let Some(accepted) = self.by_packet_id.get_mut(&packet_id) else { return };
+        if let Acknowledged::Now(number) = accepted.acknowledged {
+            self.acknowledgements.remove(&number);
+        }
+        accepted.acknowledged = Acknowledged::Now(self.next_acknowledgement);
+        self.acknowledgements.insert(self.next_acknowledgement, packet_id);
+        self.next_acknowledgement += 1;
+    }
+
+    /// Handles an answer that is sent under a packet id of this side.
+    pub(crate) fn answer_sent(&mut self, answer: u16) {
+        self.answers.insert(answer, self.next_acknowledgement);
+    }
+
+    /// Handles the peer's acknowledgement of an answer.
+    pub(crate) fn answer_received(&mut self, answer: u16) {
+        if let Some(next) = self.answers.remove(&answer) {
+            self.confirm_before(next);
+        }
+    }
+
+    /// Handles a ping that is sent to the peer.
+    pub(crate) fn ping_sent(&mut self) {
+        self.ping = self.ping.or(Some(self.next_acknowledgement));
+    }
+
+    /// Handles the peer's reply to a ping.
+    pub(crate) fn ping_answered(&mut self) {
+        if let Some(next) = self.ping.take() {
+            self.confirm_before(next);
+        }
+    }
+
+    /// Drops the publishes whose acknowledgements have lower numbers: the peer received these.
+    fn confirm_before(&mut self, next: u64) {
+        let unconfirmed = self.acknowledgements.split_off(&next);
+        for packet_id in std::mem::replace(&mut self.acknowledgements, unconfirmed).into_values() {
+            self.forget(packet_id);
         }
     }
 
     fn forget(&mut self, packet_id: u16) {
-        if let Some(accepted) = self.by_packet_id.remove(&packet_id) {
-            self.packet_ids_by_age.remove(&accepted.age);
+        let Some(accepted) = self.by_packet_id.remove(&packet_id) else { return };
+        self.packet_ids_by_age.remove(&accepted.age);
+        if let Acknowledged::Now(number) = accepted.acknowledged {
+            self.acknowledgements.remove(&number);
         }
     }
 }
--- a/crates/mqtt/src/accepted/tests.rs
+++ b/crates/mqtt/src/accepted/tests.rs
@@ -130,6 +130,61 @@
     }
 }
 
+#[test]
+fn a_message_can_be_delivered_again_until_the_peer_has_its_acknowledgement() {
+    type Step = fn(&mut AcceptedPublishes);
+    // What happens after the acknowledgement, and whether the publish can be delivered again after it.
+    let cases: [(&str, Step, bool); 8] = [
+        ("nothing", |_| {}, true),
+        ("an answer from before", |a| a.answer_received(1), true),
+        ("an answer that is not received", |a| a.answer_sent(2), true),
+        (
+            "an answer from after",
+            |a| {
+                a.answer_sent(2);
+                a.answer_received(2);
+            },
+            false,
+        ),
+        (
+            "an answer that is received on a later connection",
+            |a| {
+                a.answer_sent(2);
+                a.connected(CONNECTED_AT);
+                a.answer_received(2);
+            },
+            true,
+        ),
+        (
+            "a ping",
+            |a| {
+                a.ping_sent();
+                a.ping_answered();
+            },
+            false,
+        ),
+        ("a ping from before", |a| a.ping_answered(), true),
+        (
+            "another message under the packet id",
+            |a| assert!(!a.receive(&publish(false, vec![correlation("other")]))),
+            false,
+        ),
+    ];
+    for (name, step, expected) in cases {
+        let mut accepted = AcceptedPublishes::new(RECEIVE_MAXIMUM);
+        accepted.connected(RECEIVED_AT);
+        accepted.accept(RECEIVED_AT, &publish(false, vec![]));
+        accepted.answer_sent(1);
+        if name == "a ping from before" {
+            accepted.ping_sent();
+        }
+        accepted.acknowledge(7);
+        step(&mut accepted);
+        accepted.connected(CONNECTED_AT);
+        assert_eq!(accepted.receive(&publish(true, vec![])), expected, "{name}");
+    }
+}
+
 #[test]
 fn the_record_holds_the_latest_publishes_that_may_be_delivered_again() {
     let mut accepted = AcceptedPublishes::new(RECEIVE_MAXIMUM);
--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -126,7 +126,14 @@
         self.send_outbox(now, client, out);
     }
 
-    /// Handles the client's acknowledgement of an answer.
+    /// Handles the first packet by which the client shows that it received an answer.
+    pub(super) fn answer_received(&mut self, client: ClientRef, packet_id: u16) {
+        if let Some(session) = self.sessions.get_mut(&client) {
+            session.accepted.answer_received(packet_id);
+        }
+    }
+
+    /// Handles the client's final acknowledgement of an answer.
     pub(super) fn answer_acknowledged(
         &mut self,
         now: Micros,
@@ -137,6 +144,7 @@
         if let Some(session) = self.sessions.get_mut(&client) {
             session.unacknowledged.remove(&packet_id);
         }
+        self.answer_received(client, packet_id);
         self.send_outbox(now, client, out);
     }
 
@@ -170,7 +178,9 @@
         packet_id: Option<u16>,
         out: &mut Vec<FrontOutput>,
     ) {
-        let Some(version) = self.sessions.get(&client).map(|session| session.version) else { return };
+        let Some(session) = self.sessions.get_mut(&client) else { return };
+        let version = session.version;
+        packet_id.iter().for_each(|packet_id| session.accepted.answer_sent(*packet_id));
         let mut sent = self.send(now, id, publish.packet(version, packet_id), out);
         if sent == Err(MqttError::PacketTooLarge) {
             sent = self.send(now, id, publish.without_result().packet(version, packet_id), out);
--- a/crates/mqtt/src/front/dispatch.rs
+++ b/crates/mqtt/src/front/dispatch.rs
@@ -70,9 +70,11 @@
                 self.answer_acknowledged(now, client, pubrec.packet_id(), out);
             }
             Packet::V5_0Pubrec(pubrec) => {
+                self.answer_received(client, pubrec.packet_id());
                 self.send_required(now, connection, packets::pubrel(version, pubrec.packet_id()), out);
             }
             Packet::V3_1_1Pubrec(pubrec) => {
+                self.answer_received(client, pubrec.packet_id());
                 self.send_required(now, connection, packets::pubrel(version, pubrec.packet_id()), out);
             }
             Packet::V5_0Pubrel(pubrel) => {
--- a/crates/mqtt/tests/bridge.rs
+++ b/crates/mqtt/tests/bridge.rs
@@ -21,6 +21,8 @@
     finished: usize,
     /// Whether the bridge's packets are lost instead of reaching the broker.
     is_link_down: bool,
+    /// Whether the broker acknowledges answers.
+    broker_acknowledges: bool,
 }
 
 impl Bench {
@@ -47,6 +49,7 @@
             connects: 0,
             finished: 0,
             is_link_down: false,
+            broker_acknowledges: false,
         }
     }
 
@@ -101,6 +104,7 @@
         self.is_link_down = false;
         self.drive(|b, now, out| b.advance(now, out));
         self.broker = Connection::new(Version::V5_0);
+        self.broker.set_auto_pub_response(self.broker_acknowledges);
         self.drive(|b, now, out| b.connected(now, out));
         let connack =
             v5_0::Connack::builder().reason_code(ConnectReasonCode::Success).session_present(resumed);
@@ -273,6 +277,27 @@
     assert_eq!(b.calls.len(), 2);
 }
 
+/// Guards against a call that is acknowledged and never runs, because an earlier call with the same content had
+/// its packet id (the broker's form of review/8).
+#[test]
+fn a_packet_id_names_a_new_message_once_the_broker_has_the_acknowledgement() {
+    let mut b = Bench::new();
+    b.broker_acknowledges = true;
+    b.connect(false, vec![]);
+    b.deliver_expiring(1, 60, false);
+    b.deliver_expiring(2, 60, false);
+    b.answer(0);
+    // This answer follows the acknowledgement of the first publish, and the broker has it.
+    b.answer(1);
+    b.lose_connection();
+    b.connect(true, vec![]);
+    b.deliver_expiring(1, 60, true);
+    assert_eq!(b.calls.len(), 3, "the broker has reused the packet id");
+    // The acknowledgement of the second publish may be lost.
+    b.deliver_expiring(2, 60, true);
+    assert_eq!(b.calls.len(), 3);
+}
+
 #[test]
 fn unacknowledged_answers_of_a_lost_session_are_published_again() {
     let mut b = Bench::new();
--- a/crates/mqtt/tests/front/main.rs
+++ b/crates/mqtt/tests/front/main.rs
@@ -256,6 +256,29 @@
     }
 }
 
+/// Guards against a publish that is taken and never answered, because an earlier one with the same content had
+/// its packet id (review/8).
+#[test]
+fn a_packet_id_names_a_new_message_once_the_client_has_the_acknowledgement() {
+    for qos in [Qos::AtLeastOnce, Qos::ExactlyOnce] {
+        let mut b = Bench::new(settings());
+        b.connect(1, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+        b.publish(1, v5_publish("quote/fare", qos, 1, vec![]));
+        b.answer(0, &served(1));
+        assert_eq!(b.outcomes(1), ["served"]);
+        if qos == Qos::ExactlyOnce {
+            let pubrel = v5_0::Pubrel::builder().packet_id(1).build().unwrap();
+            b.send_bytes(1, &pubrel.to_continuous_buffer());
+        }
+        b.disconnect(1);
+        b.connect(2, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+        b.publish(2, v5_publish("quote/fare", qos, 1, vec![]).set_dup(true));
+        assert_eq!(b.calls.len(), 2, "{qos:?}");
+        b.answer(1, &served(1));
+        assert_eq!(b.outcomes(2), ["served"]);
+    }
+}
+
 #[test]
 fn a_qos_2_publish_starts_one_call_however_often_it_is_sent_before_its_pubrel() {
     let mut b = Bench::new(settings());
