MQTT: a publish with QoS 2 that was not accepted makes a call when it is resent

What callers saw: a redelivery with QoS 2 beyond the session's quota, which is answered by DISCONNECT, got PUBREC on the next connection and never an answer.

Cause: the protocol library counts a publish with QoS 2 as handled once it has passed it on, and acknowledges it by itself from then on, also on the resumed session.

Change: the front takes the packet id out of the library's set when it closes the connection in place of accepting the publish (quota, retained messages).

--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -27,6 +27,7 @@
         session.redeliveries.received(&publish);
         if publish.retain && version == Version::V5 {
             // CONNACK announced that retained messages are not supported (section 3.2.2.3.5).
+            self.forget_received(id, &publish);
             return self.disconnect(now, id, DisconnectReasonCode::RetainNotSupported, out);
         }
         // A publish that is sent again because its acknowledgement was lost already has a call or an answer.
@@ -44,6 +45,7 @@
             {
                 // No reason code: it would say that the publish was never accepted.
                 if rejection == Rejection::Quota {
+                    self.forget_received(id, &publish);
                     return self.disconnect(now, id, DisconnectReasonCode::QuotaExceeded, out);
                 }
                 Err(Declined::Refused(Reason::NoRoute))
@@ -87,6 +89,18 @@
         }
     }
 
+    /// Makes the protocol library pass on a publish with QoS 2 again if the client resends it, because it was
+    /// not accepted.
+    fn forget_received(&mut self, id: LinkId, publish: &InboundPublish) {
+        let (Some(connection), Some(packet_id)) = (self.connections.get_mut(&id), publish.packet_id) else {
+            return;
+        };
+        let mut received = connection.mqtt.get_qos2_publish_handled();
+        if received.remove(&packet_id) {
+            connection.mqtt.restore_qos2_publish_handled(received);
+        }
+    }
+
     fn start_call(
         &mut self,
         client: ClientRef,
--- a/crates/mqtt/tests/front/main.rs
+++ b/crates/mqtt/tests/front/main.rs
@@ -279,6 +279,23 @@
     }
 }
 
+/// Guards against a publish with QoS 2 that is taken and never answered: the client resends it after the gateway
+/// closed the connection in place of accepting it.
+#[test]
+fn a_qos_2_publish_that_was_not_accepted_makes_a_call_when_it_is_resent() {
+    let mut b = Bench::new(settings());
+    b.connect(1, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+    for id in 2..=5 {
+        b.publish(1, v5_publish("quote/fare", Qos::ExactlyOnce, id, vec![]));
+    }
+    b.publish(1, v5_publish("charge/card", Qos::ExactlyOnce, 6, vec![key("k")]).set_dup(true));
+    assert_eq!(b.closed, [LinkId(1)], "beyond the quota");
+    b.answer(0, &served(1));
+    b.connect(2, Version::V5_0, v5_connect("a", false, vec![expiry(30)]));
+    b.publish(2, v5_publish("charge/card", Qos::ExactlyOnce, 6, vec![key("k")]).set_dup(true));
+    assert_eq!(b.calls.len(), 5);
+}
+
 #[test]
 fn a_qos_2_publish_starts_one_call_however_often_it_is_sent_before_its_pubrel() {
     let mut b = Bench::new(settings());
