--- a/crates/gateway/src/event_loop/client_connections.rs
+++ b/crates/gateway/src/event_loop/client_connections.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Whether bytes are buffered for a client.
+    pub(crate) fn has_unwritten(&self, reactor: &Reactor) -> bool {
+        self.links.keys().any(|connection| reactor.pending(*connection) > 0)
+    }
+
     /// Removes a client connection and closes it once its buffered bytes are sent.
     pub(crate) fn close_gracefully(&mut self, reactor: &mut Reactor, link: Link) {
         if let Some(connection) = self.sockets.remove(&link) {
--- a/crates/gateway/src/server/bridge.rs
+++ b/crates/gateway/src/server/bridge.rs
@@ -28,9 +28,9 @@
         self.bridge.closed(now);
     }
 
-    /// Whether the bridge is connected and has bytes that are not yet sent to the broker.
-    pub(super) fn has_unsent(&self) -> bool {
-        self.bridge.is_connected() && self.bridge.unacknowledged_answers() > 0
+    /// Number of answers that the broker has not acknowledged, and of publishes not acknowledged to it.
+    pub(super) fn owed(&self) -> usize {
+        self.bridge.unacknowledged_answers() + self.bridge.unacknowledged_publishes()
     }
 
     /// Executes an output of the bridge; returns the call if the output is one.
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -35,6 +35,7 @@
 use config_versioning::ConfigVersioning;
 use plugins::PluginHost;
 use pool::{Pool, RequestEnd};
+use shutdown::Shutdown;
 use slatevalve::{Micros, Scope, WorkerId};
 use slatevalve_engine::{Engine, Output};
 use slatevalve_mqtt::{Bridge, BridgeOutput, Front, FrontOutput, FrontSettings, LinkId};
@@ -82,7 +83,8 @@
     read_delay: Micros,
     /// Upper bound of the time that the calls being submitted waited before they were read.
     input_age: Micros,
-    stopping: bool,
+    /// Set from SIGTERM or SIGINT on.
+    shutdown: Option<Shutdown>,
     engine_outputs: Vec<Output>,
     front_outputs: Vec<FrontOutput>,
     bridge_outputs: Vec<BridgeOutput>,
@@ -133,7 +135,7 @@
             input_age: Micros(0),
             workers_listed: BTreeSet::new(),
             read_delay: Micros(0),
-            stopping: false,
+            shutdown: None,
             engine_outputs: Vec::new(),
             front_outputs: Vec::new(),
             bridge_outputs: Vec::new(),
@@ -166,7 +168,8 @@
         let mut loop_timer = LoopTimer::new(self.clock.now(), self.drain_grace());
         loop {
             let now = self.run_iteration(&mut loop_timer)?;
-            if self.stopping && self.engine.is_idle() {
+            self.close_listener_if_unneeded(now);
+            if self.is_ready_to_shut_down(now) {
                 return self.shut_down(now);
             }
         }
@@ -233,6 +236,7 @@
             self.front.next_wake(),
             self.pool.next_wake(),
             self.listener.resume_at(),
+            self.shutdown.as_ref().map(|shutdown| shutdown.next_wake(now, &self.engine)),
             self.bridge.as_ref().and_then(|link| link.bridge.next_wake()),
             self.source.as_ref().map(|source| source.next_wake(now)),
             self.config_versioning.as_ref().map(|config_versioning| config_versioning.next_wake(now)),
--- a/crates/mqtt/src/bridge.rs
+++ b/crates/mqtt/src/bridge.rs
@@ -165,7 +165,8 @@
         self.stage == Stage::Connected
     }
 
-    /// Stops accepting publishes. They are not acknowledged, so the broker keeps them.
+    /// Stops accepting publishes. They are not acknowledged, so the broker keeps them. Accepted ones that are
+    /// delivered again are still acknowledged.
     pub fn stop_accepting(&mut self) {
         self.stopped_accepting = true;
     }
@@ -176,6 +177,12 @@
         self.outbox.len() + self.unacknowledged.len()
     }
 
+    /// Number of accepted publishes that were not acknowledged to the broker.
+    #[must_use]
+    pub fn unacknowledged_publishes(&self) -> usize {
+        self.deliveries.unacknowledged()
+    }
+
     /// Publishes the answer to a call and then acknowledges the call's publish.
     pub fn answer(&mut self, now: Micros, ticket: Ticket, answer: &Answer, out: &mut Vec<BridgeOutput>) {
         let Some(reply) = self.pending.remove(&ticket) else { return };
--- a/crates/mqtt/src/bridge/deliveries.rs
+++ b/crates/mqtt/src/bridge/deliveries.rs
@@ -53,21 +53,32 @@
         *self = Deliveries::new(self.receive_maximum);
     }
 
-    /// Records a received packet id and returns whether it is a redelivery of an accepted publish.
-    fn receive(&mut self, id: u16, publish: &InboundPublish) -> bool {
-        if !self.unacknowledged.contains(&id) {
-            self.unacknowledged.push_back(id);
-        }
+    /// Number of accepted publishes that were not acknowledged.
+    pub(super) fn unacknowledged(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns whether a publish is a redelivery of an accepted one, which is then acknowledged again.
+    fn receive_again(&mut self, id: u16, publish: &InboundPublish) -> bool {
         if !self.accepted.receive(publish) {
             return false;
         }
+        self.received(id);
         // Without a call it was acknowledged before, and the broker did not receive the acknowledgement.
         self.calls.entry(id).or_insert(CallState::Answered);
         true
     }
 
+    /// Records the packet id of a publish that is to be acknowledged on this connection.
+    fn received(&mut self, id: u16) {
+        if !self.unacknowledged.contains(&id) {
+            self.unacknowledged.push_back(id);
+        }
+    }
+
     fn open(&mut self, now: Micros, publish: &InboundPublish, ticket: Ticket) {
         if let Some(id) = publish.packet_id {
+            self.received(id);
             self.accepted.accept(now, publish);
             self.calls.insert(id, CallState::Open(ticket));
         }
@@ -99,15 +110,14 @@
         publish: InboundPublish,
         out: &mut Vec<BridgeOutput>,
     ) {
+        let packet_id = publish.packet_id;
+        if packet_id.is_some_and(|id| self.deliveries.receive_again(id, &publish)) {
+            return self.acknowledge(now, out);
+        }
         if self.stopped_accepting {
             return;
         }
         self.redeliveries.received(&publish);
-        if let Some(id) = publish.packet_id {
-            if self.deliveries.receive(id, &publish) {
-                return self.acknowledge(now, out);
-            }
-        }
         let reason = match CallRequest::read(&self.settings.routes, None, &publish) {
             Ok(request) => return self.start_call(now, publish, request, out),
             Err(Declined::Refused(reason)) => reason,
--- a/crates/mqtt/src/front.rs
+++ b/crates/mqtt/src/front.rs
@@ -10,10 +10,12 @@
 mod connection;
 mod dispatch;
 mod handshake;
+mod owed;
+
+pub use owed::OwedAnswers;
 
 use crate::after;
 use crate::first_packet::{first_packet, Expected, FirstPacket};
-use crate::publish::OutboundPublish;
 use crate::routes::Routes;
 use crate::session::Session;
 use crate::ticket::TicketSource;
@@ -107,6 +109,8 @@
     ticket_source: TicketSource,
     /// Number of client ids that were assigned to clients without one.
     assigned_ids: u64,
+    /// When the gateway began to stop, after which no further sessions begin.
+    stopped_accepting_at: Option<Micros>,
     timers: Timers<Timer>,
 }
 
@@ -122,6 +126,7 @@
             clients_by_id: HashMap::new(),
             tickets: HashMap::new(),
             assigned_ids: 0,
+            stopped_accepting_at: None,
             timers: Timers::default(),
         }
     }
@@ -170,12 +175,7 @@
         let Some(client) = self.tickets.remove(&ticket) else { return };
         let Some(session) = self.sessions.get_mut(&client) else { return };
         let Some(reply) = session.pending.remove(&ticket) else { return };
-        let topic = session.reply_topic(&reply, answer.verdict.as_str());
-        let documents = self.settings.documents.as_deref();
-        let correlation = reply.address.correlation;
-        let publish = OutboundPublish::answer(topic, reply.qos, correlation, answer, documents);
-        session.outbox.push_back(publish);
-        self.send_outbox(now, client, out);
+        self.queue_answer(now, client, reply, answer, out);
     }
 
     /// Drops a ticket that gets no answer because its client repeated the call.
--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -3,14 +3,14 @@
 
 use super::{Front, FrontOutput, LinkId};
 use crate::packets;
-use crate::publish::{InboundPublish, OutboundPublish, Version};
+use crate::publish::{InboundPublish, OutboundPublish, ReplyAddress, Version};
 use crate::rejection::Rejection;
 use crate::request::{CallRequest, Declined};
-use crate::session::PendingReply;
+use crate::session::{PendingReply, QueuedAnswer};
 use mqtt_protocol_core::mqtt::packet::Qos;
 use mqtt_protocol_core::mqtt::result_code::{DisconnectReasonCode, MqttError};
 use slatevalve::Micros;
-use slatevalve_engine::{ClientRef, Reason};
+use slatevalve_engine::{Answer, ClientRef, Reason};
 use tracing::{info, warn};
 
 impl Front {
@@ -58,7 +58,7 @@
         }
         self.acknowledge(now, id, client, &publish, rejection, out);
         match request {
-            Ok(request) => self.start_call(client, publish, request, out),
+            Ok(request) => self.start_call(now, client, publish, request, out),
             Err(Declined::Refused(reason)) => self.decline_call(now, client, &publish, reason, out),
             Err(Declined::Rejected(rejection)) => {
                 info!(link = id.0, topic = %publish.topic, why = %rejection, "publish rejected");
@@ -103,6 +103,7 @@
 
     fn start_call(
         &mut self,
+        now: Micros,
         client: ClientRef,
         publish: InboundPublish,
         mut request: CallRequest,
@@ -111,7 +112,7 @@
         let ticket = self.ticket_source.ticket();
         let Some(session) = self.sessions.get_mut(&client) else { return };
         let address = std::mem::take(&mut request.reply_address);
-        let reply = PendingReply { address, qos: publish.qos, call_name: call_name(&publish) };
+        let reply = pending_reply(now, &publish, address);
         session.pending.insert(ticket, reply);
         self.tickets.insert(ticket, client);
         let repeat = publish.repeat(session.redeliveries.covered_since());
@@ -129,14 +130,26 @@
         out: &mut Vec<FrontOutput>,
     ) {
         let Some(session) = self.sessions.get_mut(&client) else { return };
-        let address = publish.reply_address();
-        let reply = PendingReply { address, qos: publish.qos, call_name: call_name(publish) };
         let answer = publish.declined(reason, session.redeliveries.covered_since());
+        let reply = pending_reply(now, publish, publish.reply_address());
+        self.queue_answer(now, client, reply, &answer, out);
+    }
+
+    /// Queues the answer to a call, and sends it if the client's connection permits.
+    pub(super) fn queue_answer(
+        &mut self,
+        now: Micros,
+        client: ClientRef,
+        reply: PendingReply,
+        answer: &Answer,
+        out: &mut Vec<FrontOutput>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&client) else { return };
         let topic = session.reply_topic(&reply, answer.verdict.as_str());
         let documents = self.settings.documents.as_deref();
-        let correlation = reply.address.correlation;
-        let publish = OutboundPublish::answer(topic, reply.qos, correlation, &answer, documents);
-        session.outbox.push_back(publish);
+        let PendingReply { address, qos, received_at, .. } = reply;
+        let publish = OutboundPublish::answer(topic, qos, address.correlation, answer, documents);
+        session.outbox.push_back(QueuedAnswer { publish, received_at });
         self.send_outbox(now, client, out);
     }
 
@@ -169,15 +182,15 @@
             let (Some(id), Some(next)) = (session.connection, session.outbox.front()) else { return };
             let Some(connection) = self.connections.get_mut(&id) else { return };
             let mut packet_id = None;
-            if next.qos != Qos::AtMostOnce {
+            if next.publish.qos != Qos::AtMostOnce {
                 if session.unacknowledged.len() >= connection.receive_maximum {
                     return;
                 }
                 let Ok(acquired) = connection.mqtt.acquire_packet_id() else { return };
                 packet_id = Some(acquired);
             }
-            let Some(publish) = session.outbox.pop_front() else { return };
-            session.unacknowledged.extend(packet_id);
+            let Some(QueuedAnswer { publish, received_at }) = session.outbox.pop_front() else { return };
+            session.unacknowledged.extend(packet_id.map(|packet_id| (packet_id, received_at)));
             self.send_answer(now, id, client, &publish, packet_id, out);
         }
     }
@@ -210,7 +223,12 @@
     }
 }
 
-/// Identifies the call in a generated reply topic: the packet id of its publish, 0 for QoS 0.
-fn call_name(publish: &InboundPublish) -> String {
-    publish.packet_id.unwrap_or(0).to_string()
+/// The record of a call that was received at `now`.
+fn pending_reply(now: Micros, publish: &InboundPublish, address: ReplyAddress) -> PendingReply {
+    PendingReply {
+        address,
+        qos: publish.qos,
+        call_name: publish.packet_id.unwrap_or(0).to_string(),
+        received_at: now,
+    }
 }
--- a/crates/mqtt/src/front/handshake.rs
+++ b/crates/mqtt/src/front/handshake.rs
@@ -59,6 +59,13 @@
     }
 }
 
+impl ConnectRequest {
+    /// Whether the request resumes the session of its client id.
+    fn resumes(&self, session: &Session) -> bool {
+        !self.clean && session.version == self.version
+    }
+}
+
 /// Why a connection is refused.
 #[derive(Clone, Copy, Debug)]
 enum RefusalReason {
@@ -66,6 +73,8 @@
     ClientId,
     /// The maximum number of sessions is reached.
     Full,
+    /// The gateway stops.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -73,13 +82,14 @@
         match self {
             RefusalReason::ClientId => ConnectReasonCode::ClientIdentifierNotValid,
             RefusalReason::Full => ConnectReasonCode::ServerBusy,
+            RefusalReason::Stopping => ConnectReasonCode::ServerUnavailable,
         }
     }
 
     fn v3_code(self) -> ConnectReturnCode {
         match self {
             RefusalReason::ClientId => ConnectReturnCode::IdentifierRejected,
-            RefusalReason::Full => ConnectReturnCode::ServerUnavailable,
+            RefusalReason::Full | RefusalReason::Stopping => ConnectReturnCode::ServerUnavailable,
         }
     }
 }
@@ -106,6 +116,9 @@
             return self.refuse_connection(now, id, request.version, RefusalReason::ClientId, out);
         }
         let client_id = if is_assigned { self.assign_client_id() } else { request.client_id.clone() };
+        if self.stopped_accepting_at.is_some() && !self.resumes_owed_session(&client_id, request) {
+            return self.refuse_connection(now, id, request.version, RefusalReason::Stopping, out);
+        }
         if !self.clients_by_id.contains_key(&client_id) && self.sessions.len() >= self.settings.max_sessions {
             return self.refuse_connection(now, id, request.version, RefusalReason::Full, out);
         }
@@ -148,6 +161,13 @@
         }
     }
 
+    /// Whether the request resumes a session whose client is owed something.
+    fn resumes_owed_session(&self, client_id: &str, request: &ConnectRequest) -> bool {
+        let client = self.clients_by_id.get(client_id);
+        let session = client.and_then(|client| self.sessions.get(client));
+        session.is_some_and(|session| request.resumes(session) && session.is_owed())
+    }
+
     /// Returns the client's session if the request resumes it; removes a session that is not resumed.
     fn resumable_session(
         &mut self,
@@ -156,9 +176,7 @@
         out: &mut Vec<FrontOutput>,
     ) -> Option<ClientRef> {
         let client = self.clients_by_id.get(client_id).copied()?;
-        let is_same_version =
-            self.sessions.get(&client).is_some_and(|session| session.version == request.version);
-        if !request.clean && is_same_version {
+        if self.sessions.get(&client).is_some_and(|session| request.resumes(session)) {
             return Some(client);
         }
         self.remove_session(client, out);
--- a/crates/mqtt/src/lib.rs
+++ b/crates/mqtt/src/lib.rs
@@ -24,7 +24,7 @@
 mod topics;
 
 pub use bridge::{Bridge, BridgeOutput, BridgeSettings};
-pub use front::{Front, FrontOutput, FrontSettings, LinkId};
+pub use front::{Front, FrontOutput, FrontSettings, LinkId, OwedAnswers};
 pub use rejection::Rejection;
 pub use request::{BUDGET_PROPERTY, KEY_PROPERTY, REPEAT_PROPERTY};
 pub use routes::{Route, RouteError, Routes};
--- a/crates/mqtt/src/session.rs
+++ b/crates/mqtt/src/session.rs
@@ -7,7 +7,7 @@
 use mqtt_protocol_core::mqtt::packet::{Qos, StorePacket};
 use slatevalve::Micros;
 use slatevalve_engine::{ClientRef, Ticket};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Where the answer to an open call goes.
 #[derive(Clone, Debug)]
@@ -17,6 +17,16 @@
     pub(crate) qos: Qos,
     /// The call in a generated reply topic: the packet id of its publish, 0 for QoS 0.
     pub(crate) call_name: String,
+    /// When the call was received.
+    pub(crate) received_at: Micros,
+}
+
+/// An answer that waits to be sent.
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedAnswer {
+    pub(crate) publish: OutboundPublish,
+    /// When its call was received.
+    pub(crate) received_at: Micros,
 }
 
 #[derive(Debug)]
@@ -40,9 +50,9 @@
     /// Open calls.
     pub(crate) pending: BTreeMap<Ticket, PendingReply>,
     /// Answers queued until there is a connection and the client's receive maximum permits them.
-    pub(crate) outbox: VecDeque<OutboundPublish>,
-    /// Packet ids of answers that were sent and not yet acknowledged.
-    pub(crate) unacknowledged: HashSet<u16>,
+    pub(crate) outbox: VecDeque<QueuedAnswer>,
+    /// When the calls were received whose answers were sent and not yet acknowledged, by the answers' packet ids.
+    pub(crate) unacknowledged: HashMap<u16, Micros>,
 }
 
 impl Session {
@@ -62,7 +72,7 @@
             received_qos2: Vec::new(),
             pending: BTreeMap::new(),
             outbox: VecDeque::new(),
-            unacknowledged: HashSet::new(),
+            unacknowledged: HashMap::new(),
         }
     }
 
