Gateway: a stop does not wait for a hung worker's attempt beyond stop-within-ms

Cause: the engine is idle only when no attempt of an answered call is in flight, and nothing ends such an attempt where calls are not cancelled.

Change: once the time of the calls is over, a stop asks only whether all are answered.

Measured: on_sigterm_a_worker_that_hangs_and_is_not_cancelled_does_not_hold_up_the_stop failed before (still open after 20 s, deadline 30 s) and passes.

--- a/crates/gateway/src/server/shutdown.rs
+++ b/crates/gateway/src/server/shutdown.rs
@@ -45,12 +45,18 @@
 impl Shutdown {
     /// When the shutdown has to be looked at again if no event arrives.
     pub(super) fn next_wake(&self, now: Micros, engine: &Engine) -> Micros {
-        match engine.is_idle() {
+        match self.are_calls_over(now, engine) {
             true => after(now, Micros(FLUSH_POLL_TIMEOUT.as_micros() as i64)),
-            false => self.calls_end_at.max(now),
+            false => self.calls_end_at,
         }
     }
 
+    /// Whether all calls are answered and have no attempt in flight. An attempt that a worker keeps open is not
+    /// waited for once the time of the calls is over.
+    fn are_calls_over(&self, now: Micros, engine: &Engine) -> bool {
+        engine.is_idle() || (now >= self.calls_end_at && engine.unanswered() == 0)
+    }
+
     fn delivery_ends_at(&self) -> Micros {
         after(self.calls_end_at, DELIVERY_TIMEOUT)
     }
@@ -96,7 +102,8 @@
     /// delivery is over.
     pub(super) fn is_ready_to_shut_down(&self, now: Micros) -> bool {
         let Some(shutdown) = &self.shutdown else { return false };
-        self.engine.is_idle() && (!self.owes_answers(now) || now >= shutdown.delivery_ends_at())
+        shutdown.are_calls_over(now, &self.engine)
+            && (!self.owes_answers(now) || now >= shutdown.delivery_ends_at())
     }
 
     fn owes_answers(&self, now: Micros) -> bool {
--- a/crates/gateway/tests/orderly_stop.rs
+++ b/crates/gateway/tests/orderly_stop.rs
@@ -473,3 +473,21 @@
     assert!(app.is_quiet(500));
     assert_eq!(worker.calls(), 3);
 }
+
+/// Guards against a stop that waits for a worker that hangs, where calls are not cancelled: until the deadline
+/// of the call's class, long after the call was answered.
+#[test]
+fn on_sigterm_a_worker_that_hangs_and_is_not_cancelled_does_not_hold_up_the_stop() {
+    let worker = Worker::start(|_, _| Action::Silence);
+    let site = format!("{SITE}\n(limits (cancel no))").replace("(deadline-ms 3000)", "(deadline-ms 30000)");
+    let mut gateway = Gateway::start_with("(stop-within-ms 300)", &site, &[("w", worker.address, "")]);
+    let mut client = Client::connect(gateway.address(), "a", USUAL);
+    client.publish_all("charge", 1);
+    until("the charge to reach its worker", || worker.calls() == 1);
+    let began = stop(&mut gateway);
+    client.read_to_end();
+    client.assert_answered_once(1);
+    assert_eq!(gateway.process.wait(), Some(0));
+    let limit = Duration::from_millis(300) + STOP_SLACK + EXIT_SLACK;
+    assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
+}
