MQTT: a 3.1.1 publish without a route that is resent gets one answer

What callers saw: version 3.1.1 has no reason codes, so a publish without a route is acknowledged and answered `refused`. Resent after a lost acknowledgement, it was answered a second time.

Cause: only publishes that were not rejected were recorded as accepted, although this rejection is accepted as far as the protocol goes.

Change: what is answered is recorded (is_answered); the request's checks moved out of handle_publish.

--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -38,35 +38,27 @@
             true => CallRequest::read(&self.settings.routes, Some(&session.client_id), &publish),
             false => Err(Rejection::Quota.into()),
         };
-        let covered_since = session.redeliveries.covered_since();
-        let request = match request {
-            Err(Declined::Rejected(rejection))
-                if rejection.depends_on_gateway() && publish.may_be_accepted_before(covered_since) =>
-            {
-                // No reason code: it would say that the publish was never accepted.
-                if rejection == Rejection::Quota {
-                    self.forget_received(id, &publish);
-                    return self.disconnect(now, id, DisconnectReasonCode::QuotaExceeded, out);
-                }
-                Err(Declined::Refused(Reason::NoRoute))
-            }
-            request => request,
+        let may_be_accepted_before = publish.may_be_accepted_before(session.redeliveries.covered_since());
+        let Some(request) = without_untrue_rejection(request, may_be_accepted_before) else {
+            self.forget_received(id, &publish);
+            return self.disconnect(now, id, DisconnectReasonCode::QuotaExceeded, out);
         };
-        let rejection = request.as_ref().err().and_then(|declined| declined.rejection());
-        if rejection.is_none() {
+        let is_answered = is_answered(&request, version);
+        if is_answered {
             session.accepted.accept(now, &publish);
         }
+        let rejection = request.as_ref().err().and_then(|declined| declined.rejection());
         self.acknowledge(now, id, client, &publish, rejection, out);
+        if let Some(rejection) = rejection {
+            info!(link = id.0, topic = %publish.topic, why = %rejection, "publish rejected");
+        }
         match request {
             Ok(request) => self.start_call(now, client, publish, request, out),
             Err(Declined::Refused(reason)) => self.decline_call(now, client, &publish, reason, out),
-            Err(Declined::Rejected(rejection)) => {
-                info!(link = id.0, topic = %publish.topic, why = %rejection, "publish rejected");
-                // Version 3.1.1 has no reason codes, so only an answer can report the rejection.
-                if version == Version::V3 && rejection != Rejection::Quota {
-                    self.decline_call(now, client, &publish, Reason::NoRoute, out);
-                }
+            Err(Declined::Rejected(_)) if is_answered => {
+                self.decline_call(now, client, &publish, Reason::NoRoute, out);
             }
+            Err(Declined::Rejected(_)) => {}
         }
     }
 
@@ -223,6 +215,30 @@
     }
 }
 
+/// Replaces a rejection that would wrongly say that the publish was never accepted. `None` if no answer can do
+/// so either, as the session's quota is used up.
+fn without_untrue_rejection(
+    request: Result<CallRequest, Declined>,
+    may_be_accepted_before: bool,
+) -> Option<Result<CallRequest, Declined>> {
+    match request {
+        Err(Declined::Rejected(rejection)) if rejection.depends_on_gateway() && may_be_accepted_before => {
+            let is_quota = rejection == Rejection::Quota;
+            (!is_quota).then_some(Err(Declined::Refused(Reason::NoRoute)))
+        }
+        request => Some(request),
+    }
+}
+
+/// Whether a publish gets an answer. Version 3.1.1 has no reason codes, so only an answer can report a
+/// rejection; beyond the session's quota there is no room for one.
+fn is_answered(request: &Result<CallRequest, Declined>, version: Version) -> bool {
+    match request {
+        Ok(_) | Err(Declined::Refused(_)) => true,
+        Err(Declined::Rejected(rejection)) => version == Version::V3 && *rejection != Rejection::Quota,
+    }
+}
+
 /// The record of a call that was received at `now`.
 fn pending_reply(now: Micros, publish: &InboundPublish, address: ReplyAddress) -> PendingReply {
     PendingReply {
--- a/crates/mqtt/tests/front/main.rs
+++ b/crates/mqtt/tests/front/main.rs
@@ -256,6 +256,31 @@
     }
 }
 
+/// Guards against two answers to a publish that makes no call: version 3.1.1 has no reason codes, so that it is
+/// answered, and it is resent if its acknowledgement is lost.
+#[test]
+fn a_publish_without_a_route_that_version_3_1_1_resends_is_answered_once() {
+    let mut b = Bench::new(settings());
+    b.acknowledge = false;
+    let connect =
+        || v3_1_1::Connect::builder().client_id("a").unwrap().clean_session(false).build().unwrap().into();
+    let publish = |dup: bool| {
+        let builder = v3_1_1::Publish::builder().topic_name("nowhere").unwrap().qos(Qos::AtLeastOnce);
+        builder.packet_id(5).dup(dup).payload("p").build().unwrap().to_continuous_buffer()
+    };
+    let answers = |packets: &[Packet], dup: bool| {
+        packets.iter().filter(|p| matches!(p, Packet::V3_1_1Publish(p) if p.dup() == dup)).count()
+    };
+    b.connect(1, Version::V3_1_1, connect());
+    b.send_bytes(1, &publish(false));
+    assert_eq!(answers(&b.take_received(1), false), 1);
+    b.disconnect(1);
+    b.connect(2, Version::V3_1_1, connect());
+    b.send_bytes(2, &publish(true));
+    let received = b.take_received(2);
+    assert_eq!((answers(&received, true), answers(&received, false)), (1, 0), "{received:?}");
+}
+
 /// Guards against a publish that is taken and never answered, because an earlier one with the same content had
 /// its packet id (review/8).
 #[test]
