--- a/crates/gateway/tests/orderly_stop.rs
+++ b/crates/gateway/tests/orderly_stop.rs
@@ -11,11 +11,10 @@
 use slatevalve_worker_protocol::Reply;
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
+use support::link::Link;
 use support::{until, Action, Gateway, Process, Worker, MAX_WAIT};
 
 /// A class whose keys are in the topic, as version 3.1.1 has no properties.
@@ -397,50 +396,6 @@
     assert!(began.elapsed() <= Duration::from_millis(1_000) + EXIT_SLACK, "{:?}", began.elapsed());
 }
 
-/// A proxy before a broker whose connections can be cut.
-struct Link {
-    address: SocketAddr,
-    is_cut: Arc<AtomicBool>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
-}
-
-impl Link {
-    fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let link = Link { address, is_cut: Arc::default(), streams: Arc::default() };
-        let (is_cut, streams) = (link.is_cut.clone(), link.streams.clone());
-        thread::spawn(move || {
-            for client in listener.incoming().flatten() {
-                if is_cut.load(Ordering::SeqCst) {
-                    continue;
-                }
-                let Ok(server) = TcpStream::connect(target) else { continue };
-                streams.lock().unwrap().extend([client.try_clone().unwrap(), server.try_clone().unwrap()]);
-                let (from, to) = (client.try_clone().unwrap(), server.try_clone().unwrap());
-                thread::spawn(move || copy(from, to));
-                thread::spawn(move || copy(server, client));
-            }
-        });
-        link
-    }
-
-    /// Closes all connections and refuses further ones, or accepts them again.
-    fn set_cut(&self, is_cut: bool) {
-        self.is_cut.store(is_cut, Ordering::SeqCst);
-        if is_cut {
-            for stream in self.streams.lock().unwrap().drain(..) {
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-        }
-    }
-}
-
-fn copy(mut from: TcpStream, mut to: TcpStream) {
-    let _ = std::io::copy(&mut from, &mut to);
-    let _ = to.shutdown(Shutdown::Both);
-}
-
 /// Guards against answers that the broker never gets, because the bridge has no connection when the last call
 /// ends, and against publishes that stay unacknowledged and run again at the next process (review/9).
 #[test]
--- a/crates/gateway/tests/repeats.rs
+++ b/crates/gateway/tests/repeats.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
+use mqtt_protocol_core::mqtt::packet::MessageExpiryInterval;
 use slatevalve_worker_protocol::Reply;
+use std::time::Duration;
+use support::link::Link;
 use support::*;
 
 fn slow_worker(millis: u64) -> Worker {
@@ -106,6 +109,34 @@
     assert_eq!(worker.calls(), 1);
 }
 
+/// Guards against calls that run and are answered twice because the broker has counted their message expiry down
+/// when it delivers them again (review/10).
+#[test]
+fn calls_that_a_broker_redelivers_with_less_message_expiry_run_and_are_answered_once() {
+    let broker = Process::start(&["broker"], None);
+    let link = Link::start(broker.address);
+    let worker = slow_worker(700);
+    let site =
+        format!("{SITE}\n(bridge (broker \"{}\") (client-id \"bridge\") (back-off-ms 20))", link.address);
+    let gateway = Gateway::start(&site, &[("w", worker.address, "")]);
+    until("the bridge to connect", || gateway.log().contains("the broker accepted the connection"));
+    let mut app = Client::connect(broker.address, "app", true);
+    app.subscribe("replies/me");
+    for (topic, id, call) in [("quote/fare", 1, "q1"), ("quote/fare", 2, "q2"), ("charge/card", 3, "c1")] {
+        let expiry = MessageExpiryInterval::new(10).unwrap().into();
+        app.publish_with(topic, id, vec![expiry], call, false);
+    }
+    until("the calls to reach their worker", || worker.calls() == 3);
+    link.set_cut(true);
+    std::thread::sleep(Duration::from_millis(1_300));
+    link.set_cut(false);
+    let mut answers = [(); 3].map(|()| app.answer_or(|| gateway.log()).call);
+    answers.sort();
+    assert_eq!(answers, ["c1", "q1", "q2"]);
+    assert!(app.is_quiet(1_500));
+    assert_eq!(worker.calls(), 3);
+}
+
 #[test]
 fn a_charge_without_a_key_is_refused_with_a_reason() {
     let worker = Worker::start(|_, _| served("paid"));
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // each test file uses a part of this module
 
 pub(crate) mod documents;
+pub(crate) mod link;
 
 use mqtt_protocol_core::mqtt::common::Cursor;
 use mqtt_protocol_core::mqtt::connection::{Connection, Event};
@@ -527,11 +528,24 @@
     /// Publishes with QoS 1 and the given packet id; `call` is both the payload and, in its first 100 bytes,
     /// the correlation data.
     pub(crate) fn publish(&mut self, topic: &str, id: u16, key: Option<&str>, call: &str, dup: bool) {
+        let properties = key.map(|k| Property::from(UserProperty::new("key", k).unwrap()));
+        self.publish_with(topic, id, properties.into_iter().collect(), call, dup);
+    }
+
+    /// Like [`Client::publish`], with further properties.
+    pub(crate) fn publish_with(
+        &mut self,
+        topic: &str,
+        id: u16,
+        further: Vec<Property>,
+        call: &str,
+        dup: bool,
+    ) {
         let mut properties: Vec<Property> = vec![
             ResponseTopic::new("replies/me").unwrap().into(),
             CorrelationData::new(call.as_bytes()[..call.len().min(100)].to_vec()).unwrap().into(),
         ];
-        properties.extend(key.map(|k| Property::from(UserProperty::new("key", k).unwrap())));
+        properties.extend(further);
         let builder = v5_0::Publish::builder().topic_name(topic).unwrap().qos(Qos::AtLeastOnce).dup(dup);
         let publish =
             builder.packet_id(id).props(properties).payload(call.as_bytes().to_vec()).build().unwrap();
--- a/crates/test-servers/src/broker/session.rs
+++ b/crates/test-servers/src/broker/session.rs
@@ -1,9 +1,10 @@
 //! Sessions of the test broker: subscriptions, queued messages and messages in flight.
 
-use mqtt_protocol_core::mqtt::packet::{v5_0, Packet, Property, Qos};
+use mqtt_protocol_core::mqtt::packet::{v5_0, MessageExpiryInterval, Packet, Property, Qos};
 use mqtt_protocol_core::mqtt::result_code::MqttError;
 use slatevalve_reactor::Id;
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
 
 #[derive(Clone)]
 pub(super) struct Message {
@@ -11,6 +12,7 @@
     pub(super) payload: Vec<u8>,
     pub(super) properties: Vec<Property>,
     pub(super) qos: Qos,
+    pub(super) received_at: Instant,
 }
 
 impl Message {
@@ -21,16 +23,27 @@
             payload: publish.payload().as_slice().to_vec(),
             properties: publish.props().clone(),
             qos: publish.qos(),
+            received_at: Instant::now(),
         }
     }
 
+    /// A property as it is sent now: the time for which the message has waited is subtracted from its expiry
+    /// (section 3.3.2.3.3).
+    fn sent_property(&self, property: &Property) -> Result<Property, MqttError> {
+        let Property::MessageExpiryInterval(expiry) = property else { return Ok(property.clone()) };
+        let waited_s = u32::try_from(self.received_at.elapsed().as_secs()).unwrap_or(u32::MAX);
+        Ok(MessageExpiryInterval::new(expiry.val().saturating_sub(waited_s))?.into())
+    }
+
     /// A PUBLISH packet; the identifier and the flag are ignored with QoS 0.
     pub(super) fn packet(&self, packet_id: u16, is_duplicate: bool) -> Result<Packet, MqttError> {
         let is_forwarded = |property: &&Property| !matches!(property, Property::TopicAlias(_));
+        let properties = self.properties.iter().filter(is_forwarded);
+        let properties = properties.map(|property| self.sent_property(property));
         let builder = v5_0::Publish::builder()
             .topic_name(self.topic.as_str())?
             .qos(self.qos)
-            .props(self.properties.iter().filter(is_forwarded).cloned().collect::<Vec<_>>())
+            .props(properties.collect::<Result<Vec<_>, _>>()?)
             .payload(self.payload.clone());
         let packet = match self.qos {
             Qos::AtMostOnce => builder.build()?,
