--- a/crates/mqtt/tests/histories/main.rs
+++ b/crates/mqtt/tests/histories/main.rs
@@ -79,7 +79,7 @@
 proptest! {
     #![proptest_config(config())]
 
-    /// Guards against calls of direct clients that run or are answered twice or never (review/8 and 10).
+    /// Guards against calls of direct clients that run or are answered twice or never (review/10).
     #[test]
     fn each_call_of_a_client_is_started_once_and_answered_once(
         steps in steps(),
