MQTT: the content of a publish is hashed without copying the reply address first

Need: content() went through the properties twice for each accepted publish and cloned response topic and correlation data, to list what counts. It is simpler to leave out what does not: message expiry, topic alias and subscription identifiers.

Change: all other properties are hashed in the order of their kinds, by a stable sort, so that user properties keep theirs. The same deliveries are one message as before.

--- a/crates/mqtt/src/accepted.rs
+++ b/crates/mqtt/src/accepted.rs
@@ -205,25 +205,23 @@
 
 /// A hash of all that each delivery of a message has in common.
 fn content(publish: &InboundPublish) -> u64 {
-    let mut format = None;
-    let mut content_type = None;
-    let mut user_properties = Vec::new();
-    for property in &publish.properties {
-        match property {
-            Property::PayloadFormatIndicator(_) => format = Some(property.to_continuous_buffer()),
-            Property::ContentType(_) => content_type = Some(property.to_continuous_buffer()),
-            Property::UserProperty(property) => user_properties.push((property.key(), property.val())),
-            _ => {}
-        }
-    }
-    let address = publish.reply_address();
+    let mut properties: Vec<&Property> = publish.properties.iter().filter(|p| is_common(p)).collect();
+    // The sort is stable, so user properties stay in their order.
+    properties.sort_by_key(|property| property.id() as u8);
     let mut hasher = DefaultHasher::new();
     (&publish.topic, publish.qos as u8, &publish.payload).hash(&mut hasher);
-    (format, content_type, user_properties).hash(&mut hasher);
-    (address.response_topic, address.correlation).hash(&mut hasher);
+    properties.iter().for_each(|property| property.to_continuous_buffer().hash(&mut hasher));
     hasher.finish()
 }
 
+/// Whether all deliveries of a message have the property in common.
+fn is_common(property: &Property) -> bool {
+    !matches!(
+        property,
+        Property::MessageExpiryInterval(_) | Property::TopicAlias(_) | Property::SubscriptionIdentifier(_)
+    )
+}
+
 fn expiry_s(publish: &InboundPublish) -> Option<u32> {
     publish.properties.iter().find_map(|property| match property {
         Property::MessageExpiryInterval(seconds) => Some(seconds.val()),
