MQTT front: an answer that is sent is recorded in one place

Need: the packet id was recorded as unacknowledged in send_outbox and once more for the accepted publishes in send_answer, which needed another look-up of the session for it.

--- a/crates/mqtt/src/front/calls.rs
+++ b/crates/mqtt/src/front/calls.rs
@@ -182,7 +182,10 @@
                 packet_id = Some(acquired);
             }
             let Some(QueuedAnswer { publish, received_at }) = session.outbox.pop_front() else { return };
-            session.unacknowledged.extend(packet_id.map(|packet_id| (packet_id, received_at)));
+            if let Some(packet_id) = packet_id {
+                session.unacknowledged.insert(packet_id, received_at);
+                session.accepted.answer_sent(packet_id);
+            }
             self.send_answer(now, id, client, &publish, packet_id, out);
         }
     }
@@ -197,9 +200,7 @@
         packet_id: Option<u16>,
         out: &mut Vec<FrontOutput>,
     ) {
-        let Some(session) = self.sessions.get_mut(&client) else { return };
-        let version = session.version;
-        packet_id.iter().for_each(|packet_id| session.accepted.answer_sent(*packet_id));
+        let Some(version) = self.sessions.get(&client).map(|session| session.version) else { return };
         let mut sent = self.send(now, id, publish.packet(version, packet_id), out);
         if sent == Err(MqttError::PacketTooLarge) {
             sent = self.send(now, id, publish.without_result().packet(version, packet_id), out);
