Gateway: a stop looks through the sessions once an iteration

Need: while the gateway stops, each iteration of the loop counted what clients are owed twice, for the listener and for the end.

Change: advance_shutdown counts once and does both. The listener is still closed at the signal itself.

--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -168,8 +168,7 @@
         let mut loop_timer = LoopTimer::new(self.clock.now(), self.drain_grace());
         loop {
             let now = self.run_iteration(&mut loop_timer)?;
-            self.close_listener_if_unneeded(now);
-            if self.is_ready_to_shut_down(now) {
+            if self.advance_shutdown(now) {
                 return self.shut_down(now);
             }
         }
--- a/crates/gateway/src/server/shutdown.rs
+++ b/crates/gateway/src/server/shutdown.rs
@@ -86,28 +86,30 @@
         if let Some(source) = &mut self.source {
             source.leave(now, &mut self.reactor);
         }
-        self.close_listener_if_unneeded(now);
+        self.close_listener_if_unneeded(self.owed_to_clients(now));
+    }
+
+    /// Advances a requested shutdown. Returns whether all calls have ended, and nothing is owed any more or the
+    /// time for its delivery is over.
+    pub(super) fn advance_shutdown(&mut self, now: Micros) -> bool {
+        let Some(shutdown) = self.shutdown else { return false };
+        let owed_to_clients = self.owed_to_clients(now);
+        self.close_listener_if_unneeded(owed_to_clients);
+        shutdown.are_calls_over(now, &self.engine)
+            && (!self.owes_answers(owed_to_clients) || now >= shutdown.delivery_ends_at())
     }
 
     /// Closes the listener of a gateway that stops, unless a client may come back for an answer.
-    pub(super) fn close_listener_if_unneeded(&mut self, now: Micros) {
+    fn close_listener_if_unneeded(&mut self, owed_to_clients: OwedAnswers) {
         let Some(shutdown) = self.shutdown.filter(|shutdown| shutdown.is_listening) else { return };
-        if self.owed_to_clients(now).resumable_clients == 0 {
+        if owed_to_clients.resumable_clients == 0 {
             self.listener.close(&mut self.reactor);
             self.shutdown = Some(Shutdown { is_listening: false, ..shutdown });
         }
     }
 
-    /// Whether a shutdown was requested, all calls have ended, and nothing is owed any more or the time for its
-    /// delivery is over.
-    pub(super) fn is_ready_to_shut_down(&self, now: Micros) -> bool {
-        let Some(shutdown) = &self.shutdown else { return false };
-        shutdown.are_calls_over(now, &self.engine)
-            && (!self.owes_answers(now) || now >= shutdown.delivery_ends_at())
-    }
-
-    fn owes_answers(&self, now: Micros) -> bool {
-        self.owed_to_clients(now).answers > 0
+    fn owes_answers(&self, owed_to_clients: OwedAnswers) -> bool {
+        owed_to_clients.answers > 0
             || self.bridge.as_ref().is_some_and(|link| link.owed() > 0)
             || self.clients.has_unwritten(&self.reactor)
     }
