Histories: routes, counts and checks of calls in one place for client and broker

Need: both histories had their own copy of the routes, the counts of calls and answers, and the final check.

Change: Calls in tests/histories/calls.rs; the checks and their messages are the same.

--- a/crates/mqtt/tests/histories/broker.rs
+++ b/crates/mqtt/tests/histories/broker.rs
@@ -1,20 +1,16 @@
 //! Histories of a broker with the session of one bridge.
 
-use crate::{answer_to, properties, Step};
+use crate::calls::{routes, Calls, MAX_REST, TOPIC};
+use crate::{properties, Step};
 use mqtt_protocol_core::mqtt::common::Cursor;
 use mqtt_protocol_core::mqtt::connection::{Connection, Event};
 use mqtt_protocol_core::mqtt::packet::*;
 use mqtt_protocol_core::mqtt::result_code::{ConnectReasonCode, SubackReasonCode};
 use mqtt_protocol_core::mqtt::{role, Version};
-use slatevalve::{ClassId, Micros};
-use slatevalve_engine::Call;
+use slatevalve::Micros;
 use slatevalve_mqtt::*;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Largest number of publishes of one history.
-const MAX_PUBLISHES: usize = 40;
-/// Packets to exchange until everything that is owed must have arrived.
-const MAX_REST: usize = 10_000;
 /// Longer than the bridge's longest backoff.
 const BACKOFF: Micros = Micros(20_000_000);
 
@@ -37,24 +33,13 @@
     send_maximum: u16,
     to_gateway: VecDeque<Vec<u8>>,
     to_broker: VecDeque<Vec<u8>>,
-    published: usize,
     unacknowledged: BTreeMap<u16, Message>,
-    open: Vec<Call>,
-    started: BTreeMap<Vec<u8>, usize>,
-    /// Answers without retransmissions, by payload.
-    answers: BTreeMap<Vec<u8>, usize>,
+    calls: Calls,
 }
 
 impl BrokerHistory {
     pub(crate) fn new(receive_maximum: u16, send_maximum: u16) -> Self {
-        let route = Route {
-            filter: TopicFilter::parse("quote/+").unwrap(),
-            class: ClassId(0),
-            tenant: None,
-            function: Template::parse("{2}").unwrap(),
-            key: None,
-        };
-        let routes = Routes { routes: vec![route], ..Routes::default() };
+        let routes = routes();
         let mut history = BrokerHistory {
             bridge: Bridge::new(BridgeSettings { routes, receive_maximum, ..BridgeSettings::default() }),
             now: Micros(1_000_000),
@@ -64,11 +49,8 @@
             send_maximum,
             to_gateway: VecDeque::new(),
             to_broker: VecDeque::new(),
-            published: 0,
             unacknowledged: BTreeMap::new(),
-            open: Vec::new(),
-            started: BTreeMap::new(),
-            answers: BTreeMap::new(),
+            calls: Calls::default(),
         };
         history.connect();
         history
@@ -87,17 +69,14 @@
     /// Lets everything arrive and checks that each call was started once and answered once.
     pub(crate) fn finish(mut self) {
         for _ in 0..MAX_REST {
-            if self.to_gateway.is_empty() && self.to_broker.is_empty() && self.open.is_empty() {
+            if self.to_gateway.is_empty() && self.to_broker.is_empty() && !self.calls.has_open() {
                 break;
             }
             self.deliver_to_gateway();
             self.deliver_to_broker();
             self.answer(0);
         }
-        let expected: BTreeMap<Vec<u8>, usize> =
-            (0..self.published).map(|number| (number.to_string().into_bytes(), 1)).collect();
-        assert_eq!(self.started, expected, "calls started");
-        assert_eq!(self.answers, expected, "answers");
+        self.calls.assert_complete();
         let unacknowledged: Vec<&u16> = self.unacknowledged.keys().collect();
         assert!(unacknowledged.is_empty(), "publishes without acknowledgement: {unacknowledged:?}");
         let owed = (self.bridge.unacknowledged_answers(), self.bridge.unacknowledged_publishes());
@@ -112,10 +91,7 @@
                 BridgeOutput::Write(bytes) => self.to_broker.push_back(bytes),
                 BridgeOutput::Connect => {}
                 BridgeOutput::Finish => panic!("the bridge closed the connection"),
-                BridgeOutput::Call(call) => {
-                    *self.started.entry(call.payload.to_vec()).or_default() += 1;
-                    self.open.push(*call);
-                }
+                BridgeOutput::Call(call) => self.calls.start(*call),
             }
         }
     }
@@ -149,12 +125,11 @@
 
     /// Publishes under the lowest free packet id, as far as the bridge's receive maximum permits.
     fn publish(&mut self) {
-        if self.published >= MAX_PUBLISHES || self.unacknowledged.len() >= self.receive_maximum {
+        if self.calls.is_full() || self.unacknowledged.len() >= self.receive_maximum {
             return;
         }
         let Some(id) = (1..).find(|id| !self.unacknowledged.contains_key(id)) else { return };
-        let payload = self.published.to_string().into_bytes();
-        self.published += 1;
+        let payload = self.calls.next_payload();
         let message = Message { payload, first_sent_at: self.now };
         let bytes = self.publish_bytes(id, &message, false);
         self.to_gateway.push_back(bytes);
@@ -163,17 +138,15 @@
 
     fn publish_bytes(&self, id: u16, message: &Message, dup: bool) -> Vec<u8> {
         let waited_s = u32::try_from((self.now.0 - message.first_sent_at.0) / 1_000_000).unwrap();
-        let builder = v5_0::Publish::builder().topic_name("quote/fare").unwrap().qos(Qos::AtLeastOnce);
+        let builder = v5_0::Publish::builder().topic_name(TOPIC).unwrap().qos(Qos::AtLeastOnce);
         let builder = builder.packet_id(id).dup(dup).props(properties(waited_s, dup));
         builder.payload(message.payload.clone()).build().unwrap().to_continuous_buffer()
     }
 
     fn answer(&mut self, index: usize) {
-        if self.open.is_empty() {
-            return;
+        if let Some((ticket, answer)) = self.calls.end(index) {
+            self.drive(|bridge, now, out| bridge.answer(now, ticket, &answer, out));
         }
-        let call = self.open.remove(index % self.open.len());
-        self.drive(|bridge, now, out| bridge.answer(now, call.ticket, &answer_to(&call), out));
     }
 
     fn deliver_to_gateway(&mut self) {
@@ -213,10 +186,7 @@
                     self.send(builder.reason_codes(codes).build().unwrap().into());
                 }
                 Event::NotifyPacketReceived(Packet::V5_0Publish(answer)) => {
-                    let answers = self.answers.entry(answer.payload().as_slice().to_vec()).or_default();
-                    if *answers == 0 || !answer.dup() {
-                        *answers += 1;
-                    }
+                    self.calls.answered(answer.payload().as_slice(), answer.dup());
                 }
                 Event::NotifyError(error) => panic!("{error}"),
                 _ => {}
--- a/crates/mqtt/tests/histories/client.rs
+++ b/crates/mqtt/tests/histories/client.rs
@@ -1,20 +1,15 @@
 //! Histories of a direct client.
 
-use crate::{answer_to, properties, Step, EXPIRY_S};
+use crate::calls::{routes, Calls, MAX_REST, TOPIC};
+use crate::{properties, Step, EXPIRY_S};
 use mqtt_protocol_core::mqtt::common::Cursor;
 use mqtt_protocol_core::mqtt::connection::{Connection, Event};
 use mqtt_protocol_core::mqtt::packet::*;
 use mqtt_protocol_core::mqtt::{role, Version};
-use slatevalve::{ClassId, Micros};
-use slatevalve_engine::Call;
+use slatevalve::Micros;
 use slatevalve_mqtt::*;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Largest number of publishes of one history.
-const MAX_PUBLISHES: usize = 40;
-/// Packets to exchange until everything that is owed must have arrived.
-const MAX_REST: usize = 10_000;
-
 /// A client with a persistent session, the front, and the packets under way between them.
 pub(crate) struct ClientHistory {
     front: Front,
@@ -26,25 +21,14 @@
     receive_maximum: u16,
     to_gateway: VecDeque<Vec<u8>>,
     to_client: VecDeque<Vec<u8>>,
-    published: usize,
     /// When a packet id was used for the current message.
     first_sent_at: BTreeMap<u16, Micros>,
-    open: Vec<Call>,
-    started: BTreeMap<Vec<u8>, usize>,
-    /// Answers without retransmissions, by payload.
-    answers: BTreeMap<Vec<u8>, usize>,
+    calls: Calls,
 }
 
 impl ClientHistory {
     pub(crate) fn new(version: Version, qos: Qos, receive_maximum: u16) -> Self {
-        let route = Route {
-            filter: TopicFilter::parse("quote/+").unwrap(),
-            class: ClassId(0),
-            tenant: None,
-            function: Template::parse("{2}").unwrap(),
-            key: None,
-        };
-        let routes = Routes { routes: vec![route], ..Routes::default() };
+        let routes = routes();
         let mut client = Connection::new(version);
         client.set_auto_pub_response(true);
         let mut history = ClientHistory {
@@ -62,11 +46,8 @@
             receive_maximum,
             to_gateway: VecDeque::new(),
             to_client: VecDeque::new(),
-            published: 0,
             first_sent_at: BTreeMap::new(),
-            open: Vec::new(),
-            started: BTreeMap::new(),
-            answers: BTreeMap::new(),
+            calls: Calls::default(),
         };
         history.connect();
         history
@@ -74,7 +55,7 @@
 
     pub(crate) fn take(&mut self, step: Step) {
         match step {
-            Step::Publish if self.published < MAX_PUBLISHES => self.publish(),
+            Step::Publish if !self.calls.is_full() => self.publish(),
             Step::Publish => {}
             Step::ToGateway => self.deliver_to_gateway(),
             Step::ToPeer => self.deliver_to_client(),
@@ -86,17 +67,14 @@
     /// Lets everything arrive and checks that each call was started once and answered once.
     pub(crate) fn finish(mut self) {
         for _ in 0..MAX_REST {
-            if self.to_gateway.is_empty() && self.to_client.is_empty() && self.open.is_empty() {
+            if self.to_gateway.is_empty() && self.to_client.is_empty() && !self.calls.has_open() {
                 break;
             }
             self.deliver_to_gateway();
             self.deliver_to_client();
             self.answer(0);
         }
-        let expected: BTreeMap<Vec<u8>, usize> =
-            (0..self.published).map(|number| (number.to_string().into_bytes(), 1)).collect();
-        assert_eq!(self.started, expected, "calls started");
-        assert_eq!(self.answers, expected, "answers");
+        self.calls.assert_complete();
         assert_eq!(self.front.owed(self.now, Micros(i64::MAX)), OwedAnswers::default());
     }
 
@@ -137,16 +115,15 @@
 
     fn publish(&mut self) {
         let Ok(id) = self.client.acquire_packet_id() else { return };
-        let payload = self.published.to_string().into_bytes();
-        self.published += 1;
+        let payload = self.calls.next_payload();
         self.first_sent_at.insert(id, self.now);
         let packet: Packet = match self.version {
             Version::V5_0 => {
-                let builder = v5_0::Publish::builder().topic_name("quote/fare").unwrap().qos(self.qos);
+                let builder = v5_0::Publish::builder().topic_name(TOPIC).unwrap().qos(self.qos);
                 builder.packet_id(id).props(properties(0, false)).payload(payload).build().unwrap().into()
             }
             _ => {
-                let builder = v3_1_1::Publish::builder().topic_name("quote/fare").unwrap().qos(self.qos);
+                let builder = v3_1_1::Publish::builder().topic_name(TOPIC).unwrap().qos(self.qos);
                 builder.packet_id(id).payload(payload).build().unwrap().into()
             }
         };
@@ -155,12 +132,9 @@
     }
 
     fn answer(&mut self, index: usize) {
-        if self.open.is_empty() {
-            return;
-        }
-        let call = self.open.remove(index % self.open.len());
+        let Some((ticket, answer)) = self.calls.end(index) else { return };
         let mut out = Vec::new();
-        self.front.answer(self.now, call.ticket, &answer_to(&call), &mut out);
+        self.front.answer(self.now, ticket, &answer, &mut out);
         self.execute(out);
     }
 
@@ -188,10 +162,7 @@
                 }
                 FrontOutput::Write(..) => {}
                 FrontOutput::Finish(link) => panic!("the gateway closed {link:?}"),
-                FrontOutput::Call(call) => {
-                    *self.started.entry(call.payload.to_vec()).or_default() += 1;
-                    self.open.push(*call);
-                }
+                FrontOutput::Call(call) => self.calls.start(*call),
                 FrontOutput::ClientDisconnected(ticket) => panic!("the session of {ticket:?} ended"),
             }
         }
@@ -218,10 +189,7 @@
 
     /// A retransmission with QoS 1 may have been received before; with QoS 2 the library removes those.
     fn handle_answer(&mut self, dup: bool, payload: &[u8]) {
-        let answers = self.answers.entry(payload.to_vec()).or_default();
-        if *answers == 0 || !dup || self.qos == Qos::ExactlyOnce {
-            *answers += 1;
-        }
+        self.calls.answered(payload, dup && self.qos != Qos::ExactlyOnce);
     }
 
     /// A publish that is sent again has less message expiry and its properties in another order.
--- a/crates/mqtt/tests/histories/main.rs
+++ b/crates/mqtt/tests/histories/main.rs
@@ -6,6 +6,7 @@
 //! `SLATEVALVE_HISTORIES` sets the number of histories of each test and `SLATEVALVE_HISTORIES_SEED` their seed.
 
 mod broker;
+mod calls;
 mod client;
 
 use broker::BrokerHistory;
@@ -14,7 +15,6 @@
 use mqtt_protocol_core::mqtt::Version;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use slatevalve_engine::{Answer, Call, Verdict};
 
 /// Histories of each test in CI.
 const DEFAULT_HISTORIES: u32 = 1_500;
@@ -57,12 +57,6 @@
     }
 }
 
-/// The answer to a call: its payload is that of the call, so that each answer tells which call it is for.
-fn answer_to(call: &Call) -> Answer {
-    let payload = call.payload.clone();
-    Answer { verdict: Verdict::Served { payload, ran: None }, attempts: 1, recorded: false, version: None }
-}
-
 /// The properties of a call's publish, as it is sent `waited_s` after its first delivery.
 fn properties(waited_s: u32, is_resent: bool) -> Vec<Property> {
     let mut properties = vec![
